--- /dev/null
+++ b/agent/monitor.go
@@ -0,0 +1,90 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"figbank"
+	"figbank/schema"
+)
+
+// statusTimeout bounds one question to the engine.
+const statusTimeout = 2 * time.Second
+
+// monitor asks the engine for its status and lets calls through accordingly.
+func (a *Agent) monitor(ctx context.Context) {
+	ticks, stop := a.common.Clock.Tick(a.settings.PollInterval)
+	defer stop()
+	for {
+		a.poll(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+		}
+	}
+}
+
+func (a *Agent) poll(ctx context.Context) {
+	asking, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	status, err := a.engine.Status(asking)
+	if err != nil {
+		a.engineLost(err)
+		return
+	}
+	a.engineHeard(status)
+}
+
+func (a *Agent) engineLost(err error) {
+	state, manifest := a.gate.current()
+	if state == schema.UpstreamState_UPSTREAM_STATE_DOWN || a.leaving.Load() {
+		return
+	}
+	a.common.Log.Warn("upstream does not answer", zap.Error(err))
+	a.event("UpstreamLost", "", "")
+	a.lives.Add(1)
+	a.gate.set(schema.UpstreamState_UPSTREAM_STATE_DOWN, manifest)
+	a.changed.raise()
+}
+
+func (a *Agent) engineHeard(status *schema.EngineStatus) {
+	a.status.Store(status)
+	a.startRamp()
+	state, _ := a.gate.current()
+	if a.leaving.Load() || state == schema.UpstreamState_UPSTREAM_STATE_SWITCHING {
+		return
+	}
+	next := schema.UpstreamState_UPSTREAM_STATE_STARTING
+	if status.GetReady() && (a.settings.Plain || status.GetManifest() != "") {
+		next = schema.UpstreamState_UPSTREAM_STATE_READY
+	}
+	if a.gate.set(next, status.GetManifest()) {
+		a.common.Log.Info("upstream changed state", zap.Stringer("state", next), zap.String("manifest", status.GetManifest()))
+		a.event("UpstreamState", "", next.String())
+		a.changed.raise()
+	}
+}
+
+// notice looks at the incarnation that an answer tells: it may be news before
+// the next poll.
+func (a *Agent) notice(told figbank.Incarnation) {
+	known := a.status.Load()
+	if told == "" || string(told) == known.GetIncarnation() {
+		return
+	}
+	a.status.Store(&schema.EngineStatus{
+		Incarnation: string(told), Ready: known.GetReady(), Manifest: known.GetManifest(), Fencing: known.GetFencing(),
+	})
+	a.startRamp()
+}
+
+// startRamp treats a new incarnation as cold, whatever it was before.
+func (a *Agent) startRamp() {
+	if a.limiter.Start(a.incarnation()) {
+		a.event("ColdStart", "", string(a.incarnation()))
+		a.changed.raise()
+	}
+}
--- /dev/null
+++ b/agent/signal.go
@@ -0,0 +1,26 @@
+package agent
+
+import "sync"
+
+// signal wakes all that wait on it.
+type signal struct {
+	mu     sync.Mutex
+	raised chan struct{}
+}
+
+func newSignal() *signal {
+	return &signal{raised: make(chan struct{})}
+}
+
+func (s *signal) raise() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.raised)
+	s.raised = make(chan struct{})
+}
+
+func (s *signal) wait() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.raised
+}
--- /dev/null
+++ b/app/gateway.go
@@ -0,0 +1,229 @@
+package app
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"figbank"
+	"figbank/configuration"
+	"figbank/disk"
+	"figbank/exchange"
+	"figbank/gateway"
+	"figbank/operators"
+	"figbank/raft"
+	"figbank/replica"
+	"figbank/routing"
+	"figbank/schema"
+	"figbank/settings"
+	"figbank/timeline"
+	"figbank/transport"
+)
+
+// logFolder holds a replica's log below its data folder.
+const logFolder = "Log"
+
+// NewGateway wires a gateway; one whose settings name a data folder is a
+// replica too.
+func NewGateway(s *schema.GatewaySettings, options ...fx.Option) *fx.App {
+	return fx.New(
+		base(s.GetProcess()),
+		fx.Supply(s),
+		fx.Provide(
+			newHolder, newPool, newClient, newReplica, newFrontDoor, newExchange, newOperators,
+		),
+		fx.Invoke(serveProcesses, serveOperators, serveCallers),
+		fx.Options(options...),
+	)
+}
+
+func newHolder(common figbank.Common) *configuration.Holder {
+	return configuration.NewHolder(common.Recorder)
+}
+
+func newPool(lifecycle fx.Lifecycle, common figbank.Common) *transport.Pool {
+	pool := transport.NewPool(common)
+	lifecycle.Append(fx.StopHook(pool.Close))
+	return pool
+}
+
+func newClient(common figbank.Common, pool *transport.Pool, s *schema.GatewaySettings) figbank.Proposer {
+	var endpoints []replica.Endpoint
+	for id, address := range settings.Replicas(s) {
+		endpoints = append(endpoints, replica.Endpoint{ID: id, Address: address})
+	}
+	return replica.NewClient(common, pool, endpoints)
+}
+
+// newReplica returns nil on a gateway that keeps no log.
+func newReplica(lifecycle fx.Lifecycle, shutdowner fx.Shutdowner, common figbank.Common,
+	s *schema.GatewaySettings, pool *transport.Pool, holder *configuration.Holder,
+) (*replica.Replica, error) {
+	if !settings.IsReplica(s) {
+		return nil, nil //nolint:nilnil // no replica is no failure
+	}
+	unlock, err := lockFolder(s.GetProcess().GetDataFolder())
+	if err != nil {
+		return nil, err
+	}
+	folder, err := disk.OpenFolder(s.GetProcess().GetDataFolder() + "/" + logFolder)
+	if err != nil {
+		return nil, err
+	}
+	r, err := replica.NewReplica(common, replica.Settings{
+		Timing: raft.Timing{
+			ElectionTimeout:   s.GetLog().GetElectionTimeout().AsDuration(),
+			HeartbeatInterval: s.GetLog().GetHeartbeatInterval().AsDuration(),
+		},
+		SnapshotEntries: int(s.GetLog().GetSnapshotEntries()),
+		Voters:          settings.Replicas(s),
+	}, folder, pool,
+		replica.WithConfiguration(func(c *schema.Configuration) { holder.Offer(c) }),
+		replica.WithFailure(func(error) { _ = shutdowner.Shutdown(fx.ExitCode(1)) }),
+	)
+	if err != nil {
+		return nil, err
+	}
+	lifecycle.Append(fx.StopHook(func() {
+		r.Close()
+		unlock()
+	}))
+	return r, nil
+}
+
+func newFrontDoor(lifecycle fx.Lifecycle, common figbank.Common, s *schema.GatewaySettings,
+	pool *transport.Pool, holder *configuration.Holder, proposer figbank.Proposer,
+) *frontDoor {
+	door := &frontDoor{}
+	place := routing.Place{
+		Region:        figbank.Region(s.GetProcess().GetRegion()),
+		FailureDomain: figbank.FailureDomain(s.GetProcess().GetFailureDomain()),
+	}
+	r := s.GetRequests()
+	door.Gateway = gateway.New(common, gateway.Settings{
+		Place: place, MaxBody: figbank.Bytes(r.GetMaxBody()), MaxHeld: figbank.Bytes(r.GetMaxHeld()),
+		StreamWindow: figbank.Bytes(r.GetStreamWindow()), QueueLength: int(r.GetQueueLength()),
+		QueueAge: r.GetQueueAge().AsDuration(), Deadline: r.GetDeadline().AsDuration(),
+		RetryShare: r.GetRetryShare(), CallerKeys: callerKeys(s),
+	}, holder, pool, proposer, func() bool { return door.exchange != nil && door.exchange.CaughtUp() })
+	lifecycle.Append(fx.StopHook(door.Close))
+	return door
+}
+
+// frontDoor is a gateway with the exchange that it asks for readiness.
+type frontDoor struct {
+	*gateway.Gateway
+	exchange *exchange.Exchange
+}
+
+func newExchange(lifecycle fx.Lifecycle, common figbank.Common, s *schema.GatewaySettings,
+	pool *transport.Pool, holder *configuration.Holder, door *frontDoor,
+) *exchange.Exchange {
+	e := exchange.New(common, figbank.FailureDomain(s.GetProcess().GetFailureDomain()),
+		s.GetRequests().GetUpstreamLease().AsDuration(), holder, pool, addresses(s.GetGateway().GetGateways()),
+		exchange.WithChange(door.SetUpstreams),
+		exchange.WithLoad(door.HearLoad),
+	)
+	door.exchange = e
+	lifecycle.Append(fx.StopHook(e.Close))
+	return e
+}
+
+func newOperators(common figbank.Common, s *schema.GatewaySettings, proposer figbank.Proposer, m metrics,
+	recorder *timeline.Recorder, pool *transport.Pool, holder *configuration.Holder,
+	e *exchange.Exchange, door *frontDoor, r *replica.Replica,
+) *operators.Interface {
+	status := func() *schema.Status {
+		current := holder.Current()
+		status := &schema.Status{
+			Process: s.GetProcess().GetId(), FailureDomain: s.GetProcess().GetFailureDomain(), Ready: door.Ready(),
+			ConfigIndex: current.GetCommitIndex(), Configuration: current, Upstreams: e.Alive(), Traffic: door.Traffic(),
+		}
+		if r != nil {
+			status.Replica = r.Status()
+		}
+		return status
+	}
+	events := func(request *http.Request) []*schema.Event {
+		reachable := addresses(s.GetGateway().GetGateways())
+		for _, upstream := range e.Alive() {
+			reachable = append(reachable, figbank.Address(upstream.GetAddress()))
+		}
+		return recorder.Gather(request.Context(), pool, reachable)
+	}
+	views := operators.Views{Status: status, Timeline: events, Metrics: m.handler}
+	return operators.New(common, proposer, views, s.GetGateway().GetOperatorKeys())
+}
+
+func serveProcesses(lifecycle fx.Lifecycle, common figbank.Common, s *schema.GatewaySettings,
+	e *exchange.Exchange, door *frontDoor, r *replica.Replica, recorder *timeline.Recorder,
+) error {
+	listener, err := listen(s.GetProcess().GetListenProcesses())
+	if err != nil {
+		return err
+	}
+	handlers := transport.Handlers{
+		schema.StreamKind_STREAM_KIND_EXCHANGE: e.ServeExchange,
+		schema.StreamKind_STREAM_KIND_ANNOUNCE: e.ServeAnnounce,
+		schema.StreamKind_STREAM_KIND_GRANT:    door.ServeGrant,
+		schema.StreamKind_STREAM_KIND_INSPECT:  recorder.Serve,
+	}
+	if r != nil {
+		handlers[schema.StreamKind_STREAM_KIND_RAFT] = r.ServeRaft
+		handlers[schema.StreamKind_STREAM_KIND_PROPOSE] = r.ServePropose
+	}
+	server := transport.NewServer(common, listener, handlers)
+	lifecycle.Append(fx.StopHook(server.Close))
+	return nil
+}
+
+func serveOperators(lifecycle fx.Lifecycle, s *schema.GatewaySettings, i *operators.Interface) error {
+	listener, err := listen(s.GetGateway().GetListenOperators())
+	if err != nil {
+		return err
+	}
+	server := newHTTPServer(i.Handler())
+	go func() { _ = server.Serve(listener) }()
+	lifecycle.Append(fx.StopHook(server.Close))
+	return nil
+}
+
+// serveCallers comes last, so that it is stopped first: gracefully.
+func serveCallers(lifecycle fx.Lifecycle, common figbank.Common, s *schema.GatewaySettings, door *frontDoor) error {
+	listener, err := listen(s.GetGateway().GetListenCallers())
+	if err != nil {
+		return err
+	}
+	server := newHTTPServer(door.Handler())
+	go func() { _ = server.Serve(listener) }()
+	common.Log.Info("gateway: serving", zap.String("callers", listener.Addr().String()),
+		zap.String("operators", s.GetGateway().GetListenOperators()))
+	lifecycle.Append(fx.StopHook(func(ctx context.Context) error {
+		common.Log.Info("gateway: shutting down")
+		if err := door.Shutdown(ctx, s.GetRequests().GetShutdownNotice().AsDuration()); err != nil {
+			return err
+		}
+		return server.Shutdown(ctx)
+	}))
+	return nil
+}
+
+func callerKeys(s *schema.GatewaySettings) map[string]figbank.Workspace {
+	keys := map[string]figbank.Workspace{}
+	for _, text := range s.GetGateway().GetCallerKeys() {
+		workspace, digest, _ := strings.Cut(text, "=")
+		keys[digest] = figbank.Workspace(workspace)
+	}
+	return keys
+}
+
+func addresses(texts []string) []figbank.Address {
+	list := make([]figbank.Address, len(texts))
+	for i, text := range texts {
+		list[i] = figbank.Address(text)
+	}
+	return list
+}
--- /dev/null
+++ b/cmd/figbank/example.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"figbank"
+	"figbank/clock"
+	"figbank/deployment"
+	"figbank/fake"
+	"figbank/keyfile"
+	"figbank/weights"
+)
+
+const (
+	examplePort = 21000
+	folderMode  = 0o755
+	fileMode    = 0o644
+)
+
+// newExample writes the settings files of a deployment, one for each process.
+func newExample() *command {
+	c := &command{sub: newSub("example", "Write the settings files of an example deployment on loopback addresses.")}
+	folder := folderArgument(c)
+	name, data := "tabwright", ".data"
+	c.sub.String(&name, "d", "deployment", "tabwright or bluehole.")
+	c.sub.String(&data, "", "data", "Folder for the processes' durable state.")
+	c.run = func(context.Context) error {
+		d := deployment.Named(name)
+		if d == nil {
+			return figbank.InvalidError{Subject: "deployment", Detail: name + "; allowed: tabwright, bluehole"}
+		}
+		plan, err := deployment.NewPlan(d, countedAddresses(), data)
+		if err != nil {
+			return err
+		}
+		return writeExample(*folder, plan)
+	}
+	return c
+}
+
+// countedAddresses hands out loopback addresses with rising ports.
+func countedAddresses() deployment.Addresses {
+	port := examplePort
+	return func() (string, error) {
+		port++
+		return fmt.Sprintf("127.0.0.1:%d", port), nil
+	}
+}
+
+func writeExample(folder string, plan *deployment.Plan) error {
+	for _, gateway := range plan.Gateways {
+		if err := writeSettings(filepath.Join(folder, "gateways", gateway.GetProcess().GetId()+".ini"), gateway); err != nil {
+			return err
+		}
+	}
+	for _, agent := range plan.Agents {
+		if err := writeSettings(filepath.Join(folder, "agents", agent.GetProcess().GetId()+".ini"), agent); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeSettings(path string, message proto.Message) error {
+	if err := os.MkdirAll(filepath.Dir(path), folderMode); err != nil {
+		return figbank.Fail("example", "Write", err)
+	}
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
+	if err != nil {
+		return figbank.Fail("example", "Write", err)
+	}
+	defer file.Close()
+	return keyfile.Write(file, message)
+}
+
+// newStandIn runs one of the repository's stand-ins as a process of its own.
+func newStandIn() *command {
+	c := &command{sub: newSub("standin", "Run a stand-in for an engine, a service or an origin, for trying things out.")}
+	kind, address, folder := "", "", ""
+	c.sub.AddPositionalValue(&kind, "KIND", 1, true, "engine, service or origin.")
+	c.sub.String(&address, "l", "listen", "Address or base URL to listen on.")
+	c.sub.String(&folder, "w", "weights", "Folder that the origin serves.")
+	c.run = func(ctx context.Context) error {
+		listener, err := net.Listen("tcp", strings.TrimPrefix(address, "http://")) //nolint:noctx // listens for the life of the process
+		if err != nil {
+			return figbank.InvalidError{Subject: "address", Detail: err.Error()}
+		}
+		if err := startStandIn(kind, listener, folder); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return nil
+	}
+	return c
+}
+
+func startStandIn(kind string, listener net.Listener, folder string) error {
+	switch kind {
+	case "engine":
+		fake.NewEngine(listener, clock.System{}, fake.EngineSettings{TokenInterval: standInToken})
+	case "service":
+		fake.NewService(listener, clock.System{}, standInWork, fake.NewBook())
+	case "origin":
+		return startOrigin(listener, folder)
+	default:
+		return figbank.InvalidError{Subject: "kind", Detail: kind + "; allowed: engine, service, origin"}
+	}
+	return nil
+}
+
+const (
+	standInToken = 10e6
+	standInWork  = 20e6
+)
+
+func startOrigin(listener net.Listener, folder string) error {
+	manifest, err := weights.Build(folder)
+	if err != nil {
+		return err
+	}
+	content, digest, err := weights.Marshal(manifest)
+	if err != nil {
+		return err
+	}
+	fake.NewOrigin(listener, 0).Add(digest, content, folder)
+	return nil
+}
--- /dev/null
+++ b/configuration/lookup.go
@@ -0,0 +1,59 @@
+package configuration
+
+import (
+	"slices"
+
+	"figbank"
+	"figbank/schema"
+)
+
+// anyWorkspace in a declaration allows every workspace.
+const anyWorkspace = "*"
+
+// Service returns a service in force, or nil.
+func Service(c *schema.Configuration, name figbank.ServiceName) *schema.ServiceInForce {
+	for _, service := range c.GetServices() {
+		if service.GetCurrent().GetDeclaration().GetService().GetName() == string(name) {
+			return service
+		}
+	}
+	return nil
+}
+
+// Declared returns the declaration of a service in force, or nil.
+func Declared(c *schema.Configuration, name figbank.ServiceName) *schema.ServiceDeclaration {
+	return Service(c, name).GetCurrent().GetDeclaration().GetService()
+}
+
+// DomainOut tells whether operators have taken a failure domain out.
+func DomainOut(c *schema.Configuration, domain figbank.FailureDomain) bool {
+	for _, accepted := range c.GetFailureDomains() {
+		declared := accepted.GetDeclaration().GetFailureDomain()
+		if declared.GetName() == string(domain) {
+			return declared.GetState() == "Out"
+		}
+	}
+	return false
+}
+
+// Allows tells whether a workspace may call a service.
+func Allows(service *schema.ServiceDeclaration, workspace figbank.Workspace) bool {
+	return slices.Contains(service.GetWorkspaces(), anyWorkspace) ||
+		slices.Contains(service.GetWorkspaces(), string(workspace))
+}
+
+// Serves tells whether upstreams of a failure domain may run a service.
+func Serves(service *schema.ServiceDeclaration, domain figbank.FailureDomain) bool {
+	return slices.Contains(service.GetFailureDomains(), string(domain))
+}
+
+// AcceptsManifest tells whether answers from weights with this manifest may
+// still be given: the declared ones, or those that a rollout is replacing.
+func AcceptsManifest(service *schema.ServiceInForce, manifest string) bool {
+	if service.GetCurrent().GetDeclaration().GetService().GetManifest() == manifest {
+		return true
+	}
+	return slices.ContainsFunc(service.GetPrevious(), func(d *schema.ServiceDeclaration) bool {
+		return d.GetManifest() == manifest
+	})
+}
--- /dev/null
+++ b/declaration/declaration.go
@@ -0,0 +1,142 @@
+// Package declaration collects and checks the operators' declaration files.
+package declaration
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"figbank"
+	"figbank/keyfile"
+	"figbank/ledger"
+	"figbank/schema"
+)
+
+const (
+	// Extension of declaration files.
+	Extension = ".figbank"
+
+	sectionService = "Service"
+	sectionDomain  = "FailureDomain"
+	kindPlain      = "Plain"
+)
+
+// Collect reads all declaration files below a folder, leaving out hidden
+// folders. It fails with keyfile.ProblemsError when any file is bad.
+func Collect(folder string) ([]*schema.Declaration, error) {
+	var all []*schema.Declaration
+	var problems []keyfile.Problem
+	seen := map[string]keyfile.Section{}
+	err := filepath.WalkDir(folder, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() && strings.HasPrefix(entry.Name(), ".") && path != folder {
+			return filepath.SkipDir
+		}
+		if entry.IsDir() || filepath.Ext(path) != Extension {
+			return nil
+		}
+		content, err := os.ReadFile(path) //nolint:gosec // the operator names the folder
+		if err != nil {
+			return err
+		}
+		declarations, found := parse(path, content, seen)
+		all = append(all, declarations...)
+		problems = append(problems, found...)
+		return nil
+	})
+	if err != nil {
+		return nil, figbank.Fail("declaration", "Collect", figbank.InvalidError{Subject: "folder", Detail: err.Error()})
+	}
+	if len(all) == 0 && len(problems) == 0 {
+		detail := "no " + Extension + " file below " + folder
+		return nil, figbank.Fail("declaration", "Collect", figbank.InvalidError{Subject: "folder", Detail: detail})
+	}
+	return all, keyfile.AsError(problems)
+}
+
+// Parse checks one file's content.
+func Parse(file string, content []byte) ([]*schema.Declaration, error) {
+	declarations, problems := parse(file, content, map[string]keyfile.Section{})
+	return declarations, keyfile.AsError(problems)
+}
+
+// parse adds each subject's section to seen, and reports those already there.
+func parse(file string, content []byte, seen map[string]keyfile.Section) ([]*schema.Declaration, []keyfile.Problem) {
+	sections, problems := keyfile.Parse(file, content)
+	if len(sections) == 0 && len(problems) == 0 {
+		return nil, []keyfile.Problem{{File: file, Line: 1, Detail: "file declares nothing"}}
+	}
+	var declarations []*schema.Declaration
+	for _, section := range sections {
+		declared, found := decode(section)
+		problems = append(problems, found...)
+		if len(found) > 0 {
+			continue
+		}
+		subject := ledger.Subject(declared)
+		if first, twice := seen[subject]; twice {
+			problems = append(problems, problem(section, "Name", subject+" is already declared in "+first.File))
+			continue
+		}
+		seen[subject] = section
+		declarations = append(declarations, declared)
+	}
+	return declarations, problems
+}
+
+func decode(section keyfile.Section) (*schema.Declaration, []keyfile.Problem) {
+	switch section.Name {
+	case sectionService:
+		service := &schema.ServiceDeclaration{}
+		problems := keyfile.Decode(section, service)
+		if len(problems) == 0 {
+			problems = checkService(section, service)
+		}
+		return &schema.Declaration{Subject: &schema.Declaration_Service{Service: service}}, problems
+	case sectionDomain:
+		domain := &schema.FailureDomainDeclaration{}
+		problems := keyfile.Decode(section, domain)
+		return &schema.Declaration{Subject: &schema.Declaration_FailureDomain{FailureDomain: domain}}, problems
+	}
+	return nil, []keyfile.Problem{problem(section, "", "unknown section; allowed: Service, FailureDomain")}
+}
+
+// CheckService checks what no single key can tell, and returns what is wrong.
+func CheckService(service *schema.ServiceDeclaration) string {
+	if problems := checkService(keyfile.Section{}, service); len(problems) > 0 {
+		return problems[0].Key + ": " + problems[0].Detail
+	}
+	return ""
+}
+
+// checkService checks what no single key can tell.
+func checkService(section keyfile.Section, service *schema.ServiceDeclaration) []keyfile.Problem {
+	weights := []struct{ key, value string }{
+		{"Model", service.GetModel()},
+		{"Version", service.GetVersion()},
+		{"Manifest", service.GetManifest()},
+	}
+	var problems []keyfile.Problem
+	for _, w := range weights {
+		if service.GetKind() == kindPlain && w.value != "" {
+			problems = append(problems, problem(section, w.key, "a service of kind Plain has no weights"))
+		}
+		if service.GetKind() != kindPlain && w.value == "" {
+			problems = append(problems, problem(section, w.key, "a service of kind Model needs this key"))
+		}
+	}
+	if service.GetKind() == kindPlain && service.GetAdapter() != "" {
+		problems = append(problems, problem(section, "Adapter", "a service of kind Plain has no weights"))
+	}
+	if len(service.GetWorkspaces()) > 1 && strings.Contains(strings.Join(service.GetWorkspaces(), ","), "*") {
+		problems = append(problems, problem(section, "Workspaces", "* stands for all workspaces and must stand alone"))
+	}
+	return problems
+}
+
+func problem(section keyfile.Section, key, detail string) keyfile.Problem {
+	return keyfile.Problem{File: section.File, Line: section.LineOf(key), Section: section.Name, Key: key, Detail: detail}
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,257 @@
+// Package demo runs a whole deployment in one process over loopback TCP, with
+// this repository's stand-ins, and checks what callers and hosts get.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"figbank"
+	"figbank/clock"
+	"figbank/declaration"
+	"figbank/deployment"
+	"figbank/operators"
+	"figbank/schema"
+	"figbank/weights"
+)
+
+const (
+	readyTimeout        = 30 * time.Second
+	distributionTimeout = 15 * time.Minute
+	pollInterval        = 100 * time.Millisecond
+	firstVersion        = "v1"
+)
+
+type (
+	// Options of a demo.
+	Options struct {
+		// Weights is the folder to distribute; empty for a small sample.
+		Weights string
+		// Deployment is tabwright or bluehole.
+		Deployment string
+		// Duration is how long callers send requests at least.
+		Duration time.Duration
+		// Keep serves on after the summary until the context ends.
+		Keep bool
+		// Screen gets progress and the summary.
+		Screen io.Writer
+		// Terminal shows a progress bar in place of plain lines.
+		Terminal bool
+	}
+
+	// demo is one run.
+	demo struct {
+		options    Options
+		clock      figbank.Clock
+		deployment *deployment.Deployment
+		folder     string
+		source     string
+		manifest   *schema.Manifest
+		digest     figbank.ManifestDigest
+		nodes      *nodes
+		balancer   *balancer
+		callers    *callers
+		summary    *Summary
+	}
+)
+
+// Run runs a demo and reports whether every promise held.
+func Run(ctx context.Context, options Options) (*Summary, error) {
+	d := &demo{options: options, clock: clock.System{}, deployment: deployment.Named(options.Deployment)}
+	if d.deployment == nil {
+		return nil, figbank.InvalidError{Subject: "deployment", Detail: options.Deployment + "; allowed: tabwright, bluehole"}
+	}
+	folder, err := os.MkdirTemp("", "figbank-demo-")
+	if err != nil {
+		return nil, figbank.Fail("demo", "Folder", err)
+	}
+	d.folder = folder
+	d.summary = &Summary{Hosts: d.deployment.ModelHosts()}
+	defer os.RemoveAll(folder)
+	if err := d.run(ctx); err != nil {
+		return nil, err
+	}
+	return d.summary, nil
+}
+
+func (d *demo) run(ctx context.Context) error {
+	if err := d.prepareWeights(); err != nil {
+		return err
+	}
+	log, err := os.Create(filepath.Join(d.folder, "log"))
+	if err != nil {
+		return figbank.Fail("demo", "Log", err)
+	}
+	defer log.Close()
+	d.say("starting %s: %d gateways, %d model hosts", d.deployment.Name, d.gatewayCount(), d.deployment.ModelHosts())
+	d.nodes, err = startNodes(ctx, d.deployment, filepath.Join(d.folder, "data"), log)
+	if d.nodes != nil {
+		defer d.nodes.stop(context.WithoutCancel(ctx)) //nolint:errcheck // reported by finish when it matters
+	}
+	if err != nil {
+		return err
+	}
+	content, _, err := weights.Marshal(d.manifest)
+	if err != nil {
+		return err
+	}
+	d.nodes.origin.Add(d.digest, content, d.source)
+	background, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.balancer = newBalancer(d.clock, d.nodes.plan)
+	go d.balancer.run(background)
+	if err := d.awaitReady(ctx); err != nil {
+		return err
+	}
+	if err := d.act(ctx); err != nil {
+		d.say("failed; the log follows\n%s", tail(log.Name()))
+		return err
+	}
+	return d.keep(ctx)
+}
+
+// act publishes, sends requests throughout, distributes, pulls a failure domain
+// and brings it back, and checks.
+func (d *demo) act(ctx context.Context) error {
+	started := d.clock.Now()
+	published, err := d.publishServices(ctx)
+	if err != nil {
+		return err
+	}
+	calling, stopCalling := context.WithCancel(ctx)
+	defer stopCalling()
+	d.callers = newCallers(d.deployment, d.balancer, d.clock, d.nodes.book, func() map[string]bool {
+		return map[string]bool{string(d.digest): true}
+	})
+	var group sync.WaitGroup
+	group.Go(func() { d.callers.run(calling) })
+	if err := d.distribute(ctx, published); err != nil {
+		return err
+	}
+	if err := d.pullDomain(ctx); err != nil {
+		return err
+	}
+	if rest := d.options.Duration - d.clock.Now().Sub(started); rest > 0 {
+		d.say("serving callers for another %s", rest.Round(time.Second))
+		select {
+		case <-ctx.Done():
+		case <-d.clock.After(rest):
+		}
+	}
+	stopCalling()
+	group.Wait()
+	return d.finish()
+}
+
+func (d *demo) prepareWeights() error {
+	d.source = d.options.Weights
+	if d.source == "" {
+		d.source = filepath.Join(d.folder, "sample")
+		if err := writeSample(d.source); err != nil {
+			return err
+		}
+	}
+	manifest, err := weights.Build(d.source)
+	if err != nil {
+		return err
+	}
+	d.manifest = manifest
+	_, d.digest, err = weights.Marshal(manifest)
+	d.say("weights: %d files, %s in %d chunks, %s", len(manifest.GetFiles()), sizeText(weights.Size(manifest)), len(manifest.GetChunks()), d.digest)
+	return err
+}
+
+// awaitReady waits for all gateways, and for all upstreams to have announced themselves.
+func (d *demo) awaitReady(ctx context.Context) error {
+	deadline := d.clock.Now().Add(readyTimeout)
+	for {
+		status, err := d.client(0).Status(ctx)
+		if err == nil && len(status.GetUpstreams()) == len(d.nodes.plan.Agents) && d.balancer.readyCount() == d.gatewayCount() {
+			return nil
+		}
+		if d.clock.Now().After(deadline) || ctx.Err() != nil {
+			return figbank.Fail("demo", "NotReady", figbank.InvalidError{Subject: "deployment", Detail: "not all processes became ready"})
+		}
+		<-d.clock.After(pollInterval)
+	}
+}
+
+// publishServices goes the operators' way: files, check, publish.
+func (d *demo) publishServices(ctx context.Context) (time.Time, error) {
+	folder := filepath.Join(d.folder, "services")
+	for service, text := range d.deployment.Declarations(1, firstVersion, d.digest) {
+		path := filepath.Join(folder, string(service), string(service)+declaration.Extension)
+		if err := writeText(path, text); err != nil {
+			return time.Time{}, err
+		}
+	}
+	result, err := d.publish(ctx, folder)
+	if err != nil {
+		return time.Time{}, err
+	}
+	d.say("published %d services, commit index %d", len(result.GetChanges()), result.GetCommitIndex())
+	return d.clock.Now(), nil
+}
+
+func (d *demo) publish(ctx context.Context, folder string) (*schema.Result, error) {
+	declarations, err := declaration.Collect(folder)
+	if err != nil {
+		return nil, err
+	}
+	return d.client(0).Publish(ctx, &schema.Publish{Declarations: declarations})
+}
+
+func (d *demo) client(gateway int) *operators.Client {
+	return operators.NewClient(d.nodes.plan.Gateways[gateway].GetGateway().GetListenOperators(), deployment.OperatorKey)
+}
+
+func (d *demo) gatewayCount() int {
+	count := 0
+	for _, domain := range d.deployment.Domains {
+		count += domain.Gateways
+	}
+	return count
+}
+
+// keep serves on, if asked to, until the context ends.
+func (d *demo) keep(ctx context.Context) error {
+	if !d.options.Keep {
+		return nil
+	}
+	d.summary.Print(d.options.Screen)
+	gateway := d.nodes.plan.Gateways[0].GetGateway()
+	service, workspace := d.deployment.ModelService().Name, d.deployment.Workspaces[0]
+	d.say("serving on; end with an interrupt\n"+
+		"  operators: figbank status --to %s --key %s\n"+
+		"  callers:   curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \\\n"+
+		"               -d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'",
+		gateway.GetListenOperators(), deployment.OperatorKey, gateway.GetListenCallers(), deployment.CallerKey(workspace), service)
+	<-ctx.Done()
+	return nil
+}
+
+func (d *demo) say(format string, values ...any) {
+	fmt.Fprintf(d.options.Screen, format+"\n", values...)
+}
+
+func writeText(path, text string) error {
+	if err := os.MkdirAll(filepath.Dir(path), folderMode); err != nil {
+		return figbank.Fail("demo", "Write", err)
+	}
+	return figbank.Fail("demo", "Write", os.WriteFile(path, []byte(text), fileMode)) //nolint:gosec // not secret
+}
+
+const tailBytes = 4 << 10
+
+func tail(path string) string {
+	content, err := os.ReadFile(path) //nolint:gosec // the demo's own log
+	if err != nil {
+		return err.Error()
+	}
+	return string(content[max(0, len(content)-tailBytes):])
+}
--- /dev/null
+++ b/demo/nodes.go
@@ -0,0 +1,178 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/fx"
+
+	"figbank"
+	"figbank/app"
+	"figbank/clock"
+	"figbank/deployment"
+	"figbank/fake"
+)
+
+const (
+	modelLoadTime = 300 * time.Millisecond
+	tokenInterval = 5 * time.Millisecond
+	workTime      = 20 * time.Millisecond
+	// originLimitEvery makes the stand-in origin refuse now and then with 429.
+	originLimitEvery = 997
+	// Ports for the demo's processes.
+	firstPort  = 12000
+	portSpread = 10000
+	lastPort   = 30000
+)
+
+// nodes are all processes of a deployment and its stand-ins, in this process.
+type nodes struct {
+	plan   *deployment.Plan
+	origin *fake.Origin
+	// engines and services stand beside agents, by upstream id.
+	engines  map[figbank.UpstreamID]*fake.Engine
+	services map[figbank.UpstreamID]*fake.Service
+	domains  map[figbank.UpstreamID]figbank.FailureDomain
+	book     *fake.Book
+	log      io.Writer
+	gateways []*fx.App
+	agents   []*fx.App
+}
+
+// startNodes starts stand-ins, gateways and agents.
+func startNodes(ctx context.Context, d *deployment.Deployment, dataFolder string, log io.Writer) (*nodes, error) {
+	plan, err := deployment.NewPlan(d, freeAddresses(), dataFolder)
+	if err != nil {
+		return nil, err
+	}
+	n := &nodes{
+		plan:     plan,
+		engines:  map[figbank.UpstreamID]*fake.Engine{},
+		services: map[figbank.UpstreamID]*fake.Service{},
+		domains:  map[figbank.UpstreamID]figbank.FailureDomain{},
+		book:     fake.NewBook(),
+		log:      log,
+	}
+	if err := n.startStandIns(); err != nil {
+		return n, err
+	}
+	for _, settings := range plan.Gateways {
+		gateway, err := started(ctx, app.NewGateway(settings, n.output()))
+		if err != nil {
+			return n, err
+		}
+		n.gateways = append(n.gateways, gateway)
+	}
+	for _, settings := range plan.Agents {
+		agent, err := started(ctx, app.NewAgent(settings, n.output()))
+		if err != nil {
+			return n, err
+		}
+		n.agents = append(n.agents, agent)
+	}
+	return n, nil
+}
+
+// stop ends everything, agents first.
+func (n *nodes) stop(ctx context.Context) error {
+	err := errors.Join(stopAll(ctx, n.agents), stopAll(ctx, n.gateways))
+	for _, engine := range n.engines {
+		engine.Close()
+	}
+	for _, service := range n.services {
+		service.Close()
+	}
+	if n.origin != nil {
+		n.origin.Close()
+	}
+	return err
+}
+
+// runsIn counts the calls that upstreams of a failure domain have run.
+func (n *nodes) runsIn(domain figbank.FailureDomain) int {
+	runs := 0
+	for id, engine := range n.engines {
+		if n.domains[id] == domain {
+			started, _ := engine.Runs()
+			runs += started
+		}
+	}
+	for id, service := range n.services {
+		if n.domains[id] == domain {
+			runs += service.Runs()
+		}
+	}
+	return runs
+}
+
+func (n *nodes) startStandIns() error {
+	listener, err := listen(n.plan.Origin)
+	if err != nil {
+		return err
+	}
+	n.origin = fake.NewOrigin(listener, originLimitEvery)
+	for _, agent := range n.plan.Agents {
+		listener, err := listen(agent.GetUpstream().GetAddress())
+		if err != nil {
+			return err
+		}
+		id := figbank.UpstreamID(agent.GetProcess().GetId())
+		n.domains[id] = figbank.FailureDomain(agent.GetProcess().GetFailureDomain())
+		if agent.GetUpstream().GetKind() == "Plain" {
+			n.services[id] = fake.NewService(listener, clock.System{}, workTime, n.book)
+			continue
+		}
+		n.engines[id] = fake.NewEngine(listener, clock.System{}, fake.EngineSettings{
+			LoadTime: modelLoadTime, TokenInterval: tokenInterval, ChecksFencing: agent.GetUpstream().GetChecksFencing(),
+		})
+	}
+	return nil
+}
+
+func started(ctx context.Context, process *fx.App) (*fx.App, error) {
+	return process, figbank.Fail("demo", "Start", process.Start(ctx))
+}
+
+func stopAll(ctx context.Context, processes []*fx.App) error {
+	failures := make([]error, len(processes))
+	var group sync.WaitGroup
+	for i, process := range processes {
+		group.Go(func() { failures[i] = process.Stop(ctx) })
+	}
+	group.Wait()
+	return figbank.Fail("demo", "Stop", errors.Join(failures...))
+}
+
+func (n *nodes) output() fx.Option {
+	return fx.Replace(app.Output{Writer: n.log})
+}
+
+func listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", strings.TrimPrefix(address, "http://")) //nolint:noctx // listens for the life of the demo
+	return listener, figbank.Fail("demo", "Listen", err, "address", address)
+}
+
+// freeAddresses hands out loopback addresses on which nothing listens now. They
+// lie below the ports that the system gives to outgoing connections.
+func freeAddresses() deployment.Addresses {
+	port := firstPort + rand.IntN(portSpread) //nolint:gosec // keeps two demos apart, no secret
+	return func() (string, error) {
+		for ; port < lastPort; port++ {
+			address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+			listener, err := net.Listen("tcp", address) //nolint:noctx // closed at once
+			if err != nil {
+				continue
+			}
+			port++
+			return address, figbank.Fail("demo", "FreeAddress", listener.Close())
+		}
+		return "", figbank.InvalidError{Subject: "host", Detail: "no free port on the loopback address"}
+	}
+}
--- /dev/null
+++ b/demo/sample.go
@@ -0,0 +1,104 @@
+package demo
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"figbank"
+	"figbank/schema"
+)
+
+const (
+	sampleLarge  = 12 << 20
+	sampleSmall  = 3 << 10
+	sampleFiles  = 200
+	folderMode   = 0o755
+	fileMode     = 0o644
+	sampleSeed   = 20261204
+	compareBlock = 1 << 20
+)
+
+// writeSample makes a small folder of weights: a large file, many small ones,
+// an empty one, and nested and empty folders.
+func writeSample(folder string) error {
+	random := rand.New(rand.NewPCG(sampleSeed, 0)) //nolint:gosec // sample bytes, no secret
+	files := map[string]int{"model.bin": sampleLarge, "empty.txt": 0}
+	for i := range sampleFiles {
+		files[fmt.Sprintf("tokens/%02d/part-%03d", i%10, i)] = random.IntN(sampleSmall)
+	}
+	for _, path := range slices.Sorted(maps.Keys(files)) {
+		if err := writeRandom(filepath.Join(folder, path), files[path], random); err != nil {
+			return err
+		}
+	}
+	return figbank.Fail("demo", "Sample", os.MkdirAll(filepath.Join(folder, "nothing", "here"), folderMode))
+}
+
+func writeRandom(path string, size int, random *rand.Rand) error {
+	if err := os.MkdirAll(filepath.Dir(path), folderMode); err != nil {
+		return figbank.Fail("demo", "Sample", err)
+	}
+	content := make([]byte, size)
+	for i := range content {
+		content[i] = byte(random.Uint32())
+	}
+	return figbank.Fail("demo", "Sample", os.WriteFile(path, content, fileMode)) //nolint:gosec // not secret
+}
+
+// compareFolders checks byte for byte that a host's folder is what the manifest
+// lists of source, no more and no less.
+func compareFolders(source, host string, manifest *schema.Manifest) error {
+	listed := map[string]bool{}
+	for _, file := range manifest.GetFiles() {
+		listed[file.GetPath()] = true
+		if err := compareFiles(filepath.Join(source, file.GetPath()), filepath.Join(host, file.GetPath())); err != nil {
+			return err
+		}
+	}
+	for _, folder := range manifest.GetEmptyFolders() {
+		if _, err := os.Stat(filepath.Join(host, folder)); err != nil {
+			return figbank.Fail("demo", "Compare", err)
+		}
+	}
+	return filepath.WalkDir(host, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		relative, err := filepath.Rel(host, path)
+		if err == nil && !listed[filepath.ToSlash(relative)] {
+			return figbank.CorruptError{Subject: path, Detail: "not part of the declared weights"}
+		}
+		return err
+	})
+}
+
+func compareFiles(a, b string) error {
+	first, err := os.Open(a) //nolint:gosec // the demo's own folders
+	if err != nil {
+		return figbank.Fail("demo", "Compare", err)
+	}
+	defer first.Close()
+	second, err := os.Open(b) //nolint:gosec // the demo's own folders
+	if err != nil {
+		return figbank.Fail("demo", "Compare", err)
+	}
+	defer second.Close()
+	x, y := make([]byte, compareBlock), make([]byte, compareBlock)
+	for {
+		n, errA := io.ReadFull(first, x)
+		m, errB := io.ReadFull(second, y)
+		if n != m || !bytes.Equal(x[:n], y[:m]) {
+			return figbank.CorruptError{Subject: b, Detail: "differs from " + a}
+		}
+		if errA != nil || errB != nil {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/demo/steps.go
@@ -0,0 +1,195 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+
+	"figbank"
+	"figbank/declaration"
+	"figbank/deployment"
+	"figbank/schema"
+)
+
+const (
+	// drainGrace is how long a domain that was taken out may still get new work.
+	drainGrace = 3 * time.Second
+	// drainHold is how long it then stays out.
+	drainHold = 4 * time.Second
+	// returnTimeout bounds the time until it works again.
+	returnTimeout = 20 * time.Second
+	lineStep      = 10
+)
+
+// distribute waits until every model host holds and serves the weights.
+func (d *demo) distribute(ctx context.Context, published time.Time) error {
+	progress := d.newProgress()
+	whole := map[string]time.Duration{}
+	deadline := published.Add(distributionTimeout)
+	for {
+		records := d.modelRecords(ctx)
+		chunks, serving := 0, 0
+		for _, record := range records {
+			since := d.clock.Now().Sub(published)
+			if record.GetWholeManifest() == string(d.digest) {
+				chunks += len(d.manifest.GetChunks())
+				if _, seen := whole[record.GetId()]; !seen {
+					whole[record.GetId()] = since
+				}
+			} else {
+				chunks += int(record.GetChunksWhole())
+			}
+			if record.GetManifest() == string(d.digest) && record.GetState() == schema.UpstreamState_UPSTREAM_STATE_READY {
+				serving++
+			}
+		}
+		progress.set(chunks, len(whole))
+		if serving == d.deployment.ModelHosts() {
+			progress.finish()
+			d.summary.Whole = sortedTimes(whole)
+			d.summary.Serving = d.clock.Now().Sub(published)
+			return nil
+		}
+		if d.clock.Now().After(deadline) || ctx.Err() != nil {
+			detail := fmt.Sprintf("%d of %d hosts serve the declared weights", serving, d.deployment.ModelHosts())
+			return figbank.Fail("demo", "Distribution", figbank.InvalidError{Subject: "distribution", Detail: detail})
+		}
+		<-d.clock.After(pollInterval)
+	}
+}
+
+// modelRecords asks one gateway of each domain for the hosts it hears itself.
+func (d *demo) modelRecords(ctx context.Context) []*schema.Upstream {
+	var records []*schema.Upstream
+	seen := map[string]bool{}
+	for i, gateway := range d.nodes.plan.Gateways {
+		domain := gateway.GetProcess().GetFailureDomain()
+		if seen[domain] {
+			continue
+		}
+		status, err := d.client(i).Status(ctx)
+		if err != nil {
+			continue
+		}
+		seen[domain] = true
+		for _, record := range status.GetUpstreams() {
+			if record.GetFailureDomain() == domain && record.GetService() == string(d.deployment.ModelService().Name) {
+				records = append(records, record)
+			}
+		}
+	}
+	return records
+}
+
+// pullDomain takes the second failure domain out by a declaration, and brings
+// it back.
+func (d *demo) pullDomain(ctx context.Context) error {
+	domain := d.deployment.Domains[1].Name
+	if err := d.declareDomain(ctx, domain, 1, "Out"); err != nil {
+		return err
+	}
+	d.say("took failure domain %s out", domain)
+	<-d.clock.After(drainGrace)
+	before := d.nodes.runsIn(domain)
+	<-d.clock.After(drainHold)
+	d.summary.Misplaced = d.nodes.runsIn(domain) - before
+	if err := d.declareDomain(ctx, domain, 2, "In"); err != nil {
+		return err
+	}
+	returned := d.clock.Now()
+	for d.nodes.runsIn(domain) == before+d.summary.Misplaced {
+		if d.clock.Now().Sub(returned) > returnTimeout || ctx.Err() != nil {
+			detail := fmt.Sprintf("failure domain %s got no work after its return", domain)
+			return figbank.Fail("demo", "Return", figbank.InvalidError{Subject: "return", Detail: detail})
+		}
+		<-d.clock.After(pollInterval)
+	}
+	d.summary.Return = d.clock.Now().Sub(returned)
+	d.say("brought failure domain %s back", domain)
+	return nil
+}
+
+func (d *demo) declareDomain(ctx context.Context, domain figbank.FailureDomain, revision int64, state string) error {
+	folder := filepath.Join(d.folder, "domains")
+	text := deployment.DeclareDomain(domain, revision, state)
+	if err := writeText(filepath.Join(folder, string(domain)+declaration.Extension), text); err != nil {
+		return err
+	}
+	_, err := d.publish(ctx, folder)
+	return err
+}
+
+// finish compares every host's folder with the source, and sums up.
+func (d *demo) finish() error {
+	d.say("comparing every host's weights byte for byte")
+	for _, agent := range d.nodes.plan.Agents {
+		if agent.GetProcess().GetDataFolder() == "" {
+			continue
+		}
+		name := strings.TrimPrefix(string(d.digest), "sha256:")
+		host := filepath.Join(agent.GetProcess().GetDataFolder(), "Weights", name)
+		if err := compareFolders(d.source, host, d.manifest); err != nil {
+			d.say("%s: %v", agent.GetProcess().GetId(), err)
+			continue
+		}
+		d.summary.HostsWhole++
+	}
+	d.summary.Size = sizeOf(d.manifest)
+	d.summary.OriginBytes = d.nodes.origin.Bytes()
+	d.summary.DoubleRuns = d.nodes.book.Doubled()
+	d.summary.Outcomes = d.callers.outcomes
+	d.summary.MemoryPeak = memoryPeak()
+	return nil
+}
+
+func sortedTimes(times map[string]time.Duration) []time.Duration {
+	var sorted []time.Duration
+	for _, t := range times {
+		sorted = append(sorted, t)
+	}
+	slices.Sort(sorted)
+	return sorted
+}
+
+// progress shows how far the distribution is: a bar on a terminal, else a line
+// for each tenth.
+type progress struct {
+	screen io.Writer
+	bar    *progressbar.ProgressBar
+	total  int
+	hosts  int
+	shown  int
+}
+
+func (d *demo) newProgress() *progress {
+	p := &progress{screen: d.options.Screen, total: len(d.manifest.GetChunks()) * d.deployment.ModelHosts(), hosts: d.deployment.ModelHosts(), shown: -1}
+	if d.options.Terminal {
+		p.bar = progressbar.NewOptions(p.total, progressbar.OptionSetWriter(d.options.Screen),
+			progressbar.OptionSetDescription("distributing"), progressbar.OptionShowCount())
+	}
+	return p
+}
+
+func (p *progress) set(chunks, whole int) {
+	if p.bar != nil {
+		_ = p.bar.Set(chunks)
+		return
+	}
+	if tenth := chunks * lineStep / max(1, p.total); tenth > p.shown {
+		p.shown = tenth
+		fmt.Fprintf(p.screen, "distributing: %d of %d chunks, %d of %d hosts whole\n", chunks, p.total, whole, p.hosts)
+	}
+}
+
+func (p *progress) finish() {
+	if p.bar != nil {
+		_ = p.bar.Finish()
+		fmt.Fprintln(p.screen)
+	}
+}
--- /dev/null
+++ b/deployment/plan.go
@@ -0,0 +1,182 @@
+package deployment
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"path"
+	"strings"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"figbank"
+	"figbank/schema"
+)
+
+type (
+	// Addresses hands out loopback addresses.
+	Addresses func() (string, error)
+
+	// Plan is a deployment with an address for everything.
+	Plan struct {
+		Deployment *Deployment
+		Gateways   []*schema.GatewaySettings
+		Agents     []*schema.AgentSettings
+		Origin     string
+	}
+)
+
+// NewPlan gives every process its settings. Durable state goes below dataFolder.
+func NewPlan(d *Deployment, addresses Addresses, dataFolder string) (*Plan, error) {
+	p := &planner{plan: &Plan{Deployment: d}, next: addresses, dataFolder: dataFolder}
+	p.plan.Origin = "http://" + p.address()
+	p.addGateways()
+	p.linkGateways()
+	p.addAgents()
+	return p.plan, p.failure
+}
+
+type planner struct {
+	plan       *Plan
+	next       Addresses
+	dataFolder string
+	failure    error
+}
+
+func (p *planner) address() string {
+	address, err := p.next()
+	if err != nil && p.failure == nil {
+		p.failure = err
+	}
+	return address
+}
+
+func (p *planner) addGateways() {
+	kept := 0
+	for _, domain := range p.plan.Deployment.Domains {
+		for i := range domain.Gateways {
+			id := fmt.Sprintf("gateway-%s-%d", domain.Name, i)
+			process := processSettings(id, domain, p.address())
+			// The first gateway of each domain keeps the log.
+			if i == 0 && kept < replicas {
+				kept++
+				process.DataFolder = path.Join(p.dataFolder, id)
+			}
+			p.plan.Gateways = append(p.plan.Gateways, &schema.GatewaySettings{
+				Process: process, Requests: requestSettings(), Log: logSettings(),
+				Gateway: &schema.ListenSettings{
+					ListenCallers: p.address(), ListenOperators: p.address(),
+					CallerKeys: callerKeys(p.plan.Deployment), OperatorKeys: []string{digest(OperatorKey)},
+				},
+			})
+		}
+	}
+}
+
+// linkGateways tells every gateway of the others and of the log's replicas.
+func (p *planner) linkGateways() {
+	for _, gateway := range p.plan.Gateways {
+		for _, other := range p.plan.Gateways {
+			if other != gateway {
+				gateway.Gateway.Gateways = append(gateway.Gateway.Gateways, other.GetProcess().GetListenProcesses())
+			}
+			if other.GetProcess().GetDataFolder() != "" {
+				endpoint := other.GetProcess().GetId() + "@" + other.GetProcess().GetListenProcesses()
+				gateway.Gateway.Replicas = append(gateway.Gateway.Replicas, endpoint)
+			}
+		}
+	}
+}
+
+func (p *planner) addAgents() {
+	for _, service := range p.plan.Deployment.Services {
+		for d, domain := range p.plan.Deployment.Domains {
+			for i := range service.Upstreams[d] {
+				p.addAgent(service, domain, i)
+			}
+		}
+	}
+}
+
+func (p *planner) addAgent(service Service, domain Domain, i int) {
+	id := fmt.Sprintf("%s-%s-%d", service.Name, domain.Name, i)
+	agent := &schema.AgentSettings{
+		Process: processSettings(id, domain, p.address()),
+		Upstream: &schema.UpstreamSettings{
+			Service: string(service.Name), Kind: "Plain", Address: "http://" + p.address(),
+			Capacity: service.Capacity, FirstLimit: firstLimit, Gateways: p.gatewaysIn(domain.Name),
+			AnnounceInterval: durationpb.New(announceInterval), PollInterval: durationpb.New(pollInterval),
+		},
+		Weights: &schema.WeightSettings{
+			ChunksInFlight: chunksInFlight, ChunksServed: chunksServed, VersionsKept: versionsKept,
+			SettleTime: durationpb.New(settleTime), StallTime: durationpb.New(stallTime),
+		},
+	}
+	if service.Model {
+		agent.Upstream.Kind = "Model"
+		// Every second engine checks fencing numbers, so that both kinds are met.
+		agent.Upstream.ChecksFencing = i%2 == 0
+		agent.Process.DataFolder = path.Join(p.dataFolder, id)
+		agent.Weights.Origin = p.plan.Origin
+	}
+	p.plan.Agents = append(p.plan.Agents, agent)
+}
+
+func (p *planner) gatewaysIn(domain figbank.FailureDomain) []string {
+	var addresses []string
+	for _, gateway := range p.plan.Gateways {
+		if gateway.GetProcess().GetFailureDomain() == string(domain) {
+			addresses = append(addresses, gateway.GetProcess().GetListenProcesses())
+		}
+	}
+	return addresses
+}
+
+func callerKeys(d *Deployment) []string {
+	var keys []string
+	for _, workspace := range d.Workspaces {
+		keys = append(keys, string(workspace)+"="+digest(CallerKey(workspace)))
+	}
+	return keys
+}
+
+func digest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Declarations returns the content of the declaration file of each service, by
+// the service's name.
+func (d *Deployment) Declarations(revision int64, version string, manifest figbank.ManifestDigest) map[figbank.ServiceName]string {
+	files := map[figbank.ServiceName]string{}
+	for _, service := range d.Services {
+		files[service.Name] = d.declare(service, revision, version, manifest)
+	}
+	return files
+}
+
+func (d *Deployment) declare(service Service, revision int64, version string, manifest figbank.ManifestDigest) string {
+	var domains []string
+	for i, domain := range d.Domains {
+		if service.Upstreams[i] > 0 {
+			domains = append(domains, string(domain.Name))
+		}
+	}
+	repeatable := "no"
+	if service.Repeatable {
+		repeatable = "yes"
+	}
+	text := fmt.Sprintf("[Service]\nName = %s\nRevision = %d\n", service.Name, revision)
+	if service.Model {
+		text += fmt.Sprintf("Kind = Model\nModel = %s-base\nVersion = %s\nManifest = %s\n", service.Name, version, manifest)
+	} else {
+		text += "Kind = Plain\n"
+	}
+	return text + fmt.Sprintf("FailureDomains = %s\nWorkspaces = *\nRepeatable = %s\n", strings.Join(domains, ", "), repeatable)
+}
+
+// DeclareDomain returns the content of a file that takes a failure domain out
+// or brings it back; state is In or Out.
+func DeclareDomain(domain figbank.FailureDomain, revision int64, state string) string {
+	return fmt.Sprintf("[FailureDomain]\nName = %s\nRevision = %d\nState = %s\n", domain, revision, state)
+}
--- /dev/null
+++ b/disk/disk.go
@@ -0,0 +1,82 @@
+// Package disk implements figbank.Disk on a folder of the file system.
+package disk
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+
+	"figbank"
+)
+
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+)
+
+type (
+	// Folder is one folder of the file system.
+	Folder struct {
+		path string
+	}
+
+	file struct {
+		*os.File
+	}
+)
+
+// OpenFolder creates the folder at path if needed and returns it.
+func OpenFolder(path string) (*Folder, error) {
+	if err := os.MkdirAll(path, folderMode); err != nil {
+		return nil, figbank.Fail("disk", "OpenFolder", err, "path", path)
+	}
+	return &Folder{path: path}, nil
+}
+
+// Open opens a file for reading and appending, creating it if absent.
+func (f *Folder) Open(name string) (figbank.File, error) {
+	path := filepath.Join(f.path, name)
+	opened, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_APPEND, fileMode) //nolint:gosec // names are constants of figbank
+	if err != nil {
+		return nil, figbank.Fail("disk", "Open", err, "path", path)
+	}
+	return &file{File: opened}, nil
+}
+
+// Rename replaces newName by oldName.
+func (f *Folder) Rename(oldName, newName string) error {
+	err := os.Rename(filepath.Join(f.path, oldName), filepath.Join(f.path, newName))
+	return figbank.Fail("disk", "Rename", err, "from", oldName, "to", newName)
+}
+
+// Remove deletes a file; a missing file is no error.
+func (f *Folder) Remove(name string) error {
+	err := os.Remove(filepath.Join(f.path, name))
+	if os.IsNotExist(err) {
+		return nil
+	}
+	return figbank.Fail("disk", "Remove", err, "name", name)
+}
+
+// SyncFolder makes creations, renames and removals durable.
+func (f *Folder) SyncFolder() error {
+	folder, err := os.Open(f.path)
+	if err != nil {
+		return figbank.Fail("disk", "SyncFolder", err, "path", f.path)
+	}
+	defer folder.Close()
+	return figbank.Fail("disk", "SyncFolder", folder.Sync(), "path", f.path)
+}
+
+// ReadAll returns the whole content from the start.
+func (f *file) ReadAll() ([]byte, error) {
+	info, err := f.Stat()
+	if err != nil {
+		return nil, figbank.Fail("disk", "ReadAll", err)
+	}
+	content := make([]byte, info.Size())
+	if _, err := io.ReadFull(io.NewSectionReader(f.File, 0, info.Size()), content); err != nil {
+		return nil, figbank.Fail("disk", "ReadAll", err)
+	}
+	return content, nil
+}
--- /dev/null
+++ b/engine/model.go
@@ -0,0 +1,85 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+
+	"figbank"
+	"figbank/schema"
+)
+
+type (
+	// Model is an engine that loads weights by orders.
+	Model struct {
+		*client
+	}
+
+	// Plain is a service without weights; it takes no orders.
+	Plain struct {
+		*client
+	}
+)
+
+var (
+	_ figbank.Engine = (*Model)(nil)
+	_ figbank.Engine = (*Plain)(nil)
+)
+
+// NewModel returns a client of the model engine at base.
+func NewModel(base string) *Model {
+	return &Model{client: newClient(base)}
+}
+
+// Status asks the engine for its version, incarnation and load.
+func (m *Model) Status(ctx context.Context) (*schema.EngineStatus, error) {
+	response, content, err := m.order(ctx, http.MethodGet, StatusPath, nil)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, figbank.Fail("engine", "Status", StatusError{Path: StatusPath, Status: response.StatusCode})
+	}
+	status := &schema.EngineStatus{}
+	if err := Unmarshal.Unmarshal(content, status); err != nil {
+		return nil, figbank.Fail("engine", "Status", figbank.ProtocolError{Detail: err.Error()})
+	}
+	return status, nil
+}
+
+// Load orders the engine to serve the weights in a folder.
+func (m *Model) Load(ctx context.Context, order *schema.LoadOrder) error {
+	body, err := Marshal.Marshal(order)
+	if err != nil {
+		return figbank.Fail("engine", "Load", err)
+	}
+	response, _, err := m.order(ctx, http.MethodPost, LoadPath, body)
+	switch {
+	case err != nil:
+		return err
+	case response.StatusCode == http.StatusConflict:
+		return figbank.Fail("engine", "Load", StaleOrderError{Fencing: figbank.CommitIndex(order.GetFencing())})
+	case response.StatusCode >= http.StatusMultipleChoices:
+		return figbank.Fail("engine", "Load", StatusError{Path: LoadPath, Status: response.StatusCode})
+	}
+	return nil
+}
+
+// NewPlain returns a client of the plain service at base.
+func NewPlain(base string) *Plain {
+	return &Plain{client: newClient(base)}
+}
+
+// Status asks the service's health; any answer counts as alive.
+func (p *Plain) Status(ctx context.Context) (*schema.EngineStatus, error) {
+	response, _, err := p.order(ctx, http.MethodGet, HealthPath, nil)
+	if err != nil {
+		return nil, err
+	}
+	ready := response.StatusCode < http.StatusInternalServerError
+	return &schema.EngineStatus{Incarnation: response.Header.Get(HeaderIncarnation), Ready: ready}, nil
+}
+
+// Load fails: a plain service has no weights.
+func (p *Plain) Load(context.Context, *schema.LoadOrder) error {
+	return figbank.InvalidError{Subject: "order", Detail: "a plain service loads no weights"}
+}
--- /dev/null
+++ b/fake/origin.go
@@ -0,0 +1,121 @@
+package fake
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"figbank"
+	"figbank/origin"
+)
+
+type (
+	// Origin is a stand-in origin of weights: it serves folders by the digest of
+	// their manifest, with Range requests.
+	Origin struct {
+		server *http.Server
+		bytes  atomic.Int64
+		// limitEvery makes every nth request for a file answer 429; 0 for none.
+		limitEvery int64
+		requests   atomic.Int64
+
+		mu       sync.Mutex
+		versions map[figbank.ManifestDigest]version
+	}
+
+	version struct {
+		manifest []byte
+		folder   string
+	}
+
+	// countedWriter counts the bytes of bodies.
+	countedWriter struct {
+		http.ResponseWriter
+		count *atomic.Int64
+	}
+)
+
+// NewOrigin serves a stand-in origin on listener until Close.
+func NewOrigin(listener net.Listener, limitEvery int64) *Origin {
+	o := &Origin{limitEvery: limitEvery, versions: map[figbank.ManifestDigest]version{}}
+	o.server = &http.Server{Handler: http.HandlerFunc(o.serve), ReadHeaderTimeout: headerTimeout}
+	go func() { _ = o.server.Serve(listener) }()
+	return o
+}
+
+// Close ends the origin.
+func (o *Origin) Close() {
+	_ = o.server.Close()
+}
+
+// Add offers a folder under its manifest's digest.
+func (o *Origin) Add(digest figbank.ManifestDigest, manifest []byte, folder string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.versions[digest] = version{manifest: manifest, folder: folder}
+}
+
+// Bytes is the sum of all file bytes sent.
+func (o *Origin) Bytes() figbank.Bytes {
+	return figbank.Bytes(o.bytes.Load())
+}
+
+func (o *Origin) serve(w http.ResponseWriter, r *http.Request) {
+	digest, path, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	o.mu.Lock()
+	v, found := o.versions[figbank.ManifestDigest(digest)]
+	o.mu.Unlock()
+	file, isFile := strings.CutPrefix(path, origin.FilesName+"/")
+	switch {
+	case !found || r.Method != http.MethodGet:
+		http.NotFound(w, r)
+	case path == origin.ManifestName:
+		http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(v.manifest))
+	case isFile:
+		o.serveFile(w, r, v, file)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (o *Origin) serveFile(w http.ResponseWriter, r *http.Request, v version, path string) {
+	if n := o.requests.Add(1); o.limitEvery > 0 && n%o.limitEvery == 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(1))
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	if !filepath.IsLocal(path) {
+		http.NotFound(w, r)
+		return
+	}
+	file, err := os.Open(filepath.Join(v.folder, path)) //nolint:gosec // checked to be local
+	if err != nil {
+		http.NotFound(w, r)
+		return
+	}
+	defer file.Close()
+	w.Header().Set("Content-Type", "application/octet-stream")
+	http.ServeContent(&countedWriter{ResponseWriter: w, count: &o.bytes}, r, "", time.Time{}, file)
+}
+
+// Write counts what it passes on.
+func (c *countedWriter) Write(p []byte) (int, error) {
+	n, err := c.ResponseWriter.Write(p)
+	c.count.Add(int64(n))
+	return n, err
+}
+
+// ReadFrom keeps the fast path of the writer behind it.
+func (c *countedWriter) ReadFrom(r io.Reader) (int64, error) {
+	n, err := io.Copy(c.ResponseWriter, r)
+	c.count.Add(n)
+	return n, err
+}
--- /dev/null
+++ b/keyfile/reference.go
@@ -0,0 +1,71 @@
+package keyfile
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"figbank"
+	"figbank/schema"
+)
+
+// WriteReference prints a section with all its keys, commented.
+func WriteReference(w io.Writer, name string, message proto.Message) error {
+	var text strings.Builder
+	fmt.Fprintf(&text, "[%s]\n", name)
+	fields := message.ProtoReflect().Descriptor().Fields()
+	for i := range fields.Len() {
+		writeKey(&text, fields.Get(i))
+	}
+	_, err := io.WriteString(w, text.String())
+	return figbank.Fail("keyfile", "WriteReference", err)
+}
+
+func writeKey(text *strings.Builder, field protoreflect.FieldDescriptor) {
+	rule := RuleOf(field)
+	fmt.Fprintf(text, "\n# %s\n# %s", rule.GetDoc(), typeText(field, rule))
+	if limits := limitText(field, rule); limits != "" {
+		fmt.Fprintf(text, "; allowed: %s", limits)
+	}
+	if rule.GetRequired() {
+		fmt.Fprintf(text, "; required.\n%s =\n", field.Name())
+		return
+	}
+	fmt.Fprintf(text, ".\n; %s = %s\n", field.Name(), rule.GetDefault())
+}
+
+func typeText(field protoreflect.FieldDescriptor, rule *schema.KeyRule) string {
+	switch {
+	case field.IsList():
+		return "List, separated by commas"
+	case field.Kind() == protoreflect.MessageKind:
+		return "Duration such as 250ms or 5s"
+	case field.Kind() == protoreflect.Int64Kind && rule.GetUnit() == unitBytes:
+		return "Size such as 64KiB"
+	case field.Kind() == protoreflect.Int64Kind:
+		return "Number of " + rule.GetUnit()
+	case field.Kind() == protoreflect.BoolKind:
+		return "Truth value"
+	default:
+		return "Text"
+	}
+}
+
+func limitText(field protoreflect.FieldDescriptor, rule *schema.KeyRule) string {
+	if len(rule.GetAllowed()) > 0 {
+		return strings.Join(rule.GetAllowed(), ", ")
+	}
+	if rule.GetPattern() != "" {
+		return "matches " + rule.GetPattern()
+	}
+	if field.Kind() == protoreflect.MessageKind {
+		return rangeText(rule) + " seconds"
+	}
+	if field.Kind() == protoreflect.Int64Kind {
+		return rangeText(rule)
+	}
+	return ""
+}
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,137 @@
+// Package ledger is the state machine of the replicated log: declarations in
+// force, idempotency claims and rollout grants. It is pure: the same entries
+// lead to the same state on every replica.
+package ledger
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"figbank"
+	"figbank/schema"
+)
+
+type (
+	// State is the state after some entry. It is not safe for concurrent use;
+	// the configurations that it returns are immutable.
+	State struct {
+		applied       uint64
+		now           time.Time
+		configuration *schema.Configuration
+		claims        map[claimKey]*schema.ClaimRecord
+		claimOrder    []claimKey
+		grants        map[grantKey]*schema.GrantRecord
+	}
+
+	claimKey struct {
+		workspace, service, key string
+	}
+
+	grantKey struct {
+		service, upstream string
+	}
+)
+
+// NewState returns the state before the first entry.
+func NewState() *State {
+	return &State{
+		now:           time.Unix(0, 0),
+		configuration: &schema.Configuration{},
+		claims:        map[claimKey]*schema.ClaimRecord{},
+		grants:        map[grantKey]*schema.GrantRecord{},
+	}
+}
+
+// Restore returns the state that a snapshot holds.
+func Restore(snapshot *schema.Snapshot) (*State, error) {
+	s := NewState()
+	if snapshot == nil {
+		return s, nil
+	}
+	var stored schema.LedgerState
+	if err := proto.Unmarshal(snapshot.GetState(), &stored); err != nil {
+		return nil, figbank.Fail("ledger", "Restore", figbank.CorruptError{Subject: "snapshot", Detail: err.Error()})
+	}
+	s.applied = stored.GetAppliedIndex()
+	s.now = time.Unix(0, stored.GetTimeUnixNano())
+	if stored.GetConfiguration() != nil {
+		s.configuration = stored.GetConfiguration()
+	}
+	for _, record := range stored.GetClaims() {
+		s.putClaim(record)
+	}
+	for _, record := range stored.GetGrants() {
+		s.grants[keyOfGrant(record.GetGrant().GetService(), record.GetGrant().GetUpstream())] = record
+	}
+	return s, nil
+}
+
+// Snapshot marshals the state; term is that of the last applied entry.
+func (s *State) Snapshot(term uint64) (*schema.Snapshot, error) {
+	stored := &schema.LedgerState{
+		AppliedIndex:  s.applied,
+		TimeUnixNano:  s.now.UnixNano(),
+		Configuration: s.configuration,
+	}
+	for _, key := range s.claimOrder {
+		stored.Claims = append(stored.Claims, s.claims[key])
+	}
+	for _, record := range s.grants {
+		stored.Grants = append(stored.Grants, record)
+	}
+	state, err := proto.Marshal(stored)
+	if err != nil {
+		return nil, figbank.Fail("ledger", "Snapshot", err)
+	}
+	return &schema.Snapshot{Index: s.applied, Term: term, State: state}, nil
+}
+
+// Applied is the index of the last applied entry.
+func (s *State) Applied() figbank.CommitIndex {
+	return figbank.CommitIndex(s.applied)
+}
+
+// Configuration is all that is in force.
+func (s *State) Configuration() *schema.Configuration {
+	return s.configuration
+}
+
+// Apply applies the next entry. A leader's empty entry has a nil result.
+func (s *State) Apply(entry *schema.Entry) *schema.Result {
+	s.applied = entry.GetIndex()
+	if len(entry.GetData()) == 0 {
+		return nil
+	}
+	var command schema.Command
+	if err := proto.Unmarshal(entry.GetData(), &command); err != nil {
+		return refuse(schema.Refusal_REFUSAL_INVALID, "command cannot be read")
+	}
+	s.advanceTime(&command)
+	switch action := command.GetAction().(type) {
+	case *schema.Command_Publish:
+		return s.publish(action.Publish)
+	case *schema.Command_Claim:
+		return s.claim(action.Claim)
+	case *schema.Command_Settle:
+		return s.settle(action.Settle)
+	case *schema.Command_Grant:
+		return s.grant(action.Grant)
+	case *schema.Command_Release:
+		return s.release(action.Release)
+	}
+	return refuse(schema.Refusal_REFUSAL_INVALID, "command of unknown kind")
+}
+
+// advanceTime follows the leaders' clocks but never goes back.
+func (s *State) advanceTime(command *schema.Command) {
+	at := time.Unix(0, command.GetTimeUnixNano())
+	if at.After(s.now) {
+		s.now = at
+	}
+	s.expireClaims()
+}
+
+func refuse(refusal schema.Refusal, detail string) *schema.Result {
+	return &schema.Result{Refusal: refusal, Detail: detail}
+}
--- /dev/null
+++ b/origin/client.go
@@ -0,0 +1,149 @@
+// Package origin fetches manifests and chunks from the origin of weights: plain
+// HTTP with Range requests below BASE/DIGEST/.
+package origin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"figbank"
+	"figbank/schema"
+	"figbank/weights"
+)
+
+const (
+	// ManifestName is the manifest's name at the origin.
+	ManifestName = "Manifest"
+	// FilesName is the folder of files at the origin.
+	FilesName = "Files"
+	// maxManifest bounds a manifest.
+	maxManifest = 64 << 20
+	// defaultRetryAfter is used when the origin says wait but not how long.
+	defaultRetryAfter = time.Second
+	maxIdlePerHost    = 8
+	headerTimeout     = 10 * time.Second
+)
+
+type (
+	// Client fetches from one origin. It is safe for concurrent use.
+	Client struct {
+		base string
+		http *http.Client
+	}
+
+	// RateLimitedError says that the origin wants to be left alone for a while.
+	RateLimitedError struct {
+		RetryAfter time.Duration
+	}
+
+	// StatusError is an answer of the origin that is no content.
+	StatusError struct {
+		URL    string
+		Status int
+	}
+)
+
+// Error tells how long to wait.
+func (e RateLimitedError) Error() string {
+	return fmt.Sprintf("origin limits its rate; retry after %s", e.RetryAfter)
+}
+
+// Error tells the status.
+func (e StatusError) Error() string {
+	return fmt.Sprintf("origin answered %d for %s", e.Status, e.URL)
+}
+
+// NewClient returns a client of the origin at base.
+func NewClient(base string) *Client {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost:   maxIdlePerHost,
+		ResponseHeaderTimeout: headerTimeout,
+		DisableCompression:    true,
+	}
+	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport}}
+}
+
+// Manifest fetches a manifest's bytes; the caller checks them.
+func (c *Client) Manifest(ctx context.Context, digest figbank.ManifestDigest) ([]byte, error) {
+	address := c.base + "/" + string(digest) + "/" + ManifestName
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, http.NoBody)
+	if err != nil {
+		return nil, figbank.Fail("origin", "Request", err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, figbank.Fail("origin", "Manifest", err)
+	}
+	defer response.Body.Close()
+	if err := checkStatus(response, http.StatusOK); err != nil {
+		return nil, err
+	}
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxManifest))
+	return content, figbank.Fail("origin", "Manifest", err)
+}
+
+// Chunk fetches a chunk's bytes, one Range request for each span; the caller
+// checks them.
+func (c *Client) Chunk(ctx context.Context, version *weights.Version, index figbank.ChunkIndex) ([]byte, error) {
+	chunk := version.Manifest.GetChunks()[index]
+	content := make([]byte, 0, weights.ChunkLength(chunk))
+	for _, span := range chunk.GetSpans() {
+		part := content[len(content) : len(content)+int(span.GetLength())]
+		if err := c.span(ctx, version, span, part); err != nil {
+			return nil, err
+		}
+		content = content[:len(content)+len(part)]
+	}
+	return content, nil
+}
+
+func (c *Client) span(ctx context.Context, version *weights.Version, span *schema.Span, into []byte) error {
+	path := version.Manifest.GetFiles()[span.GetFile()].GetPath()
+	address := c.base + "/" + string(version.Digest) + "/" + FilesName + "/" + (&url.URL{Path: path}).EscapedPath()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, http.NoBody)
+	if err != nil {
+		return figbank.Fail("origin", "Request", err)
+	}
+	request.Header.Set("Range", fmt.Sprintf("bytes=%d-%d", span.GetOffset(), span.GetOffset()+span.GetLength()-1))
+	response, err := c.http.Do(request)
+	if err != nil {
+		return figbank.Fail("origin", "Chunk", err)
+	}
+	defer response.Body.Close()
+	if err := checkStatus(response, http.StatusPartialContent); err != nil {
+		return err
+	}
+	if _, err := io.ReadFull(response.Body, into); err != nil {
+		return figbank.Fail("origin", "Chunk", err)
+	}
+	// Read to the end, so that the connection can be used again.
+	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, 1))
+	return figbank.Fail("origin", "Chunk", err)
+}
+
+func checkStatus(response *http.Response, want int) error {
+	switch response.StatusCode {
+	case want:
+		return nil
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return figbank.Fail("origin", "RateLimited", RateLimitedError{RetryAfter: retryAfter(response.Header.Get("Retry-After"))})
+	}
+	return figbank.Fail("origin", "Status", StatusError{URL: response.Request.URL.String(), Status: response.StatusCode})
+}
+
+// retryAfter reads seconds or a date (RFC 9110, section 10.2.3).
+func retryAfter(text string) time.Duration {
+	if seconds, err := strconv.Atoi(text); err == nil && seconds >= 0 {
+		return time.Duration(seconds) * time.Second
+	}
+	if at, err := http.ParseTime(text); err == nil {
+		return max(0, time.Until(at)) //nolint:forbidigo // the date is of the system's clock
+	}
+	return defaultRetryAfter
+}
--- /dev/null
+++ b/replica/client.go
@@ -0,0 +1,111 @@
+package replica
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"figbank"
+	"figbank/schema"
+	"figbank/transport"
+)
+
+const (
+	// attemptTimeout bounds one try at one replica.
+	attemptTimeout = 2 * time.Second
+	// retryDelay is between rounds over all replicas.
+	retryDelay = 50 * time.Millisecond
+	// proposeTimeout bounds a proposal when the caller's context does not.
+	proposeTimeout = 5 * time.Second
+)
+
+type (
+	// Client proposes commands to whichever replica leads. Every command is
+	// idempotent, so a lost answer is asked for again. It is safe for concurrent use.
+	Client struct {
+		common   figbank.Common
+		pool     *transport.Pool
+		replicas []Endpoint
+		leader   atomic.Value
+	}
+
+	// Endpoint is where a replica listens.
+	Endpoint struct {
+		ID      figbank.ProcessID
+		Address figbank.Address
+	}
+)
+
+var _ figbank.Proposer = (*Client)(nil)
+
+// NewClient returns a client of the given replicas.
+func NewClient(common figbank.Common, pool *transport.Pool, replicas []Endpoint) *Client {
+	c := &Client{common: common.For("replica"), pool: pool, replicas: replicas}
+	c.leader.Store(figbank.ProcessID(""))
+	return c
+}
+
+// Propose returns once the command is committed and applied.
+func (c *Client) Propose(ctx context.Context, command *schema.Command) (*schema.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	unknown := false
+	for {
+		for _, replica := range c.inOrder() {
+			answer, maybe := c.try(ctx, replica, command)
+			unknown = unknown || maybe
+			if answer.GetResult() != nil {
+				c.leader.Store(replica.ID)
+				return answer.GetResult(), nil
+			}
+			c.follow(answer)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, c.failure(unknown)
+		case <-c.common.Clock.After(retryDelay):
+		}
+	}
+}
+
+// try reports whether the command may have been accepted when answer has no result.
+func (c *Client) try(ctx context.Context, replica Endpoint, command *schema.Command) (answer *schema.ProposeAnswer, maybe bool) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	answer = &schema.ProposeAnswer{}
+	sent, err := c.pool.Call(ctx, replica.Address, schema.StreamKind_STREAM_KIND_PROPOSE, command, answer)
+	if err != nil {
+		return nil, sent
+	}
+	return answer, answer.GetUnknown()
+}
+
+func (c *Client) follow(answer *schema.ProposeAnswer) {
+	if answer.GetLeader() != "" {
+		c.leader.Store(figbank.ProcessID(answer.GetLeader()))
+	}
+}
+
+// inOrder lists the replicas, the presumed leader first.
+func (c *Client) inOrder() []Endpoint {
+	leader, _ := c.leader.Load().(figbank.ProcessID)
+	ordered := slices.Clone(c.replicas)
+	slices.SortStableFunc(ordered, func(a, b Endpoint) int {
+		switch {
+		case a.ID == leader && b.ID != leader:
+			return -1
+		case b.ID == leader && a.ID != leader:
+			return 1
+		}
+		return 0
+	})
+	return ordered
+}
+
+func (c *Client) failure(unknown bool) error {
+	if unknown {
+		return figbank.Fail("replica", "Unknown", figbank.UnknownOutcomeError{Detail: "no replica confirmed the command in time"})
+	}
+	return figbank.Fail("replica", "NotAccepted", figbank.NotAcceptedError{Detail: "no leader of the log can be reached"})
+}
--- /dev/null
+++ b/replica/replica.go
@@ -0,0 +1,359 @@
+// Package replica runs one replica of the log: it drives raft, wal and ledger,
+// and talks to the other replicas.
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"figbank"
+	"figbank/ledger"
+	"figbank/raft"
+	"figbank/schema"
+	"figbank/transport"
+	"figbank/wal"
+)
+
+const (
+	// inboxLength bounds the messages and proposals that wait for the loop.
+	inboxLength = 1024
+	// batchLength bounds what one sync makes durable together.
+	batchLength = 256
+	// ticksPerHeartbeat is how often time passes for raft.
+	ticksPerHeartbeat = 2
+)
+
+type (
+	// Settings of one replica.
+	Settings struct {
+		Timing          raft.Timing
+		SnapshotEntries int
+		// Voters are all replicas with their process addresses.
+		Voters map[figbank.ProcessID]figbank.Address
+	}
+
+	// Replica is one voter of the log. It is safe for concurrent use.
+	Replica struct {
+		common   figbank.Common
+		settings Settings
+		node     *raft.Node
+		log      *wal.Log
+		state    *ledger.State
+		senders  map[figbank.ProcessID]*sender
+		inbox    chan input
+		waiting  map[uint64]proposal
+		// sinceSnapshot counts entries applied since the last snapshot.
+		sinceSnapshot int
+
+		onConfiguration func(*schema.Configuration)
+		onFailure       func(error)
+
+		status atomic.Pointer[schema.ReplicaStatus]
+		cancel context.CancelFunc
+		group  sync.WaitGroup
+		ended  chan struct{}
+	}
+
+	// Option changes a Replica under construction.
+	Option func(*Replica)
+
+	// input is a message from another replica, or a proposal.
+	input struct {
+		message  *schema.RaftMessage
+		proposal proposal
+	}
+
+	proposal struct {
+		command *schema.Command
+		term    uint64
+		answer  chan *schema.ProposeAnswer
+	}
+)
+
+// WithConfiguration calls act with each configuration that becomes committed.
+func WithConfiguration(act func(*schema.Configuration)) Option {
+	return func(r *Replica) { r.onConfiguration = act }
+}
+
+// WithFailure calls act when the disk failed and the replica has stopped.
+func WithFailure(act func(error)) Option {
+	return func(r *Replica) { r.onFailure = act }
+}
+
+// NewReplica reads the state on disk and starts to take part in the log.
+func NewReplica(common figbank.Common, settings Settings, disk figbank.Disk, pool *transport.Pool, options ...Option) (*Replica, error) {
+	common = common.For("replica")
+	log, stored, err := wal.Open(disk)
+	if err != nil {
+		return nil, err
+	}
+	state, err := ledger.Restore(stored.Snapshot)
+	if err != nil {
+		return nil, err
+	}
+	voters := make([]figbank.ProcessID, 0, len(settings.Voters))
+	for id := range settings.Voters {
+		voters = append(voters, id)
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // spreads elections, no secret
+	r := &Replica{
+		common: common, settings: settings, log: log, state: state,
+		node:            raft.NewNode(common.Process, voters, settings.Timing, random, stored, common.Clock.Now()),
+		senders:         map[figbank.ProcessID]*sender{},
+		inbox:           make(chan input, inboxLength),
+		waiting:         map[uint64]proposal{},
+		onConfiguration: func(*schema.Configuration) {},
+		onFailure:       func(error) {},
+		ended:           make(chan struct{}),
+	}
+	for _, option := range options {
+		option(r)
+	}
+	r.start(pool)
+	return r, nil
+}
+
+// Status is the replica's present role and progress.
+func (r *Replica) Status() *schema.ReplicaStatus {
+	return r.status.Load()
+}
+
+// Close stops the replica. What it has accepted is on its disk.
+func (r *Replica) Close() {
+	r.cancel()
+	r.group.Wait()
+	_ = r.log.Close()
+}
+
+// ServeRaft handles a stream of messages from another replica.
+func (r *Replica) ServeRaft(ctx context.Context, _ figbank.ProcessID, stream *transport.Stream) {
+	for {
+		message := &schema.RaftMessage{}
+		if err := stream.Receive(message); err != nil {
+			return
+		}
+		select {
+		case r.inbox <- input{message: message}:
+		case <-ctx.Done():
+			return
+		case <-r.ended:
+			return
+		}
+	}
+}
+
+// ServePropose handles one command from any process.
+func (r *Replica) ServePropose(ctx context.Context, _ figbank.ProcessID, stream *transport.Stream) {
+	command := &schema.Command{}
+	if err := stream.Receive(command); err != nil {
+		return
+	}
+	_ = stream.Send(r.propose(ctx, command))
+}
+
+func (r *Replica) propose(ctx context.Context, command *schema.Command) *schema.ProposeAnswer {
+	p := proposal{command: command, answer: make(chan *schema.ProposeAnswer, 1)}
+	select {
+	case r.inbox <- input{proposal: p}:
+	case <-ctx.Done():
+		return &schema.ProposeAnswer{NotLeader: true}
+	case <-r.ended:
+		return &schema.ProposeAnswer{NotLeader: true}
+	}
+	select {
+	case answer := <-p.answer:
+		return answer
+	case <-ctx.Done():
+	case <-r.ended:
+	}
+	return &schema.ProposeAnswer{Unknown: true}
+}
+
+func (r *Replica) start(pool *transport.Pool) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	for id, address := range r.settings.Voters {
+		if id == r.common.Process {
+			continue
+		}
+		s := newSender(pool, address)
+		r.senders[id] = s
+		r.group.Go(func() { s.run(ctx) })
+	}
+	r.publishStatus()
+	r.onConfiguration(r.state.Configuration())
+	r.group.Go(func() { r.run(ctx) })
+}
+
+func (r *Replica) run(ctx context.Context) {
+	defer close(r.ended)
+	ticks, stop := r.common.Clock.Tick(r.settings.Timing.HeartbeatInterval / ticksPerHeartbeat)
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+			r.node.Tick(r.common.Clock.Now())
+		case first := <-r.inbox:
+			r.takeBatch(first)
+		}
+		if err := r.work(); err != nil {
+			r.common.Log.Error("disk failed, replica stopped", zap.Error(err))
+			r.onFailure(err)
+			return
+		}
+		r.dropWaiting()
+		r.publishStatus()
+	}
+}
+
+// dropWaiting answers the proposals of a lost leadership at once. They may still
+// be committed by the next leader, so their proposers ask again.
+func (r *Replica) dropWaiting() {
+	if r.node.Role() == raft.Leader {
+		return
+	}
+	for index, p := range r.waiting {
+		delete(r.waiting, index)
+		p.answer <- &schema.ProposeAnswer{Unknown: true, Leader: string(r.node.Leader())}
+	}
+}
+
+// takeBatch handles what has arrived, so that one sync serves all of it.
+func (r *Replica) takeBatch(first input) {
+	now := r.common.Clock.Now()
+	r.take(now, first)
+	for range batchLength {
+		select {
+		case next := <-r.inbox:
+			r.take(now, next)
+		default:
+			return
+		}
+	}
+}
+
+func (r *Replica) take(now time.Time, in input) {
+	if in.message != nil {
+		r.node.Step(now, in.message)
+		return
+	}
+	in.proposal.command.TimeUnixNano = now.UnixNano()
+	data, err := proto.Marshal(in.proposal.command)
+	if err != nil {
+		in.proposal.answer <- &schema.ProposeAnswer{NotLeader: true}
+		return
+	}
+	index, term, err := r.node.Propose(now, data)
+	if err != nil {
+		in.proposal.answer <- &schema.ProposeAnswer{NotLeader: true, Leader: string(r.node.Leader())}
+		return
+	}
+	in.proposal.term = term
+	r.waiting[index] = in.proposal
+}
+
+// work does what raft asks until nothing is left.
+func (r *Replica) work() error {
+	for {
+		ready := r.node.Ready()
+		if ready.Empty() {
+			return nil
+		}
+		if err := r.persist(&ready); err != nil {
+			return err
+		}
+		for _, message := range ready.Messages {
+			r.senders[figbank.ProcessID(message.GetTo())].offer(message)
+		}
+		for _, entry := range ready.Committed {
+			r.apply(entry)
+		}
+		if err := r.maybeSnapshot(); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *Replica) persist(ready *raft.Ready) error {
+	if ready.Snapshot != nil {
+		return r.install(ready)
+	}
+	if err := r.log.Append(ready.HardState, ready.Entries); err != nil {
+		return err
+	}
+	if len(ready.Entries) > 0 {
+		r.node.Persisted(ready.Entries[len(ready.Entries)-1].GetIndex())
+	}
+	return nil
+}
+
+func (r *Replica) install(ready *raft.Ready) error {
+	state, err := ledger.Restore(ready.Snapshot)
+	if err != nil {
+		return err
+	}
+	if err := r.log.Rewrite(r.node.HardState(), ready.Snapshot, ready.Entries); err != nil {
+		return err
+	}
+	r.state = state
+	r.sinceSnapshot = 0
+	r.common.Log.Info("installed a snapshot from the leader", zap.Uint64("index", ready.Snapshot.GetIndex()))
+	r.onConfiguration(state.Configuration())
+	return nil
+}
+
+func (r *Replica) apply(entry *schema.Entry) {
+	before := r.state.Configuration()
+	result := r.state.Apply(entry)
+	r.sinceSnapshot++
+	if after := r.state.Configuration(); after != before {
+		r.common.Recorder.Record(&schema.Event{Part: "replica", Name: "Committed", CommitIndex: entry.GetIndex()})
+		r.onConfiguration(after)
+	}
+	p, found := r.waiting[entry.GetIndex()]
+	if !found {
+		return
+	}
+	delete(r.waiting, entry.GetIndex())
+	if p.term != entry.GetTerm() {
+		// Another leader's entry took the place: the command is certainly lost.
+		p.answer <- &schema.ProposeAnswer{NotLeader: true, Leader: string(r.node.Leader())}
+		return
+	}
+	p.answer <- &schema.ProposeAnswer{Result: result}
+}
+
+func (r *Replica) maybeSnapshot() error {
+	if r.sinceSnapshot < r.settings.SnapshotEntries {
+		return nil
+	}
+	term, _ := r.node.TermAt(uint64(r.state.Applied()))
+	snapshot, err := r.state.Snapshot(term)
+	if err != nil {
+		return err
+	}
+	remaining := r.node.Compact(snapshot)
+	r.sinceSnapshot = 0
+	return r.log.Rewrite(r.node.HardState(), snapshot, remaining)
+}
+
+func (r *Replica) publishStatus() {
+	last := r.status.Load()
+	next := &schema.ReplicaStatus{
+		Role: r.node.Role().String(), Leader: string(r.node.Leader()), Term: uint64(r.node.Term()),
+		Commit: uint64(r.node.Commit()), Applied: uint64(r.state.Applied()),
+	}
+	if last.GetRole() != next.GetRole() || last.GetTerm() != next.GetTerm() || last.GetLeader() != next.GetLeader() {
+		r.common.Log.Info("role changed", zap.String("role", next.GetRole()), zap.Uint64("term", next.GetTerm()), zap.String("leader", next.GetLeader()))
+		r.common.Recorder.Record(&schema.Event{Part: "replica", Name: "Role", Detail: next.GetRole() + " in term " + r.node.Term().String()})
+	}
+	r.status.Store(next)
+}
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,69 @@
+package settings
+
+import (
+	"strings"
+
+	"figbank"
+	"figbank/keyfile"
+	"figbank/schema"
+)
+
+// heartbeatsPerElection is the least ratio of election timeout to heartbeat.
+const heartbeatsPerElection = 3
+
+// checkGateway checks what no single key can tell.
+func checkGateway(file string, sections map[string]keyfile.Section, s *schema.GatewaySettings) []keyfile.Problem {
+	var problems []keyfile.Problem
+	report := func(section, key, detail string) {
+		problems = append(problems, keyfile.Problem{File: file, Line: max(1, sections[section].LineOf(key)), Section: section, Key: key, Detail: detail})
+	}
+	if len(s.GetGateway().GetReplicas())%2 == 0 {
+		report("Gateway", "Replicas", "the number of replicas must be odd")
+	}
+	if s.GetLog().GetHeartbeatInterval().AsDuration()*heartbeatsPerElection > s.GetLog().GetElectionTimeout().AsDuration() {
+		report("Log", "HeartbeatInterval", "must be at most a third of ElectionTimeout")
+	}
+	if IsReplica(s) && s.GetProcess().GetDataFolder() == "" {
+		report("Process", "DataFolder", "a replica needs a folder for its log")
+	}
+	if !IsReplica(s) && s.GetProcess().GetDataFolder() != "" {
+		report("Process", "DataFolder", "set on a gateway whose Id is not among Replicas")
+	}
+	return problems
+}
+
+func checkAgent(file string, sections map[string]keyfile.Section, s *schema.AgentSettings) []keyfile.Problem {
+	var problems []keyfile.Problem
+	report := func(section, key, detail string) {
+		problems = append(problems, keyfile.Problem{File: file, Line: max(1, sections[section].LineOf(key)), Section: section, Key: key, Detail: detail})
+	}
+	if s.GetUpstream().GetFirstLimit() > s.GetUpstream().GetCapacity() {
+		report("Upstream", "FirstLimit", "must not exceed Capacity")
+	}
+	if s.GetUpstream().GetKind() != "Model" {
+		return problems
+	}
+	if s.GetWeights().GetOrigin() == "" {
+		report("Weights", "Origin", "a model's agent needs an origin")
+	}
+	if s.GetProcess().GetDataFolder() == "" {
+		report("Process", "DataFolder", "a model's agent needs a folder for weights")
+	}
+	return problems
+}
+
+// IsReplica tells whether a gateway keeps the log.
+func IsReplica(s *schema.GatewaySettings) bool {
+	_, found := Replicas(s)[figbank.ProcessID(s.GetProcess().GetId())]
+	return found
+}
+
+// Replicas returns the address of each replica.
+func Replicas(s *schema.GatewaySettings) map[figbank.ProcessID]figbank.Address {
+	replicas := map[figbank.ProcessID]figbank.Address{}
+	for _, text := range s.GetGateway().GetReplicas() {
+		id, address, _ := strings.Cut(text, "@")
+		replicas[figbank.ProcessID(id)] = figbank.Address(address)
+	}
+	return replicas
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,126 @@
+// Package settings reads the settings files of gateways and agents.
+package settings
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"figbank"
+	"figbank/keyfile"
+	"figbank/schema"
+)
+
+// ReadGateway reads and checks a gateway's settings file.
+func ReadGateway(path string) (*schema.GatewaySettings, error) {
+	content, err := os.ReadFile(path) //nolint:gosec // the operator names the file
+	if err != nil {
+		return nil, figbank.Fail("settings", "Read", figbank.InvalidError{Subject: "settings file", Detail: err.Error()})
+	}
+	return ParseGateway(path, content)
+}
+
+// ParseGateway checks the content of a gateway's settings file.
+func ParseGateway(file string, content []byte) (*schema.GatewaySettings, error) {
+	message := &schema.GatewaySettings{}
+	sections, problems := parse(file, content, message)
+	if len(problems) == 0 {
+		problems = append(problems, checkGateway(file, sections, message)...)
+	}
+	return message, keyfile.AsError(problems)
+}
+
+// ReadAgent reads and checks an agent's settings file.
+func ReadAgent(path string) (*schema.AgentSettings, error) {
+	content, err := os.ReadFile(path) //nolint:gosec // the operator names the file
+	if err != nil {
+		return nil, figbank.Fail("settings", "Read", figbank.InvalidError{Subject: "settings file", Detail: err.Error()})
+	}
+	return ParseAgent(path, content)
+}
+
+// ParseAgent checks the content of an agent's settings file.
+func ParseAgent(file string, content []byte) (*schema.AgentSettings, error) {
+	message := &schema.AgentSettings{}
+	sections, problems := parse(file, content, message)
+	if len(problems) == 0 {
+		problems = append(problems, checkAgent(file, sections, message)...)
+	}
+	return message, keyfile.AsError(problems)
+}
+
+// WriteReference prints the commented reference of both kinds of file.
+func WriteReference(w io.Writer) error {
+	kinds := []struct {
+		title   string
+		message proto.Message
+	}{
+		{title: "Settings of a gateway", message: &schema.GatewaySettings{}},
+		{title: "Settings of an agent", message: &schema.AgentSettings{}},
+	}
+	fmt.Fprint(w, "# Settings\n\nMade by `figbank settings`. A key with `;` before it shows its default.\n")
+	for _, kind := range kinds {
+		fmt.Fprintf(w, "\n## %s\n\n```ini\n", kind.title)
+		if err := writeSections(w, kind.message); err != nil {
+			return err
+		}
+		fmt.Fprint(w, "```\n")
+	}
+	return nil
+}
+
+func writeSections(w io.Writer, message proto.Message) error {
+	fields := message.ProtoReflect().Descriptor().Fields()
+	for i := range fields.Len() {
+		if i > 0 {
+			fmt.Fprintln(w)
+		}
+		section := message.ProtoReflect().NewField(fields.Get(i)).Message().Interface()
+		if err := keyfile.WriteReference(w, string(fields.Get(i).Name()), section); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// parse fills each field of message from the section of the same name.
+func parse(file string, content []byte, message proto.Message) (map[string]keyfile.Section, []keyfile.Problem) {
+	sections, problems := keyfile.Parse(file, content)
+	reflected := message.ProtoReflect()
+	fields := reflected.Descriptor().Fields()
+	found := map[string]keyfile.Section{}
+	for _, section := range sections {
+		_, twice := found[section.Name]
+		switch {
+		case fields.ByName(protoreflect.Name(section.Name)) == nil:
+			problems = append(problems, keyfile.Problem{File: file, Line: section.Line, Section: section.Name, Detail: "unknown section; allowed: " + sectionNames(fields)})
+		case twice:
+			problems = append(problems, keyfile.Problem{File: file, Line: section.Line, Section: section.Name, Detail: "section stands twice"})
+		default:
+			found[section.Name] = section
+		}
+	}
+	for i := range fields.Len() {
+		name := string(fields.Get(i).Name())
+		section, present := found[name]
+		if !present {
+			section = keyfile.Section{File: file, Name: name, Line: 1}
+		}
+		problems = append(problems, keyfile.Decode(section, reflected.Mutable(fields.Get(i)).Message().Interface())...)
+	}
+	slices.SortStableFunc(problems, func(a, b keyfile.Problem) int { return a.Line - b.Line })
+	return found, problems
+}
+
+func sectionNames(fields protoreflect.FieldDescriptors) string {
+	names := make([]string, fields.Len())
+	for i := range names {
+		names[i] = string(fields.Get(i).Name())
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/swarm/plan.go
@@ -0,0 +1,393 @@
+// Package swarm decides which chunk a host fetches next, and from whom. One
+// host of each region, chosen by rendezvous hashing, takes a chunk from the
+// origin; the others take it from peers, the nearest first and the rarest chunk
+// first. The next in line goes to the origin when the region stalls.
+package swarm
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"figbank"
+)
+
+const (
+	// originShare of the slots may be used for the origin at once: one in
+	// originShare, but at least one.
+	originShare = 2
+	// perPeer bounds the chunks asked of one peer at once.
+	perPeer = 2
+	// busyDelay, lostDelay and badDelay are how long a peer is left alone after it
+	// was busy, did not answer, or sent bytes that failed their check.
+	busyDelay = 100 * time.Millisecond
+	lostDelay = 2 * time.Second
+	badDelay  = time.Minute
+	// originDelay is how long the origin is left alone after a failure.
+	originDelay = time.Second
+)
+
+// Failures of a fetch.
+const (
+	Busy Failure = iota
+	Missing
+	Lost
+	Bad
+)
+
+// Distances to a peer.
+const (
+	sameDomain = iota
+	sameRegion
+	elsewhere
+)
+
+type (
+	// Failure says why a fetch did not bring its chunk.
+	Failure int
+
+	// Peer is another host that wants the same weights.
+	Peer struct {
+		ID            figbank.ProcessID
+		Address       figbank.Address
+		Region        figbank.Region
+		FailureDomain figbank.FailureDomain
+	}
+
+	// Fetch is one decision: which chunk from whom. An empty peer is the origin.
+	Fetch struct {
+		Chunk   figbank.ChunkIndex
+		Peer    figbank.ProcessID
+		Address figbank.Address
+	}
+
+	// Settings of a plan.
+	Settings struct {
+		Self Peer
+		// Chunks is the number of chunks in the manifest.
+		Chunks int
+		// InFlight is how many fetches may run at once.
+		InFlight int
+		// StallTime is how long a region may go without a new chunk before the next
+		// in line goes to the origin.
+		StallTime time.Duration
+	}
+
+	// Plan is one host's view of one transfer. It is not safe for concurrent use.
+	Plan struct {
+		settings Settings
+		random   *rand.Rand
+		have     []bool
+		missing  int
+		inFlight map[figbank.ChunkIndex]Fetch
+		peers    map[figbank.ProcessID]*peer
+		// copies counts the peers that hold each chunk.
+		copies []int
+		// progress is when the region last got a chunk that it did not have.
+		progress    time.Time
+		line        []int
+		originUntil time.Time
+		atOrigin    int
+	}
+
+	peer struct {
+		Peer
+		have     []bool
+		distance int
+		until    time.Time
+		inFlight int
+	}
+)
+
+// NewPlan starts a plan in which this host has nothing yet.
+func NewPlan(settings Settings, random *rand.Rand, now time.Time) *Plan {
+	p := &Plan{
+		settings: settings, random: random,
+		have:     make([]bool, settings.Chunks),
+		missing:  settings.Chunks,
+		inFlight: map[figbank.ChunkIndex]Fetch{},
+		peers:    map[figbank.ProcessID]*peer{},
+		copies:   make([]int, settings.Chunks),
+		progress: now,
+	}
+	p.rankLine()
+	return p
+}
+
+// SetPeers replaces the list of peers; what is known of those that stay is kept.
+func (p *Plan) SetPeers(peers []Peer) {
+	known := p.peers
+	p.peers = map[figbank.ProcessID]*peer{}
+	for _, listed := range peers {
+		if listed.ID == p.settings.Self.ID {
+			continue
+		}
+		next := known[listed.ID]
+		if next == nil || next.Address != listed.Address {
+			next = &peer{Peer: listed, have: make([]bool, p.settings.Chunks), distance: p.distance(listed)}
+		}
+		p.peers[listed.ID] = next
+	}
+	p.countCopies()
+	p.rankLine()
+}
+
+// PeerHas notes chunks that a peer holds.
+func (p *Plan) PeerHas(id figbank.ProcessID, chunks []figbank.ChunkIndex, now time.Time) {
+	holder, found := p.peers[id]
+	if !found {
+		return
+	}
+	for _, chunk := range chunks {
+		if int(chunk) >= len(holder.have) || holder.have[chunk] {
+			continue
+		}
+		holder.have[chunk] = true
+		p.copies[chunk]++
+		if holder.distance != elsewhere && p.copies[chunk] == 1 && !p.have[chunk] {
+			p.progress = now
+		}
+	}
+}
+
+// PeerLost forgets what a peer holds, since its host may have restarted.
+func (p *Plan) PeerLost(id figbank.ProcessID) {
+	if lost, found := p.peers[id]; found {
+		lost.have = make([]bool, p.settings.Chunks)
+		p.countCopies()
+	}
+}
+
+// Have notes that this host holds a chunk.
+func (p *Plan) Have(chunk figbank.ChunkIndex, now time.Time) {
+	if p.have[chunk] {
+		return
+	}
+	p.have[chunk] = true
+	p.missing--
+	if p.copies[chunk] == 0 {
+		p.progress = now
+	}
+}
+
+// Lose notes that a chunk on disk turned out to be bad.
+func (p *Plan) Lose(chunk figbank.ChunkIndex) {
+	if p.have[chunk] {
+		p.have[chunk] = false
+		p.missing++
+	}
+}
+
+// Whole tells whether this host holds every chunk.
+func (p *Plan) Whole() bool {
+	return p.missing == 0
+}
+
+// Done notes that a fetch brought its chunk.
+func (p *Plan) Done(fetch Fetch, now time.Time) {
+	p.end(fetch)
+	p.Have(fetch.Chunk, now)
+}
+
+// Failed notes that a fetch did not bring its chunk. A positive wait is what
+// the source asked for.
+func (p *Plan) Failed(fetch Fetch, failure Failure, wait time.Duration, now time.Time) {
+	p.end(fetch)
+	if fetch.Peer == "" {
+		p.originUntil = now.Add(max(wait, originDelay))
+		return
+	}
+	source, found := p.peers[fetch.Peer]
+	if !found {
+		return
+	}
+	switch failure {
+	case Missing:
+		if source.have[fetch.Chunk] {
+			source.have[fetch.Chunk] = false
+			p.copies[fetch.Chunk]--
+		}
+	case Busy:
+		source.until = now.Add(busyDelay)
+	case Lost:
+		source.until = now.Add(lostDelay)
+	case Bad:
+		source.until = now.Add(badDelay)
+	}
+}
+
+// Next returns the fetch to start now, or false when there is none.
+func (p *Plan) Next(now time.Time) (Fetch, bool) {
+	if len(p.inFlight) >= p.settings.InFlight {
+		return Fetch{}, false
+	}
+	fetch, found := p.nextFromOrigin(now)
+	if !found {
+		fetch, found = p.nextFromPeers(now)
+	}
+	if !found {
+		return Fetch{}, false
+	}
+	p.inFlight[fetch.Chunk] = fetch
+	if fetch.Peer == "" {
+		p.atOrigin++
+	} else {
+		p.peers[fetch.Peer].inFlight++
+	}
+	return fetch, true
+}
+
+// nextFromOrigin picks a chunk that no peer holds and for which it is this
+// host's turn.
+func (p *Plan) nextFromOrigin(now time.Time) (Fetch, bool) {
+	if p.atOrigin >= max(1, p.settings.InFlight/originShare) || now.Before(p.originUntil) {
+		return Fetch{}, false
+	}
+	turns := int(now.Sub(p.progress) / p.settings.StallTime)
+	for chunk, place := range p.line {
+		index := figbank.ChunkIndex(chunk) //nolint:gosec // a manifest has fewer chunks
+		if place <= turns && p.wants(index) && !p.heldNear(index) {
+			return Fetch{Chunk: index}, true
+		}
+	}
+	return Fetch{}, false
+}
+
+// nextFromPeers picks the rarest chunk that some peer can give now, ties at
+// random. Peers in other regions are asked only when this region stalls.
+func (p *Plan) nextFromPeers(now time.Time) (Fetch, bool) {
+	farthest := sameRegion
+	if now.Sub(p.progress) >= p.settings.StallTime {
+		farthest = elsewhere
+	}
+	ready := p.readyPeers(now, farthest)
+	best, bestCopies, ties := -1, 0, 0
+	for chunk, copies := range p.copies {
+		index := figbank.ChunkIndex(chunk) //nolint:gosec // a manifest has fewer chunks
+		if copies == 0 || best >= 0 && copies > bestCopies || !p.wants(index) || !held(ready, chunk) {
+			continue
+		}
+		if best < 0 || copies < bestCopies {
+			best, bestCopies, ties = chunk, copies, 1
+			continue
+		}
+		ties++
+		if p.random.IntN(ties) == 0 {
+			best = chunk
+		}
+	}
+	if best < 0 {
+		return Fetch{}, false
+	}
+	source := p.choose(ready, best)
+	return Fetch{Chunk: figbank.ChunkIndex(best), Peer: source.ID, Address: source.Address}, true //nolint:gosec // a manifest has fewer chunks
+}
+
+// readyPeers lists the peers that can be asked now, nearest first.
+func (p *Plan) readyPeers(now time.Time, farthest int) []*peer {
+	var ready []*peer
+	for _, candidate := range p.peers {
+		if candidate.distance <= farthest && candidate.inFlight < perPeer && !now.Before(candidate.until) {
+			ready = append(ready, candidate)
+		}
+	}
+	slices.SortFunc(ready, func(a, b *peer) int {
+		if a.distance != b.distance {
+			return a.distance - b.distance
+		}
+		if a.inFlight != b.inFlight {
+			return a.inFlight - b.inFlight
+		}
+		// Map order is random already; equal peers need no further order.
+		return 0
+	})
+	return ready
+}
+
+func (p *Plan) choose(ready []*peer, chunk int) *peer {
+	for _, candidate := range ready {
+		if candidate.have[chunk] {
+			return candidate
+		}
+	}
+	return nil
+}
+
+func held(ready []*peer, chunk int) bool {
+	return slices.ContainsFunc(ready, func(candidate *peer) bool { return candidate.have[chunk] })
+}
+
+func (p *Plan) wants(chunk figbank.ChunkIndex) bool {
+	_, running := p.inFlight[chunk]
+	return !p.have[chunk] && !running
+}
+
+// heldNear tells whether a peer of this region holds the chunk.
+func (p *Plan) heldNear(chunk figbank.ChunkIndex) bool {
+	if p.copies[chunk] == 0 {
+		return false
+	}
+	for _, candidate := range p.peers {
+		if candidate.distance != elsewhere && candidate.have[chunk] {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Plan) end(fetch Fetch) {
+	if _, running := p.inFlight[fetch.Chunk]; !running {
+		return
+	}
+	delete(p.inFlight, fetch.Chunk)
+	if fetch.Peer == "" {
+		p.atOrigin--
+		return
+	}
+	if source, found := p.peers[fetch.Peer]; found {
+		source.inFlight = max(0, source.inFlight-1)
+	}
+}
+
+func (p *Plan) countCopies() {
+	clear(p.copies)
+	for _, holder := range p.peers {
+		for chunk, has := range holder.have {
+			if has {
+				p.copies[chunk]++
+			}
+		}
+	}
+}
+
+// rankLine computes, for each chunk, this host's place in its region's line to
+// the origin, by rendezvous hashing.
+func (p *Plan) rankLine() {
+	p.line = make([]int, p.settings.Chunks)
+	for chunk := range p.line {
+		own := rank(p.settings.Self.ID, chunk)
+		for _, other := range p.peers {
+			if other.Region == p.settings.Self.Region && rank(other.ID, chunk) > own {
+				p.line[chunk]++
+			}
+		}
+	}
+}
+
+func (p *Plan) distance(other Peer) int {
+	switch {
+	case other.FailureDomain == p.settings.Self.FailureDomain:
+		return sameDomain
+	case other.Region == p.settings.Self.Region:
+		return sameRegion
+	default:
+		return elsewhere
+	}
+}
+
+func rank(id figbank.ProcessID, chunk int) uint64 {
+	return xxhash.Sum64String(string(id) + "/" + strconv.Itoa(chunk))
+}
--- /dev/null
+++ b/timeline/gather.go
@@ -0,0 +1,46 @@
+package timeline
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"figbank"
+	"figbank/schema"
+	"figbank/transport"
+)
+
+// gatherTimeout bounds the question to one process.
+const gatherTimeout = 3 * time.Second
+
+// Serve answers other processes with the recorder's events.
+func (r *Recorder) Serve(_ context.Context, _ figbank.ProcessID, stream *transport.Stream) {
+	if err := stream.Receive(&schema.InspectRequest{}); err != nil {
+		return
+	}
+	_ = stream.Send(&schema.InspectAnswer{Process: string(r.process), Events: r.Events()})
+}
+
+// Gather merges this process's events with those of the processes at addresses.
+// Processes that do not answer are left out.
+func (r *Recorder) Gather(ctx context.Context, pool *transport.Pool, addresses []figbank.Address) []*schema.Event {
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	lists := [][]*schema.Event{r.Events()}
+	var group sync.WaitGroup
+	for _, address := range addresses {
+		group.Go(func() {
+			answer := &schema.InspectAnswer{}
+			request := &schema.InspectRequest{Timeline: true}
+			if _, err := pool.Call(ctx, address, schema.StreamKind_STREAM_KIND_INSPECT, request, answer); err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			lists = append(lists, answer.GetEvents())
+		})
+	}
+	group.Wait()
+	return Merge(lists...)
+}
--- /dev/null
+++ b/transfer/server.go
@@ -0,0 +1,163 @@
+// Package transfer moves weights: it fetches the chunks that swarm decides on,
+// and serves those that this host holds.
+package transfer
+
+import (
+	"context"
+	"time"
+
+	"figbank"
+	"figbank/schema"
+	"figbank/transport"
+	"figbank/weights"
+)
+
+const (
+	// partSize is how much of a chunk one message carries.
+	partSize = 64 << 10
+	// haveInterval is how often a peer is told of new chunks.
+	haveInterval = 50 * time.Millisecond
+)
+
+type (
+	// Server gives peers what this host holds. It is safe for concurrent use.
+	Server struct {
+		common figbank.Common
+		store  *weights.Store
+		active *Active
+		slots  chan struct{}
+	}
+
+	// holding is a version, whole or in transfer, from which chunks can be read.
+	holding struct {
+		version *weights.Version
+		partial *weights.Partial
+	}
+)
+
+// NewServer returns a server that gives at most slots chunks at once.
+func NewServer(common figbank.Common, store *weights.Store, active *Active, slots int) *Server {
+	return &Server{common: common.For("transfer"), store: store, active: active, slots: make(chan struct{}, slots)}
+}
+
+// ServeManifest answers with a manifest's bytes, or says that it is missing.
+func (s *Server) ServeManifest(_ context.Context, _ figbank.ProcessID, stream *transport.Stream) {
+	request := &schema.ManifestRequest{}
+	if err := stream.Receive(request); err != nil {
+		return
+	}
+	h := s.find(figbank.ManifestDigest(request.GetManifest()))
+	if h == nil {
+		_ = stream.Send(&schema.ChunkPart{Missing: true, Last: true})
+		return
+	}
+	sendParts(stream, h.version.Content)
+}
+
+// ServeChunk answers with a chunk's bytes, or says busy or missing.
+func (s *Server) ServeChunk(_ context.Context, _ figbank.ProcessID, stream *transport.Stream) {
+	request := &schema.ChunkRequest{}
+	if err := stream.Receive(request); err != nil {
+		return
+	}
+	select {
+	case s.slots <- struct{}{}:
+		defer func() { <-s.slots }()
+	default:
+		_ = stream.Send(&schema.ChunkPart{Busy: true, Last: true})
+		return
+	}
+	h := s.find(figbank.ManifestDigest(request.GetManifest()))
+	index := figbank.ChunkIndex(request.GetChunk())
+	if h == nil || !h.has(index) {
+		_ = stream.Send(&schema.ChunkPart{Missing: true, Last: true})
+		return
+	}
+	content, err := h.version.ReadChunk(index)
+	if err != nil {
+		_ = stream.Send(&schema.ChunkPart{Missing: true, Last: true})
+		return
+	}
+	sendParts(stream, content)
+}
+
+// ServeHave tells a peer which chunks of a version this host holds, and then of
+// each new one, until the version is whole.
+func (s *Server) ServeHave(ctx context.Context, _ figbank.ProcessID, stream *transport.Stream) {
+	request := &schema.HaveRequest{}
+	if err := stream.Receive(request); err != nil {
+		return
+	}
+	digest := figbank.ManifestDigest(request.GetManifest())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go cancelAtEnd(cancel, stream)
+	ticks, stop := s.common.Clock.Tick(haveInterval)
+	defer stop()
+	told := map[figbank.ChunkIndex]bool{}
+	for {
+		update := s.update(digest, told)
+		if len(update.GetChunks()) > 0 || update.GetWhole() {
+			if err := stream.Send(update); err != nil || update.GetWhole() {
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+		}
+	}
+}
+
+func (s *Server) update(digest figbank.ManifestDigest, told map[figbank.ChunkIndex]bool) *schema.HaveUpdate {
+	if s.store.Whole(digest) != nil {
+		return &schema.HaveUpdate{Whole: true}
+	}
+	update := &schema.HaveUpdate{}
+	partial := s.active.find(digest)
+	if partial == nil || partial.Count() == len(told) {
+		return update
+	}
+	for _, index := range partial.Held() {
+		if !told[index] {
+			told[index] = true
+			update.Chunks = append(update.Chunks, uint32(index))
+		}
+	}
+	return update
+}
+
+func (s *Server) find(digest figbank.ManifestDigest) *holding {
+	if whole := s.store.Whole(digest); whole != nil {
+		return &holding{version: whole}
+	}
+	if partial := s.active.find(digest); partial != nil {
+		return &holding{version: partial.Version(), partial: partial}
+	}
+	return nil
+}
+
+func (h *holding) has(index figbank.ChunkIndex) bool {
+	if h.partial == nil {
+		return int(index) < len(h.version.Manifest.GetChunks())
+	}
+	return h.partial.Has(index)
+}
+
+func sendParts(stream *transport.Stream, content []byte) {
+	for {
+		n := min(partSize, len(content))
+		part := &schema.ChunkPart{Data: content[:n], Last: n == len(content)}
+		if err := stream.Send(part); err != nil || part.GetLast() {
+			return
+		}
+		content = content[n:]
+	}
+}
+
+// cancelAtEnd waits for the peer to close its side of the stream.
+func cancelAtEnd(cancel context.CancelFunc, stream *transport.Stream) {
+	defer cancel()
+	_ = stream.Receive(&schema.HaveRequest{})
+}
--- /dev/null
+++ b/transport/pool.go
@@ -0,0 +1,177 @@
+package transport
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	"figbank"
+	"figbank/schema"
+)
+
+const (
+	dialTimeout       = 2 * time.Second
+	keepAliveInterval = 5 * time.Second
+	writeTimeout      = 10 * time.Second
+	closeTimeout      = 30 * time.Second
+	// streamWindow is the least that yamux allows; credits above it bound memory.
+	streamWindow  = 256 << 10
+	acceptBacklog = 1024
+)
+
+type (
+	// Dialer connects to another process.
+	Dialer func(ctx context.Context, address figbank.Address) (net.Conn, error)
+
+	// Option changes a Pool or Server under construction.
+	Option func(*options)
+
+	options struct {
+		dial Dialer
+	}
+
+	// Pool keeps one session to each process that this one talks to. It is safe
+	// for concurrent use.
+	Pool struct {
+		common figbank.Common
+		dial   Dialer
+
+		mu       sync.Mutex
+		sessions map[figbank.Address]*dialed
+		closed   bool
+	}
+
+	dialed struct {
+		mu      sync.Mutex
+		session *yamux.Session
+	}
+)
+
+// WithDialer replaces TCP, for tests.
+func WithDialer(dial Dialer) Option {
+	return func(o *options) { o.dial = dial }
+}
+
+// NewPool returns an empty pool; sessions are dialed when first needed.
+func NewPool(common figbank.Common, opts ...Option) *Pool {
+	o := options{dial: dialTCP}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return &Pool{common: common.For("transport"), dial: o.dial, sessions: map[figbank.Address]*dialed{}}
+}
+
+// Open starts a stream of the given kind. An error proves that the peer has not
+// seen the stream's messages.
+func (p *Pool) Open(ctx context.Context, address figbank.Address, kind schema.StreamKind) (*Stream, error) {
+	session, err := p.session(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := session.OpenStream()
+	if err != nil {
+		_ = session.Close()
+		return nil, figbank.Fail("transport", "OpenStream", err, "address", address)
+	}
+	stream := newStream(raw)
+	open := &schema.StreamOpen{Kind: kind, From: string(p.common.Process), Stamp: p.common.Recorder.Stamp()}
+	if err := stream.Send(open); err != nil {
+		stream.Close()
+		return nil, err
+	}
+	return stream, nil
+}
+
+// Call sends one request and receives one answer. When sent is true, the peer
+// may have acted on the request although err is set.
+func (p *Pool) Call(ctx context.Context, address figbank.Address, kind schema.StreamKind, request, answer proto.Message) (sent bool, err error) {
+	stream, err := p.Open(ctx, address, kind)
+	if err != nil {
+		return false, err
+	}
+	defer stream.Close()
+	defer stream.CloseWhenDone(ctx)()
+	if err := stream.Send(request); err != nil {
+		return true, err
+	}
+	return true, stream.Receive(answer)
+}
+
+// Close ends all sessions.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, d := range p.sessions {
+		if d.mu.TryLock() {
+			closeSession(d.session)
+			d.mu.Unlock()
+		}
+	}
+}
+
+func (p *Pool) session(ctx context.Context, address figbank.Address) (*yamux.Session, error) {
+	slot, err := p.slot(address)
+	if err != nil {
+		return nil, err
+	}
+	slot.mu.Lock()
+	defer slot.mu.Unlock()
+	if slot.session != nil && !slot.session.IsClosed() {
+		return slot.session, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, figbank.Fail("transport", "Dial", err, "address", address)
+	}
+	session, err := yamux.Client(conn, sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, figbank.Fail("transport", "Session", err, "address", address)
+	}
+	slot.session = session
+	return session, nil
+}
+
+func (p *Pool) slot(address figbank.Address) (*dialed, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, figbank.Fail("transport", "Closed", net.ErrClosed)
+	}
+	slot, found := p.sessions[address]
+	if !found {
+		slot = &dialed{}
+		p.sessions[address] = slot
+	}
+	return slot, nil
+}
+
+func closeSession(session *yamux.Session) {
+	if session != nil {
+		_ = session.Close()
+	}
+}
+
+func dialTCP(ctx context.Context, address figbank.Address) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", string(address))
+}
+
+func sessionConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.AcceptBacklog = acceptBacklog
+	config.KeepAliveInterval = keepAliveInterval
+	config.ConnectionWriteTimeout = writeTimeout
+	config.StreamCloseTimeout = closeTimeout
+	config.MaxStreamWindowSize = streamWindow
+	config.LogOutput = io.Discard
+	return config
+}
--- /dev/null
+++ b/transport/server.go
@@ -0,0 +1,96 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+
+	"github.com/hashicorp/yamux"
+	"go.uber.org/zap"
+
+	"figbank"
+	"figbank/schema"
+)
+
+type (
+	// Handler serves one stream; the stream is closed when it returns. The
+	// context ends when the server closes or the session is lost.
+	Handler func(ctx context.Context, from figbank.ProcessID, stream *Stream)
+
+	// Handlers maps each kind of stream that a process serves to its handler.
+	Handlers map[schema.StreamKind]Handler
+
+	// Server accepts sessions from other processes.
+	Server struct {
+		common   figbank.Common
+		handlers Handlers
+		listener net.Listener
+
+		cancel context.CancelFunc
+		group  sync.WaitGroup
+	}
+)
+
+// NewServer serves streams from sessions accepted on listener until Close.
+func NewServer(common figbank.Common, listener net.Listener, handlers Handlers) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &Server{common: common.For("transport"), handlers: handlers, listener: listener, cancel: cancel}
+	server.group.Go(func() { server.accept(ctx) })
+	return server
+}
+
+// Close stops accepting, ends all sessions and waits for the handlers.
+func (s *Server) Close() {
+	s.cancel()
+	_ = s.listener.Close()
+	s.group.Wait()
+}
+
+func (s *Server) accept(ctx context.Context) {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				s.common.Log.Error("listener failed", zap.Error(err))
+			}
+			return
+		}
+		s.group.Go(func() { s.serveConn(ctx, conn) })
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	session, err := yamux.Server(conn, sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(ctx, func() { _ = session.Close() })()
+	defer session.Close()
+	for {
+		raw, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		s.group.Go(func() { s.serveStream(ctx, newStream(raw)) })
+	}
+}
+
+func (s *Server) serveStream(ctx context.Context, stream *Stream) {
+	defer stream.Close()
+	defer stream.CloseWhenDone(ctx)()
+	var open schema.StreamOpen
+	if err := stream.Receive(&open); err != nil {
+		return
+	}
+	s.common.Recorder.Witness(open.GetStamp())
+	handler, found := s.handlers[open.GetKind()]
+	if !found {
+		s.common.Log.Warn("refused a stream of unknown kind", zap.String("from", open.GetFrom()), zap.Stringer("kind", open.GetKind()))
+		return
+	}
+	handler(ctx, figbank.ProcessID(open.GetFrom()), stream)
+}
