--- /dev/null
+++ b/demo/demo_test.go
@@ -0,0 +1,25 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+)
+
+// TestDemo runs the whole path of both deployments with a small sample.
+func TestDemo(t *testing.T) {
+	for _, name := range []string{"tabwright", "bluehole"} {
+		t.Run(name, func(t *testing.T) {
+			var screen bytes.Buffer
+			summary, err := Run(context.Background(), Options{Deployment: name, Duration: time.Second, Screen: &screen})
+			if err != nil {
+				t.Fatalf("Run() = %v\n%s", err, screen.String())
+			}
+			if !summary.Kept() {
+				summary.Print(&screen)
+				t.Errorf("not every promise held:\n%s", screen.String())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/fake/proposer.go
@@ -0,0 +1,51 @@
+package fake
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"figbank"
+	"figbank/ledger"
+	"figbank/schema"
+)
+
+// Proposer is a log of one replica in memory. It is safe for concurrent use.
+type Proposer struct {
+	mu    sync.Mutex
+	state *ledger.State
+	index uint64
+	down  bool
+}
+
+var _ figbank.Proposer = (*Proposer)(nil)
+
+// NewProposer returns an empty log.
+func NewProposer() *Proposer {
+	return &Proposer{state: ledger.NewState()}
+}
+
+// SetDown makes the log refuse everything, as on a minority side.
+func (p *Proposer) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+}
+
+// Propose applies a command.
+func (p *Proposer) Propose(_ context.Context, command *schema.Command) (*schema.Result, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return nil, figbank.NotAcceptedError{Detail: "no leader"}
+	}
+	command.TimeUnixNano = time.Unix(1_700_000_000, 0).UnixNano()
+	data, err := proto.Marshal(command)
+	if err != nil {
+		return nil, figbank.Fail("fake", "Propose", err)
+	}
+	p.index++
+	return p.state.Apply(&schema.Entry{Index: p.index, Term: 1, Data: data}), nil
+}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,444 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"figbank/engine"
+	"figbank/schema"
+)
+
+// TestOutcomes has an upstream fail in each way and checks what the caller is
+// told, and how often the call ran.
+func TestOutcomes(t *testing.T) {
+	scenarios := []struct {
+		name        string
+		repeatable  bool
+		key         string
+		handlers    []http.HandlerFunc
+		wantStatus  int
+		wantOutcome string
+		wantRuns    int64
+		wantCut     bool
+	}{
+		{name: "answered", handlers: []http.HandlerFunc{answerOK}, wantStatus: 200, wantOutcome: "Ran", wantRuns: 1},
+		{name: "answered under a key", key: "k", handlers: []http.HandlerFunc{answerOK}, wantStatus: 200, wantOutcome: "Ran", wantRuns: 1},
+		{name: "crash, not repeatable, no key", handlers: []http.HandlerFunc{crash, crash}, wantStatus: 502, wantOutcome: "Unknown", wantRuns: 1},
+		{name: "crash, not repeatable, with a key", key: "k", handlers: []http.HandlerFunc{crash, crash}, wantStatus: 502, wantOutcome: "Unknown", wantRuns: 1},
+		{name: "crash everywhere, repeatable", repeatable: true, handlers: []http.HandlerFunc{crash, crash}, wantStatus: 502, wantOutcome: "Unknown", wantRuns: 2},
+		{
+			name: "answer of another request", handlers: []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(engine.HeaderRequestID, "another")
+				answerOK(w, r)
+			}},
+			wantStatus: 502, wantOutcome: "Unknown", wantRuns: 1,
+		},
+		{
+			name: "answer shorter than it says", handlers: []http.HandlerFunc{func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Length", "100")
+				_, _ = io.WriteString(w, "part")
+			}},
+			wantStatus: 200, wantOutcome: "Ran", wantRuns: 1, wantCut: true,
+		},
+		{
+			name: "event stream without its end mark", handlers: []http.HandlerFunc{func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				_, _ = io.WriteString(w, "data: {}\n\n")
+			}},
+			wantStatus: 200, wantOutcome: "Ran", wantRuns: 1, wantCut: true,
+		},
+		{
+			name: "short answer under a key is not passed on", key: "k", handlers: []http.HandlerFunc{func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Length", "100")
+				_, _ = io.WriteString(w, "part")
+			}},
+			wantStatus: 502, wantOutcome: "Unknown", wantRuns: 1,
+		},
+		{
+			name: "the service's own error", handlers: []http.HandlerFunc{func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(http.StatusTeapot)
+			}},
+			wantStatus: 418, wantOutcome: "Ran", wantRuns: 1,
+		},
+		{name: "no upstream", wantStatus: 503, wantOutcome: "NotRun"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.declare(plain(s.repeatable))
+			var backends []*backend
+			for _, handler := range s.handlers {
+				back, service := newBackend(t, handler)
+				backends = append(backends, back)
+				b.addAgent(service, 8)
+			}
+			got := b.send(http.MethodPost, "/services/s/jobs", s.key, "body")
+			if got.status != s.wantStatus || got.outcome != s.wantOutcome || got.cut != s.wantCut {
+				t.Errorf("answer = %d, %s, cut %t, want %d, %s, cut %t: %s", got.status, got.outcome, got.cut, s.wantStatus, s.wantOutcome, s.wantCut, got.body)
+			}
+			var runs int64
+			for _, back := range backends {
+				runs += back.runs.Load()
+			}
+			if runs != s.wantRuns {
+				t.Errorf("runs = %d, want %d", runs, s.wantRuns)
+			}
+		})
+	}
+}
+
+func TestCrashedCallIsRetriedElsewhere(t *testing.T) {
+	b := newBench(t, nil)
+	b.declare(plain(true))
+	// Whichever upstream gets the call first crashes.
+	var calls atomic.Int64
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			crash(w, r)
+			return
+		}
+		answerOK(w, r)
+	}
+	for range 2 {
+		_, service := newBackend(t, handler)
+		b.addAgent(service, 8)
+	}
+	if got := b.send(http.MethodPost, "/services/s/jobs", "", "body"); got.status != 200 || got.body != "done" {
+		t.Errorf("answer = %d %q, want 200 done", got.status, got.body)
+	}
+}
+
+func TestResentKeys(t *testing.T) {
+	scenarios := []struct {
+		name        string
+		handler     http.HandlerFunc
+		secondBody  string
+		wantStatus  int
+		wantOutcome string
+		wantReplay  bool
+	}{
+		{name: "gets the recorded answer", handler: answerOK, secondBody: "body", wantStatus: 200, wantOutcome: "Ran", wantReplay: true},
+		{name: "gets unknown after a crash", handler: crash, secondBody: "body", wantStatus: 409, wantOutcome: "Unknown"},
+		{name: "is refused for another request", handler: answerOK, secondBody: "other", wantStatus: 422, wantOutcome: "NotRun"},
+		{
+			name: "is told that an answer was too large to keep", secondBody: "body", wantStatus: 409, wantOutcome: "Ran",
+			handler: func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, strings.Repeat("x", int(recordedMost)+1))
+			},
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.declare(plain(false))
+			back, service := newBackend(t, s.handler)
+			b.addAgent(service, 8)
+			b.send(http.MethodPost, "/services/s/jobs", "k", "body")
+			got := b.send(http.MethodPost, "/services/s/jobs", "k", s.secondBody)
+			if got.status != s.wantStatus || got.outcome != s.wantOutcome {
+				t.Errorf("answer = %d, %s, want %d, %s: %s", got.status, got.outcome, s.wantStatus, s.wantOutcome, got.body)
+			}
+			if replayed := got.header.Get("Figbank-Replayed") != ""; replayed != s.wantReplay {
+				t.Errorf("replayed = %t, want %t", replayed, s.wantReplay)
+			}
+			if runs := back.runs.Load(); runs != 1 {
+				t.Errorf("runs = %d, want 1", runs)
+			}
+		})
+	}
+}
+
+// TestSameKeyAtOnce sends one key many times together: one run, and every other
+// caller is told the truth.
+func TestSameKeyAtOnce(t *testing.T) {
+	b := newBench(t, nil)
+	b.declare(plain(false))
+	back, service := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+		answerOK(w, r)
+	})
+	b.addAgent(service, 8)
+	var group sync.WaitGroup
+	var answered atomic.Int64
+	for range 20 {
+		group.Go(func() {
+			got := b.send(http.MethodPost, "/services/s/jobs", "k", "body")
+			switch {
+			case got.status == 200:
+				answered.Add(1)
+			case got.status != 409 || got.outcome != "Unknown":
+				t.Errorf("answer = %d, %s, want 200, or 409 and Unknown while it runs", got.status, got.outcome)
+			}
+		})
+	}
+	group.Wait()
+	if runs := back.runs.Load(); runs != 1 || answered.Load() == 0 {
+		t.Errorf("runs = %d and answered = %d, want 1 run and an answer", runs, answered.Load())
+	}
+}
+
+func TestMinoritySideDoesNotBook(t *testing.T) {
+	b := newBench(t, nil)
+	b.declare(plain(false))
+	back, service := newBackend(t, answerOK)
+	b.addAgent(service, 8)
+	b.proposer.SetDown(true)
+	got := b.send(http.MethodPost, "/services/s/jobs", "k", "body")
+	if got.status != 503 || got.outcome != "NotRun" || back.runs.Load() != 0 {
+		t.Errorf("answer = %d, %s after %d runs, want 503, NotRun, 0 runs", got.status, got.outcome, back.runs.Load())
+	}
+	b.proposer.SetDown(false)
+	if got := b.send(http.MethodPost, "/services/s/jobs", "k", "body"); got.status != 200 {
+		t.Errorf("answer after healing = %d, want 200", got.status)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	scenarios := []struct {
+		name        string
+		prepare     func(*bench)
+		path        string
+		body        string
+		wantStatus  int
+		wantOutcome string
+	}{
+		{name: "failure domain is out", prepare: func(b *bench) { b.declare(plain(true), domain) }, path: "/services/s/x", wantStatus: 503, wantOutcome: "NotRun"},
+		{name: "unknown service", path: "/services/other/x", wantStatus: 404, wantOutcome: "NotRun"},
+		{name: "plain service asked as a model", path: chatPath, body: `{"model":"s"}`, wantStatus: 404, wantOutcome: "NotRun"},
+		{name: "not JSON", path: chatPath, body: `{`, wantStatus: 400, wantOutcome: "NotRun"},
+		{name: "body too large", path: "/services/s/x", body: strings.Repeat("x", 2<<20), wantStatus: 413, wantOutcome: "NotRun"},
+		{
+			name: "agent has left the version that was routed to", path: "/services/s/x", wantStatus: 503, wantOutcome: "NotRun",
+			prepare: func(b *bench) {
+				b.declare(&schema.ServiceDeclaration{Name: "s", Kind: kindPlain, Manifest: "v9", Repeatable: true})
+				stale := b.agents[0].Record()
+				stale.Manifest = "v9"
+				b.gateway.SetUpstreams([]*schema.Upstream{stale})
+			},
+		},
+		{
+			name: "upstream is down", path: "/services/s/x", wantStatus: 503, wantOutcome: "NotRun",
+			prepare: func(b *bench) {
+				gone := b.agents[0].Record()
+				gone.Address = "127.0.0.1:1"
+				b.gateway.SetUpstreams([]*schema.Upstream{gone})
+			},
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.declare(plain(true))
+			back, service := newBackend(t, answerOK)
+			b.addAgent(service, 8)
+			if s.prepare != nil {
+				s.prepare(b)
+			}
+			got := b.send(http.MethodPost, s.path, "", s.body)
+			if got.status != s.wantStatus || got.outcome != s.wantOutcome {
+				t.Errorf("answer = %d, %s, want %d, %s: %s", got.status, got.outcome, s.wantStatus, s.wantOutcome, got.body)
+			}
+			if got.header.Get("Content-Type") != "application/problem+json" {
+				t.Errorf("content type = %q, want a problem body", got.header.Get("Content-Type"))
+			}
+			if runs := back.runs.Load(); runs != 0 {
+				t.Errorf("runs = %d, want 0", runs)
+			}
+		})
+	}
+}
+
+// TestUpstreamHoldsNoMoreThanItsLimit sends more than an upstream bears: it
+// never holds more than its limit, and everyone is answered or truly refused.
+func TestUpstreamHoldsNoMoreThanItsLimit(t *testing.T) {
+	b := newBench(t, func(s *Settings) { s.QueueAge = patience; s.QueueLength = 200 })
+	b.declare(plain(true))
+	var running, peak atomic.Int64
+	_, service := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		now := running.Add(1)
+		for was := peak.Load(); now > was && !peak.CompareAndSwap(was, now); was = peak.Load() {
+		}
+		time.Sleep(10 * time.Millisecond)
+		running.Add(-1)
+		answerOK(w, r)
+	})
+	b.addAgent(service, 4)
+	var group sync.WaitGroup
+	var answered atomic.Int64
+	for range 60 {
+		group.Go(func() {
+			if got := b.send(http.MethodPost, "/services/s/x", "", ""); got.status == 200 {
+				answered.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	if got := peak.Load(); got > 4 {
+		t.Errorf("most calls at once = %d, want at most 4", got)
+	}
+	if got := answered.Load(); got != 60 {
+		t.Errorf("answered = %d, want 60", got)
+	}
+}
+
+func TestWaitingEndsInRefusal(t *testing.T) {
+	b := newBench(t, nil)
+	b.declare(plain(true))
+	release := make(chan struct{})
+	_, service := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		answerOK(w, r)
+	})
+	b.addAgent(service, 1)
+	first := make(chan seen, 1)
+	go func() { first <- b.send(http.MethodPost, "/services/s/x", "", "") }()
+	b.await("first call runs", func() bool { return b.agents[0].Record().GetInUse() == 1 })
+	got := b.send(http.MethodPost, "/services/s/x", "", "")
+	if got.status != 503 || got.outcome != "NotRun" || got.header.Get("Retry-After") == "" {
+		t.Errorf("answer = %d, %s, Retry-After %q, want 503, NotRun, a time", got.status, got.outcome, got.header.Get("Retry-After"))
+	}
+	close(release)
+	if got := <-first; got.status != 200 {
+		t.Errorf("first call's answer = %d, want 200", got.status)
+	}
+}
+
+// TestSlowReaderHoldsLittle lets a caller not read at all: what its answer holds
+// on the way stays within the window and the connections' own buffers.
+func TestSlowReaderHoldsLittle(t *testing.T) {
+	const answer = 64 << 20
+	b := newBench(t, nil)
+	b.declare(plain(true))
+	var written atomic.Int64
+	piece := make([]byte, 32<<10)
+	_, service := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/small" {
+			answerOK(w, r)
+			return
+		}
+		for range answer / len(piece) {
+			n, err := w.Write(piece)
+			if err != nil {
+				return
+			}
+			written.Add(int64(n))
+		}
+	})
+	b.addAgent(service, 8)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	request, _ := http.NewRequestWithContext(ctx, http.MethodGet, b.front.URL+"/services/s/large", http.NoBody)
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	response, err := b.front.Client().Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	last := int64(-1)
+	b.await("the engine to be held back", func() bool {
+		now := written.Load()
+		stalled := now == last && now > 0
+		last = now
+		time.Sleep(100 * time.Millisecond)
+		return stalled
+	})
+	// The kernel's socket buffers hold some MB on each of two connections.
+	if got := written.Load(); got > answer/4 {
+		t.Errorf("engine wrote %d bytes for a caller who reads none, want at most %d", got, answer/4)
+	}
+	if got := b.send(http.MethodGet, "/services/s/small", "", ""); got.status != 200 {
+		t.Errorf("another caller's answer = %d, want 200", got.status)
+	}
+}
+
+func TestMemoryBudget(t *testing.T) {
+	b := newBench(t, func(s *Settings) { s.MaxHeld = 40 << 10 })
+	b.declare(plain(true))
+	_, service := newBackend(t, answerOK)
+	b.addAgent(service, 8)
+	if got := b.send(http.MethodPost, "/services/s/x", "", strings.Repeat("x", 100<<10)); got.status != 503 || got.outcome != "NotRun" {
+		t.Errorf("answer over the budget = %d, %s, want 503, NotRun", got.status, got.outcome)
+	}
+	if got := b.send(http.MethodPost, "/services/s/x", "", "small"); got.status != 200 {
+		t.Errorf("answer within the budget = %d, want 200", got.status)
+	}
+	if held := b.gateway.memory.held.Load(); held != 0 {
+		t.Errorf("bytes held with no request = %d, want 0", held)
+	}
+}
+
+func TestShutdownCutsNoRequest(t *testing.T) {
+	b := newBench(t, nil)
+	b.declare(plain(true))
+	release := make(chan struct{})
+	_, service := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/held" {
+			<-release
+		}
+		answerOK(w, r)
+	})
+	b.addAgent(service, 8)
+	running := make(chan seen, 1)
+	go func() { running <- b.send(http.MethodPost, "/services/s/held", "", "") }()
+	b.await("call runs", func() bool { return b.agents[0].Record().GetInUse() == 1 })
+	ended := make(chan error, 1)
+	go func() { ended <- b.gateway.Shutdown(context.Background(), 20*time.Millisecond) }()
+	b.await("readiness fails", func() bool { return !b.gateway.Ready() })
+	b.await("new calls are refused", func() bool {
+		got := b.send(http.MethodGet, "/services/s/x", "", "")
+		return got.status == 503 && strings.Contains(got.body, "ShuttingDown")
+	})
+	select {
+	case <-ended:
+		t.Fatal("shutdown ended before its last request")
+	default:
+	}
+	close(release)
+	if got := <-running; got.status != 200 {
+		t.Errorf("running call's answer = %d, want 200", got.status)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("Shutdown() = %v", err)
+	}
+}
+
+func TestChatStream(t *testing.T) {
+	b := newBench(t, nil)
+	b.declare(model())
+	const events = 50
+	back, _ := newBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set(engine.HeaderManifest, "v1")
+		for i := range events {
+			_, _ = fmt.Fprintf(w, "data: {\"n\":%d}\n\n", i)
+			_ = http.NewResponseController(w).Flush()
+		}
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	})
+	b.addAgent(engine.NewModel(back.server.URL), 8)
+	got := b.send(http.MethodPost, chatPath, "", `{"model":"s","stream":true,"messages":[]}`)
+	if got.status != 200 || strings.Count(got.body, "data: ") != events+1 || !strings.HasSuffix(got.body, "[DONE]\n\n") {
+		t.Errorf("stream = %d with %d events, want %d whole", got.status, strings.Count(got.body, "data: "), events+1)
+	}
+}
+
+func TestAnswerFromAnotherVersionIsNotPassedOn(t *testing.T) {
+	b := newBench(t, nil)
+	b.declare(model())
+	back, _ := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(engine.HeaderManifest, "v0")
+		answerOK(w, r)
+	})
+	b.addAgent(engine.NewModel(back.server.URL), 8)
+	got := b.send(http.MethodPost, chatPath, "", `{"model":"s","messages":[]}`)
+	if got.status != 502 || got.outcome != "Unknown" || strings.Contains(got.body, "done") {
+		t.Errorf("answer = %d, %s, %q, want 502, Unknown, without the answer", got.status, got.outcome, got.body)
+	}
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,119 @@
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"figbank/keyfile"
+)
+
+const gatewayFile = `[Process]
+Id = g1
+Region = north
+FailureDomain = a
+ListenProcesses = 127.0.0.1:1
+DataFolder = data
+
+[Gateway]
+ListenCallers = 127.0.0.1:2
+ListenOperators = 127.0.0.1:3
+Replicas = g1@127.0.0.1:1
+`
+
+const agentFile = `[Process]
+Id = u1
+Region = north
+FailureDomain = a
+ListenProcesses = 127.0.0.1:4
+
+[Upstream]
+Service = bookings
+Kind = Plain
+Address = http://127.0.0.1:5
+Gateways = 127.0.0.1:1
+`
+
+func TestDefaultsAndUnits(t *testing.T) {
+	s, err := ParseGateway("g.ini", []byte(gatewayFile+"[Requests]\nMaxHeld = 8MiB\nQueueAge = 250ms\n"))
+	if err != nil {
+		t.Fatalf("ParseGateway() = %v", err)
+	}
+	if got := s.GetRequests().GetMaxHeld(); got != 8<<20 {
+		t.Errorf("MaxHeld = %d, want %d", got, 8<<20)
+	}
+	if got := s.GetRequests().GetQueueAge().AsDuration(); got != 250*time.Millisecond {
+		t.Errorf("QueueAge = %v, want 250ms", got)
+	}
+	if got := s.GetLog().GetElectionTimeout().AsDuration(); got != 500*time.Millisecond {
+		t.Errorf("ElectionTimeout = %v, want its default of 500ms", got)
+	}
+	if _, err := ParseAgent("a.ini", []byte(agentFile)); err != nil {
+		t.Errorf("ParseAgent() = %v", err)
+	}
+}
+
+func TestBrokenSettings(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		agent   bool
+		content string
+		want    string
+	}{
+		{name: "unknown key names what is allowed", content: gatewayFile + "Port = 3\n", want: "g.ini:12: [Gateway] Port: unknown key; allowed: ListenCallers"},
+		{name: "unknown section", content: gatewayFile + "[Gatewya]\n", want: "g.ini:12: [Gatewya] unknown section; allowed: Process"},
+		{name: "section twice", content: gatewayFile + "[Gateway]\n", want: "g.ini:12: [Gateway] section stands twice"},
+		{name: "missing section", content: "[Process]\nId = g1\nRegion = r\nFailureDomain = a\nListenProcesses = :1\n", want: "g.ini:1: [Gateway] ListenCallers: key is missing"},
+		{name: "duration out of range", content: gatewayFile + "[Requests]\nQueueAge = 0s\n", want: "g.ini:13: [Requests] QueueAge: 0s is out of range; allowed: 0.01 to 600"},
+		{name: "not a size", content: gatewayFile + "[Requests]\nMaxBody = large\n", want: `g.ini:13: [Requests] MaxBody: "large" is not a whole number of Bytes`},
+		{name: "even number of replicas", content: strings.Replace(gatewayFile, "Replicas = ", "Replicas = g2@127.0.0.1:9, ", 1), want: "g.ini:11: [Gateway] Replicas: the number of replicas must be odd"},
+		{name: "heartbeat too slow", content: gatewayFile + "[Log]\nHeartbeatInterval = 400ms\n", want: "g.ini:13: [Log] HeartbeatInterval: must be at most a third of ElectionTimeout"},
+		{name: "data folder without being a replica", content: strings.Replace(gatewayFile, "Id = g1", "Id = g9", 1), want: "g.ini:6: [Process] DataFolder: set on a gateway whose Id is not among Replicas"},
+		{name: "model without an origin", agent: true, content: strings.Replace(agentFile, "Plain", "Model", 1), want: "g.ini:1: [Weights] Origin: a model's agent needs an origin"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			var err error
+			if s.agent {
+				_, err = ParseAgent("g.ini", []byte(s.content))
+			} else {
+				_, err = ParseGateway("g.ini", []byte(s.content))
+			}
+			var problems keyfile.ProblemsError
+			if !errors.As(err, &problems) {
+				t.Fatalf("error = %v, want ProblemsError", err)
+			}
+			if got := problems.Problems[0].String(); !strings.HasPrefix(got, s.want) {
+				t.Errorf("first problem = %q, want %q", got, s.want)
+			}
+		})
+	}
+}
+
+func TestWrittenSettingsReadBack(t *testing.T) {
+	s, err := ParseGateway("g.ini", []byte(gatewayFile))
+	if err != nil {
+		t.Fatalf("ParseGateway() = %v", err)
+	}
+	var written bytes.Buffer
+	if err := keyfile.Write(&written, s); err != nil {
+		t.Fatalf("Write() = %v", err)
+	}
+	again, err := ParseGateway("g.ini", written.Bytes())
+	if err != nil || !proto.Equal(again, s) {
+		t.Errorf("settings read back = %v, %v, want %v", again, err, s)
+	}
+}
+
+func FuzzParseGateway(f *testing.F) {
+	f.Add([]byte(gatewayFile))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		if _, err := ParseGateway("g.ini", content); err != nil && !errors.As(err, new(keyfile.ProblemsError)) {
+			t.Errorf("ParseGateway() = %T, want ProblemsError", err)
+		}
+	})
+}
--- /dev/null
+++ b/swarm/plan_test.go
@@ -0,0 +1,201 @@
+package swarm
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"figbank"
+)
+
+const (
+	chunks    = 120
+	stallTime = 2 * time.Second
+	fetchTime = 50 * time.Millisecond
+)
+
+type (
+	// hosts run plans in virtual time: each fetch takes fetchTime, and news of a
+	// new chunk reaches the peers at once.
+	hosts struct {
+		now     time.Time
+		peers   []Peer
+		plans   map[figbank.ProcessID]*Plan
+		running []running
+		origin  int
+		// dead hosts answer nothing, bad ones send bytes that fail their check.
+		dead, bad map[figbank.ProcessID]bool
+	}
+
+	running struct {
+		host  figbank.ProcessID
+		fetch Fetch
+		ends  time.Time
+	}
+)
+
+func newHosts(count, regions int) *hosts {
+	h := &hosts{
+		now: time.Unix(1000, 0), plans: map[figbank.ProcessID]*Plan{},
+		dead: map[figbank.ProcessID]bool{}, bad: map[figbank.ProcessID]bool{},
+	}
+	for i := range count {
+		region := fmt.Sprintf("r%d", i%regions)
+		h.peers = append(h.peers, Peer{
+			ID: figbank.ProcessID(fmt.Sprintf("h%02d", i)), Region: figbank.Region(region),
+			FailureDomain: figbank.FailureDomain(region),
+		})
+	}
+	for i, peer := range h.peers {
+		plan := NewPlan(Settings{Self: peer, Chunks: chunks, InFlight: 4, StallTime: stallTime}, rand.New(rand.NewPCG(uint64(i), 9)), h.now)
+		plan.SetPeers(h.peers)
+		h.plans[peer.ID] = plan
+	}
+	return h
+}
+
+func (h *hosts) run(t *testing.T) {
+	t.Helper()
+	end := h.now.Add(5 * time.Minute)
+	for !h.whole() {
+		if h.now.After(end) {
+			t.Fatal("not whole after five minutes")
+		}
+		h.start()
+		h.now = h.now.Add(fetchTime / 5)
+		h.end()
+	}
+}
+
+func (h *hosts) start() {
+	for _, peer := range h.peers {
+		if h.dead[peer.ID] {
+			continue
+		}
+		for {
+			fetch, found := h.plans[peer.ID].Next(h.now)
+			if !found {
+				break
+			}
+			h.running = append(h.running, running{host: peer.ID, fetch: fetch, ends: h.now.Add(fetchTime)})
+		}
+	}
+}
+
+func (h *hosts) end() {
+	ended := slices.Clone(h.running)
+	h.running = slices.DeleteFunc(h.running, func(r running) bool { return !r.ends.After(h.now) })
+	for _, r := range ended {
+		if r.ends.After(h.now) {
+			continue
+		}
+		plan := h.plans[r.host]
+		switch {
+		case h.dead[r.fetch.Peer]:
+			plan.Failed(r.fetch, Lost, 0, h.now)
+			continue
+		case h.bad[r.fetch.Peer]:
+			plan.Failed(r.fetch, Bad, 0, h.now)
+			continue
+		case r.fetch.Peer == "":
+			h.origin++
+		}
+		plan.Done(r.fetch, h.now)
+		for _, other := range h.peers {
+			h.plans[other.ID].PeerHas(r.host, []figbank.ChunkIndex{r.fetch.Chunk}, h.now)
+		}
+	}
+}
+
+func (h *hosts) whole() bool {
+	for _, peer := range h.peers {
+		if !h.dead[peer.ID] && !h.plans[peer.ID].Whole() {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *hosts) copies() float64 {
+	return float64(h.origin) / chunks
+}
+
+func TestPlan(t *testing.T) {
+	scenarios := []struct {
+		name       string
+		hosts      int
+		regions    int
+		prepare    func(*hosts)
+		wantCopies float64
+	}{
+		{name: "one host takes one copy", hosts: 1, regions: 1, wantCopies: 1},
+		{name: "one copy a region", hosts: 30, regions: 3, wantCopies: 3},
+		{name: "a dead host's chunks go to the next in line", hosts: 12, regions: 3, prepare: func(h *hosts) { h.dead["h00"] = true }, wantCopies: 3.15},
+		{name: "a peer that sends bad chunks is avoided", hosts: 12, regions: 3, prepare: func(h *hosts) { h.bad["h01"] = true }, wantCopies: 4},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			h := newHosts(s.hosts, s.regions)
+			if s.prepare != nil {
+				s.prepare(h)
+			}
+			h.run(t)
+			if got := h.copies(); got > s.wantCopies {
+				t.Errorf("copies from the origin = %.2f, want at most %.2f", got, s.wantCopies)
+			}
+		})
+	}
+}
+
+func TestBusyOriginIsLeftAlone(t *testing.T) {
+	h := newHosts(1, 1)
+	plan := h.plans["h00"]
+	fetch, found := plan.Next(h.now)
+	if !found || fetch.Peer != "" {
+		t.Fatalf("Next() = %v, %t, want a fetch from the origin", fetch, found)
+	}
+	plan.Failed(fetch, Busy, 5*time.Second, h.now)
+	if _, found := plan.Next(h.now.Add(4 * time.Second)); found {
+		t.Error("Next() before the origin's Retry-After: a fetch, want none")
+	}
+	if _, found := plan.Next(h.now.Add(5 * time.Second)); !found {
+		t.Error("Next() after the origin's Retry-After: none, want a fetch")
+	}
+}
+
+func TestNextPrefersNearAndRare(t *testing.T) {
+	self := Peer{ID: "self", Region: "r", FailureDomain: "a"}
+	near := Peer{ID: "near", Region: "r", FailureDomain: "a"}
+	region := Peer{ID: "region", Region: "r", FailureDomain: "b"}
+	far := Peer{ID: "far", Region: "q", FailureDomain: "c"}
+	now := time.Unix(1000, 0)
+	scenarios := []struct {
+		name string
+		have map[figbank.ProcessID][]figbank.ChunkIndex
+		want Fetch
+	}{
+		{
+			name: "the rarer chunk first", want: Fetch{Chunk: 1, Peer: "region"},
+			have: map[figbank.ProcessID][]figbank.ChunkIndex{"near": {0}, "region": {0, 1}},
+		},
+		{
+			name: "the nearer peer first", want: Fetch{Chunk: 0, Peer: "near"},
+			have: map[figbank.ProcessID][]figbank.ChunkIndex{"near": {0}, "region": {0}, "far": {0}},
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			plan := NewPlan(Settings{Self: self, Chunks: 2, InFlight: 1, StallTime: stallTime}, rand.New(rand.NewPCG(1, 1)), now)
+			plan.originUntil = now.Add(time.Hour)
+			plan.SetPeers([]Peer{self, near, region, far})
+			for id, held := range s.have {
+				plan.PeerHas(id, held, now)
+			}
+			if got, _ := plan.Next(now); got != s.want {
+				t.Errorf("Next() = %v, want %v", got, s.want)
+			}
+		})
+	}
+}
--- a/transport/stream.go
+++ b/transport/stream.go
@@ -52,11 +52,15 @@
 	return figbank.Fail("transport", "Send", err)
 }
 
-// Receive reads one message into message. It returns io.EOF unwrapped inside
-// the error when the peer has finished sending.
+// Receive reads one message into message. It fails with an error around
+// io.EOF when the peer has finished sending.
 func (s *Stream) Receive(message proto.Message) error {
+	return receive(s.reader, message)
+}
+
+func receive(reader *bufio.Reader, message proto.Message) error {
 	options := protodelim.UnmarshalOptions{MaxSize: int64(maxMessage)}
-	return figbank.Fail("transport", "Receive", options.UnmarshalFrom(s.reader, message))
+	return figbank.Fail("transport", "Receive", options.UnmarshalFrom(reader, message))
 }
 
 // Close ends the stream in both directions and wakes a blocked Receive.
--- /dev/null
+++ b/transport/transport_test.go
@@ -0,0 +1,188 @@
+package transport
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"figbank"
+	"figbank/clock"
+	"figbank/schema"
+)
+
+const kind = schema.StreamKind_STREAM_KIND_INSPECT
+
+// noRecorder keeps nothing.
+type noRecorder struct{}
+
+func (noRecorder) Record(*schema.Event)  {}
+func (noRecorder) Stamp() *schema.Stamp  { return &schema.Stamp{} }
+func (noRecorder) Witness(*schema.Stamp) {}
+
+func common(process figbank.ProcessID) figbank.Common {
+	return figbank.Common{
+		Process: process, Log: zap.NewNop(), Clock: clock.System{}, Scope: tally.NoopScope,
+		Recorder: noRecorder{},
+	}
+}
+
+// pair returns a pool and the address of a server with one handler.
+func pair(t *testing.T, handler Handler) (*Pool, figbank.Address, *Server) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(common("server"), listener, Handlers{kind: handler})
+	pool := NewPool(common("client"))
+	t.Cleanup(func() {
+		pool.Close()
+		server.Close()
+	})
+	return pool, figbank.Address(listener.Addr().String()), server
+}
+
+func echo(_ context.Context, from figbank.ProcessID, stream *Stream) {
+	request := &schema.InspectRequest{}
+	if err := stream.Receive(request); err == nil {
+		_ = stream.Send(&schema.InspectAnswer{Process: string(from)})
+	}
+}
+
+func TestCall(t *testing.T) {
+	scenarios := []struct {
+		name     string
+		kind     schema.StreamKind
+		handler  Handler
+		wantSent bool
+		wantErr  bool
+		want     string
+	}{
+		{name: "answers", kind: kind, handler: echo, wantSent: true, want: "client"},
+		{name: "unknown kind of stream", kind: schema.StreamKind_STREAM_KIND_CALL, handler: echo, wantSent: true, wantErr: true},
+		{name: "handler gives no answer", kind: kind, handler: func(context.Context, figbank.ProcessID, *Stream) {}, wantSent: true, wantErr: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			pool, address, _ := pair(t, s.handler)
+			answer := &schema.InspectAnswer{}
+			sent, err := pool.Call(context.Background(), address, s.kind, &schema.InspectRequest{}, answer)
+			if sent != s.wantSent || (err != nil) != s.wantErr || answer.GetProcess() != s.want {
+				t.Errorf("Call() = %t, %v, %q, want %t, error %t, %q", sent, err, answer.GetProcess(), s.wantSent, s.wantErr, s.want)
+			}
+		})
+	}
+}
+
+func TestUnreachablePeerHasSeenNothing(t *testing.T) {
+	pool, address, server := pair(t, echo)
+	server.Close()
+	sent, err := pool.Call(context.Background(), address, kind, &schema.InspectRequest{}, &schema.InspectAnswer{})
+	if sent || err == nil {
+		t.Errorf("Call() = %t, %v, want false and an error", sent, err)
+	}
+}
+
+func TestPoolDialsAgain(t *testing.T) {
+	pool, address, server := pair(t, echo)
+	call := func() error {
+		_, err := pool.Call(context.Background(), address, kind, &schema.InspectRequest{}, &schema.InspectAnswer{})
+		return err
+	}
+	if err := call(); err != nil {
+		t.Fatal(err)
+	}
+	server.Close()
+	listener, err := net.Listen("tcp", string(address))
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := NewServer(common("server"), listener, Handlers{kind: echo})
+	defer again.Close()
+	for deadline := time.Now().Add(5 * time.Second); call() != nil; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("Call() to the restarted server fails for five seconds")
+		}
+	}
+}
+
+func TestContextEndsCall(t *testing.T) {
+	pool, address, _ := pair(t, func(ctx context.Context, _ figbank.ProcessID, _ *Stream) { <-ctx.Done() })
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := pool.Call(ctx, address, kind, &schema.InspectRequest{}, &schema.InspectAnswer{}); err == nil {
+		t.Error("Call() without an answer = nil, want an error when its context ends")
+	}
+}
+
+// TestBlockedStreamDoesNotBlockOthers fills one stream whose peer does not read.
+func TestBlockedStreamDoesNotBlockOthers(t *testing.T) {
+	pool, address, _ := pair(t, func(ctx context.Context, from figbank.ProcessID, stream *Stream) {
+		request := &schema.InspectRequest{}
+		if err := stream.Receive(request); err != nil || request.GetTimeline() {
+			<-ctx.Done()
+			return
+		}
+		_ = stream.Send(&schema.InspectAnswer{Process: string(from)})
+	})
+	blocked, err := pool.Open(context.Background(), address, kind)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer blocked.Close()
+	go func() {
+		full := &schema.InspectAnswer{Process: string(make([]byte, 64<<10))}
+		if blocked.Send(&schema.InspectRequest{Timeline: true}) != nil {
+			return
+		}
+		for blocked.Send(full) == nil {
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for range 20 {
+		if _, err := pool.Call(ctx, address, kind, &schema.InspectRequest{}, &schema.InspectAnswer{}); err != nil {
+			t.Fatalf("Call() beside a blocked stream = %v", err)
+		}
+	}
+}
+
+func receiveAll(content []byte) error {
+	reader := bufio.NewReader(bytes.NewReader(content))
+	for {
+		frame := &schema.CallFrame{}
+		if err := receive(reader, frame); err != nil {
+			return err
+		}
+	}
+}
+
+func TestOversizedMessageIsRefused(t *testing.T) {
+	// A length of 1 GiB, without the bytes.
+	err := receiveAll([]byte{0x80, 0x80, 0x80, 0x80, 0x04, 'x'})
+	var large *protodelim.SizeTooLargeError
+	if !errors.As(err, &large) {
+		t.Errorf("receive = %v, want SizeTooLargeError", err)
+	}
+}
+
+func FuzzReceive(f *testing.F) {
+	var whole bytes.Buffer
+	_, _ = protodelim.MarshalTo(&whole, &schema.CallFrame{RequestId: "r", Frame: &schema.CallFrame_Body{Body: []byte("body")}})
+	f.Add(whole.Bytes())
+	f.Add(whole.Bytes()[:5])
+	f.Fuzz(func(t *testing.T, content []byte) {
+		if err := receiveAll(content); err == nil || errors.Is(err, io.ErrNoProgress) {
+			t.Errorf("receive = %v, want an end or a refusal", err)
+		}
+	})
+}
