Learn of cold and free upstreams at once

Cause: measured in virtual time with real gateways and agents. Change: a broken call makes the upstream suspect and an idle one is probed, both held to the first limit until the incarnation is known; capacity is given back before the last frame; an upstream that was full announces the change.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -46,19 +46,22 @@
 func TestLimiterAgainstSum(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limiter := NewLimiter(4, 32)
-		limiter.Start("0")
+		now := noon
+		limiter.Confirm(now, "0")
 		var held []*Held
+		var incarnations []int
 		incarnation, sum := 0, figbank.Cost(0)
 		t.Repeat(map[string]func(*rapid.T){
 			"acquire": func(t *rapid.T) {
 				cost := figbank.Cost(rapid.IntRange(1, 9).Draw(t, "cost"))
 				limit, _ := limiter.Usage()
-				h := limiter.Acquire(cost)
+				h, _ := limiter.Acquire(now, cost)
 				if want := sum == 0 || sum+cost <= limit; (h != nil) != want {
 					t.Fatalf("Acquire(%d) with %d of %d in use = %t, want %t", cost, sum, limit, h != nil, want)
 				}
 				if h != nil {
 					held = append(held, h)
+					incarnations = append(incarnations, incarnation)
 					sum += cost
 				}
 			},
@@ -68,14 +71,15 @@
 				}
 				at := rapid.IntRange(0, len(held)-1).Draw(t, "at")
 				held[at].Release(rapid.Bool().Draw(t, "succeeded"))
-				if held[at].ramp == limiter.ramp {
+				if incarnations[at] == incarnation {
 					sum -= held[at].cost
 				}
+				incarnations = append(incarnations[:at], incarnations[at+1:]...)
 				held = append(held[:at], held[at+1:]...)
 			},
 			"restart": func(*rapid.T) {
 				incarnation++
-				limiter.Start(figbank.Incarnation(fmt.Sprint(incarnation)))
+				limiter.Confirm(now, figbank.Incarnation(fmt.Sprint(incarnation)))
 				sum = 0
 				if limit, _ := limiter.Usage(); limit != 4 {
 					t.Fatalf("limit of a new incarnation = %d, want 4", limit)
@@ -90,6 +94,61 @@
 	})
 }
 
+// TestDoubtfulUpstream has a warm upstream of limit 16 that may have turned
+// cold: it gets no more than a cold one bears until its incarnation is known.
+func TestDoubtfulUpstream(t *testing.T) {
+	const first, ceiling = 4, 16
+	scenarios := []struct {
+		name string
+		act  func(limiter *Limiter)
+		// wait is the time since the last sign of life.
+		wait time.Duration
+		want int
+	}{
+		{name: "is warm", wait: confirmAge, want: 16},
+		{name: "was idle for long", wait: confirmAge + 1, want: first},
+		{name: "broke a call", act: func(l *Limiter) { l.Suspect() }, want: first},
+		{
+			name: "broke a call, but is the same",
+			act:  func(l *Limiter) { l.Suspect(); l.Confirm(noon, "warm") }, want: 16,
+		},
+		{
+			name: "broke a call and has restarted",
+			act:  func(l *Limiter) { l.Suspect(); l.Confirm(noon, "new") }, want: first,
+		},
+		{
+			name: "broke a call of many, the others may still run",
+			act: func(l *Limiter) {
+				for range 14 {
+					l.Acquire(noon, 1)
+				}
+				l.Suspect()
+			},
+			want: 2,
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			limiter := NewLimiter(first, ceiling)
+			limiter.Confirm(noon, "warm")
+			for range 40 {
+				held, _ := limiter.Acquire(noon, 1)
+				held.Release(true)
+			}
+			if s.act != nil {
+				s.act(limiter)
+			}
+			got := 0
+			for held, _ := limiter.Acquire(noon.Add(s.wait), 1); held != nil; held, _ = limiter.Acquire(noon.Add(s.wait), 1) {
+				got++
+			}
+			if got != s.want {
+				t.Errorf("admitted at once = %d, want %d", got, s.want)
+			}
+		})
+	}
+}
+
 func TestQueueSharesByCost(t *testing.T) {
 	queue := NewQueue(1000, time.Minute)
 	// One workspace sends many cheap requests, one a few dear ones.
--- a/admission/ramp.go
+++ b/admission/ramp.go
@@ -16,6 +16,9 @@
 	ceiling     figbank.Cost
 	limit       figbank.Cost
 	completed   figbank.Cost
+	inUse       figbank.Cost
+	// adopted is set when another ramp has taken over this one's work.
+	adopted *Ramp
 }
 
 // NewRamp starts a ramp for a fresh incarnation that may at most hold ceiling.
@@ -28,6 +31,20 @@
 	return r.limit
 }
 
+// adopt takes over the work that was admitted under another ramp.
+func (r *Ramp) adopt(other *Ramp) {
+	r.inUse += other.inUse
+	other.adopted = r
+}
+
+// successor is the ramp that work admitted under this one counts against.
+func (r *Ramp) successor() *Ramp {
+	for r.adopted != nil {
+		r = r.adopted
+	}
+	return r
+}
+
 // Complete records finished work and raises the limit when a whole round has
 // succeeded at the present one.
 func (r *Ramp) Complete(cost figbank.Cost) {
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -69,6 +69,8 @@
 		lives   atomic.Int64
 		leaving atomic.Bool
 		changed *signal
+		// doubt asks the monitor to poll at once.
+		doubt chan struct{}
 		// ready is closed once a gateway has told its configuration: before that, this
 		// process may not know the newest declaration and gives no order.
 		ready    chan struct{}
@@ -104,6 +106,7 @@
 		limiter: admission.NewLimiter(settings.FirstLimit, settings.Capacity),
 		started: common.Clock.Now(),
 		changed: newSignal(),
+		doubt:   make(chan struct{}, 1),
 		ready:   make(chan struct{}),
 	}
 	a.status.Store(&schema.EngineStatus{})
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -13,8 +13,12 @@
 	"go.uber.org/zap"
 )
 
-// reconnectDelay is between tries to reach a gateway.
-const reconnectDelay = 200 * time.Millisecond
+const (
+	// reconnectDelay is between tries to reach a gateway.
+	reconnectDelay = 200 * time.Millisecond
+	// changeInterval is the least time between two announcements of changes.
+	changeInterval = 50 * time.Millisecond
+)
 
 // announce keeps one gateway told of the upstream.
 func (a *Agent) announce(ctx context.Context, gateway figbank.Address) {
@@ -52,11 +56,18 @@
 		if err := stream.Send(report); err != nil {
 			return err
 		}
+		sent := a.common.Clock.Now()
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-changed:
 		case <-ticks:
+			continue
+		case <-changed:
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.common.Clock.After(sent.Add(changeInterval).Sub(a.common.Clock.Now())):
 		}
 	}
 }
--- a/agent/call.go
+++ b/agent/call.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"time"
 
@@ -44,13 +45,23 @@
 	held, reason := a.admit(c.head)
 	if held == nil {
 		a.event("Refused", c.id, string(reason))
-		c.refuse(reason)
+		_ = c.send(refusal(reason))
 		return
 	}
-	defer a.gate.exit()
-	succeeded := false
-	defer func() { held.Release(succeeded) }()
-	succeeded = c.run(ctx)
+	last, succeeded := c.run(ctx)
+	// The last frame tells the free capacity, so the call's own part of it is given
+	// back first: gateways would take an idle upstream for a full one otherwise.
+	wasFull := a.limiter.Free() == 0
+	a.gate.exit()
+	held.Release(succeeded)
+	if wasFull {
+		// Only the gateway of this call hears of the free capacity; others have been
+		// told that there is none.
+		a.changed.raise()
+	}
+	if last != nil {
+		_ = c.send(last)
+	}
 }
 
 // admit checks place, version and limit. Nothing has reached the engine yet, so
@@ -71,7 +82,10 @@
 	if reason, entered := a.gate.enter(head.GetManifest()); !entered {
 		return nil, reason
 	}
-	held := a.limiter.Acquire(figbank.Cost(head.GetCost()))
+	held, doubtful := a.limiter.Acquire(a.common.Clock.Now(), figbank.Cost(head.GetCost()))
+	if doubtful {
+		a.pollSoon()
+	}
 	if held == nil {
 		a.gate.exit()
 		return nil, figbank.ReasonUpstreamFull
@@ -79,12 +93,12 @@
 	return held, ""
 }
 
-// run reports whether the upstream bore the call.
-func (c *call) run(ctx context.Context) bool {
+// run returns the frame that ends the call, nil when nobody waits for one, and
+// whether the upstream bore the call.
+func (c *call) run(ctx context.Context) (last *schema.AnswerFrame, succeeded bool) {
 	body, err := c.receiveBody()
 	if err != nil {
-		c.refuse(figbank.ReasonCallerGone)
-		return true
+		return refusal(figbank.ReasonCallerGone), true
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -96,8 +110,7 @@
 	defer answer.Body.Close()
 	c.agent.notice(answer.Incarnation)
 	if answer.Manifest != "" && answer.Manifest != c.head.GetManifest() {
-		c.end(false, schema.Outcome_OUTCOME_UNKNOWN, "engine answered from another version")
-		return false
+		return cut("engine answered from another version"), false
 	}
 	return c.relay(ctx, answer)
 }
@@ -161,58 +174,61 @@
 	}
 }
 
-func (c *call) fail(ctx context.Context, err error) bool {
+func (c *call) fail(ctx context.Context, err error) (last *schema.AnswerFrame, succeeded bool) {
 	var notRun figbank.NotRunError
 	if errors.As(err, &notRun) {
-		c.refuse(notRun.Reason)
-		return false
+		return refusal(notRun.Reason), false
 	}
 	c.agent.common.Log.Info("call failed", zap.String("request", c.id), zap.Error(err))
-	c.end(false, schema.Outcome_OUTCOME_UNKNOWN, "upstream failed before it answered")
-	return ctx.Err() != nil
+	if ctx.Err() == nil {
+		c.agent.suspect()
+	}
+	return cut("upstream failed before it answered"), ctx.Err() != nil
 }
 
 // relay passes the answer on as far as credit allows. It reads from the engine
 // only what may be sent, so that a slow caller holds no memory here.
-func (c *call) relay(ctx context.Context, answer *figbank.ServiceAnswer) bool {
+func (c *call) relay(ctx context.Context, answer *figbank.ServiceAnswer) (last *schema.AnswerFrame, succeeded bool) {
 	head := &schema.AnswerHead{Status: int32(answer.Status), Headers: answer.Headers, Manifest: c.head.GetManifest()} //nolint:gosec // an HTTP status
 	if err := c.send(&schema.AnswerFrame{Frame: &schema.AnswerFrame_Head{Head: head}}); err != nil {
-		return true
+		return nil, true
 	}
 	check := newCompletion(answer.Headers)
 	buffer := make([]byte, maxPiece)
 	for {
 		allowed, err := c.credit.await(ctx, maxPiece)
 		if err != nil {
-			return true
+			return nil, true
 		}
 		n, err := answer.Body.Read(buffer[:allowed])
 		if n > 0 {
 			check.add(buffer[:n])
 			c.credit.take(int64(n))
 			if err := c.send(&schema.AnswerFrame{Frame: &schema.AnswerFrame_Body{Body: buffer[:n]}}); err != nil {
-				return true
+				return nil, true
 			}
 		}
 		switch {
 		case errors.Is(err, io.EOF) && check.complete():
-			c.end(true, schema.Outcome_OUTCOME_RAN, "")
-			return answer.Status < 500
+			end := &schema.AnswerEnd{Complete: true, Outcome: schema.Outcome_OUTCOME_RAN}
+			return &schema.AnswerFrame{Frame: &schema.AnswerFrame_End{End: end}}, answer.Status < http.StatusInternalServerError
 		case err != nil:
-			c.end(false, schema.Outcome_OUTCOME_UNKNOWN, "upstream's answer was cut")
-			return ctx.Err() != nil
+			if ctx.Err() == nil {
+				c.agent.suspect()
+			}
+			return cut("upstream's answer was cut"), ctx.Err() != nil
 		}
 	}
 }
 
-func (c *call) refuse(reason figbank.Reason) {
+func refusal(reason figbank.Reason) *schema.AnswerFrame {
 	refused := &schema.Refused{Reason: string(reason)}
-	_ = c.send(&schema.AnswerFrame{Frame: &schema.AnswerFrame_Refused{Refused: refused}})
+	return &schema.AnswerFrame{Frame: &schema.AnswerFrame_Refused{Refused: refused}}
 }
 
-func (c *call) end(complete bool, outcome schema.Outcome, detail string) {
-	end := &schema.AnswerEnd{Complete: complete, Outcome: outcome, Detail: detail}
-	_ = c.send(&schema.AnswerFrame{Frame: &schema.AnswerFrame_End{End: end}})
+func cut(detail string) *schema.AnswerFrame {
+	end := &schema.AnswerEnd{Outcome: schema.Outcome_OUTCOME_UNKNOWN, Detail: detail}
+	return &schema.AnswerFrame{Frame: &schema.AnswerFrame_End{End: end}}
 }
 
 func (c *call) send(frame *schema.AnswerFrame) error {
--- a/agent/monitor.go
+++ b/agent/monitor.go
@@ -22,11 +22,26 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-a.doubt:
 		case <-ticks:
 		}
 	}
 }
 
+// pollSoon asks the engine at once which incarnation it is.
+func (a *Agent) pollSoon() {
+	select {
+	case a.doubt <- struct{}{}:
+	default:
+	}
+}
+
+// suspect holds a broken call against the engine: it may have restarted.
+func (a *Agent) suspect() {
+	a.limiter.Suspect()
+	a.pollSoon()
+}
+
 func (a *Agent) poll(ctx context.Context) {
 	asking, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
@@ -72,7 +87,7 @@
 // the next poll.
 func (a *Agent) notice(told figbank.Incarnation) {
 	known := a.status.Load()
-	if told == "" || string(told) == known.GetIncarnation() {
+	if told == "" {
 		return
 	}
 	a.status.Store(&schema.EngineStatus{
@@ -83,7 +98,7 @@
 
 // startRamp treats a new incarnation as cold, whatever it was before.
 func (a *Agent) startRamp() {
-	if a.limiter.Start(a.incarnation()) {
+	if a.limiter.Confirm(a.common.Clock.Now(), a.incarnation()) {
 		a.event("ColdStart", "", string(a.incarnation()))
 		a.changed.raise()
 	}
--- a/fake/proposer.go
+++ b/fake/proposer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -18,13 +17,21 @@
 	state *ledger.State
 	index uint64
 	down  bool
+	clock figbank.Clock
 }
 
 var _ figbank.Proposer = (*Proposer)(nil)
 
 // NewProposer returns an empty log.
-func NewProposer() *Proposer {
-	return &Proposer{state: ledger.NewState()}
+func NewProposer(clock figbank.Clock) *Proposer {
+	return &Proposer{state: ledger.NewState(), clock: clock}
+}
+
+// Configuration is what is in force.
+func (p *Proposer) Configuration() *schema.Configuration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Configuration()
 }
 
 // SetDown makes the log refuse everything, as on a minority side.
@@ -41,7 +48,7 @@
 	if p.down {
 		return nil, figbank.NotAcceptedError{Detail: "no leader"}
 	}
-	command.TimeUnixNano = time.Unix(1_700_000_000, 0).UnixNano()
+	command.TimeUnixNano = p.clock.Now().UnixNano()
 	data, err := proto.Marshal(command)
 	if err != nil {
 		return nil, figbank.Fail("fake", "Propose", err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,6 +110,7 @@
 // HearLoad notes an upstream's announced load.
 func (g *Gateway) HearLoad(upstream *schema.Upstream) {
 	g.table.Load().Hear(upstream, g.common.Clock.Now())
+	g.waiting.wake(figbank.ServiceName(upstream.GetService()))
 }
 
 // Warm counts a service's routable upstreams, in one domain and in all.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -28,46 +28,46 @@
 		wantRuns    int64
 		wantCut     bool
 	}{
-		{name: "answered", handlers: []http.HandlerFunc{answerOK}, wantStatus: 200, wantOutcome: "Ran", wantRuns: 1},
-		{name: "answered under a key", key: "k", handlers: []http.HandlerFunc{answerOK}, wantStatus: 200, wantOutcome: "Ran", wantRuns: 1},
-		{name: "crash, not repeatable, no key", handlers: []http.HandlerFunc{crash, crash}, wantStatus: 502, wantOutcome: "Unknown", wantRuns: 1},
-		{name: "crash, not repeatable, with a key", key: "k", handlers: []http.HandlerFunc{crash, crash}, wantStatus: 502, wantOutcome: "Unknown", wantRuns: 1},
-		{name: "crash everywhere, repeatable", repeatable: true, handlers: []http.HandlerFunc{crash, crash}, wantStatus: 502, wantOutcome: "Unknown", wantRuns: 2},
+		{name: "answered", handlers: []http.HandlerFunc{answerOK}, wantStatus: 200, wantOutcome: outcomeRan, wantRuns: 1},
+		{name: "answered under a key", key: "k", handlers: []http.HandlerFunc{answerOK}, wantStatus: 200, wantOutcome: outcomeRan, wantRuns: 1},
+		{name: "crash, not repeatable, no key", handlers: []http.HandlerFunc{crash, crash}, wantStatus: 502, wantOutcome: outcomeUnknown, wantRuns: 1},
+		{name: "crash, not repeatable, with a key", key: "k", handlers: []http.HandlerFunc{crash, crash}, wantStatus: 502, wantOutcome: outcomeUnknown, wantRuns: 1},
+		{name: "crash everywhere, repeatable", repeatable: true, handlers: []http.HandlerFunc{crash, crash}, wantStatus: 502, wantOutcome: outcomeUnknown, wantRuns: 2},
 		{
 			name: "answer of another request", handlers: []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
 				w.Header().Set(engine.HeaderRequestID, "another")
 				answerOK(w, r)
 			}},
-			wantStatus: 502, wantOutcome: "Unknown", wantRuns: 1,
+			wantStatus: 502, wantOutcome: outcomeUnknown, wantRuns: 1,
 		},
 		{
 			name: "answer shorter than it says", handlers: []http.HandlerFunc{func(w http.ResponseWriter, _ *http.Request) {
 				w.Header().Set("Content-Length", "100")
 				_, _ = io.WriteString(w, "part")
 			}},
-			wantStatus: 200, wantOutcome: "Ran", wantRuns: 1, wantCut: true,
+			wantStatus: 200, wantOutcome: outcomeRan, wantRuns: 1, wantCut: true,
 		},
 		{
 			name: "event stream without its end mark", handlers: []http.HandlerFunc{func(w http.ResponseWriter, _ *http.Request) {
 				w.Header().Set("Content-Type", "text/event-stream")
 				_, _ = io.WriteString(w, "data: {}\n\n")
 			}},
-			wantStatus: 200, wantOutcome: "Ran", wantRuns: 1, wantCut: true,
+			wantStatus: 200, wantOutcome: outcomeRan, wantRuns: 1, wantCut: true,
 		},
 		{
 			name: "short answer under a key is not passed on", key: "k", handlers: []http.HandlerFunc{func(w http.ResponseWriter, _ *http.Request) {
 				w.Header().Set("Content-Length", "100")
 				_, _ = io.WriteString(w, "part")
 			}},
-			wantStatus: 502, wantOutcome: "Unknown", wantRuns: 1,
+			wantStatus: 502, wantOutcome: outcomeUnknown, wantRuns: 1,
 		},
 		{
 			name: "the service's own error", handlers: []http.HandlerFunc{func(w http.ResponseWriter, _ *http.Request) {
 				w.WriteHeader(http.StatusTeapot)
 			}},
-			wantStatus: 418, wantOutcome: "Ran", wantRuns: 1,
+			wantStatus: 418, wantOutcome: outcomeRan, wantRuns: 1,
 		},
-		{name: "no upstream", wantStatus: 503, wantOutcome: "NotRun"},
+		{name: "no upstream", wantStatus: 503, wantOutcome: outcomeNotRun},
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
@@ -124,11 +124,11 @@
 		wantOutcome string
 		wantReplay  bool
 	}{
-		{name: "gets the recorded answer", handler: answerOK, secondBody: "body", wantStatus: 200, wantOutcome: "Ran", wantReplay: true},
-		{name: "gets unknown after a crash", handler: crash, secondBody: "body", wantStatus: 409, wantOutcome: "Unknown"},
-		{name: "is refused for another request", handler: answerOK, secondBody: "other", wantStatus: 422, wantOutcome: "NotRun"},
+		{name: "gets the recorded answer", handler: answerOK, secondBody: "body", wantStatus: 200, wantOutcome: outcomeRan, wantReplay: true},
+		{name: "gets unknown after a crash", handler: crash, secondBody: "body", wantStatus: 409, wantOutcome: outcomeUnknown},
+		{name: "is refused for another request", handler: answerOK, secondBody: "other", wantStatus: 422, wantOutcome: outcomeNotRun},
 		{
-			name: "is told that an answer was too large to keep", secondBody: "body", wantStatus: 409, wantOutcome: "Ran",
+			name: "is told that an answer was too large to keep", secondBody: "body", wantStatus: 409, wantOutcome: outcomeRan,
 			handler: func(w http.ResponseWriter, _ *http.Request) {
 				_, _ = io.WriteString(w, strings.Repeat("x", int(recordedMost)+1))
 			},
@@ -173,7 +173,7 @@
 			switch {
 			case got.status == 200:
 				answered.Add(1)
-			case got.status != 409 || got.outcome != "Unknown":
+			case got.status != 409 || got.outcome != outcomeUnknown:
 				t.Errorf("answer = %d, %s, want 200, or 409 and Unknown while it runs", got.status, got.outcome)
 			}
 		})
@@ -191,7 +191,7 @@
 	b.addAgent(service, 8)
 	b.proposer.SetDown(true)
 	got := b.send(http.MethodPost, "/services/s/jobs", "k", "body")
-	if got.status != 503 || got.outcome != "NotRun" || back.runs.Load() != 0 {
+	if got.status != 503 || got.outcome != outcomeNotRun || back.runs.Load() != 0 {
 		t.Errorf("answer = %d, %s after %d runs, want 503, NotRun, 0 runs", got.status, got.outcome, back.runs.Load())
 	}
 	b.proposer.SetDown(false)
@@ -209,13 +209,13 @@
 		wantStatus  int
 		wantOutcome string
 	}{
-		{name: "failure domain is out", prepare: func(b *bench) { b.declare(plain(true), domain) }, path: "/services/s/x", wantStatus: 503, wantOutcome: "NotRun"},
-		{name: "unknown service", path: "/services/other/x", wantStatus: 404, wantOutcome: "NotRun"},
-		{name: "plain service asked as a model", path: chatPath, body: `{"model":"s"}`, wantStatus: 404, wantOutcome: "NotRun"},
-		{name: "not JSON", path: chatPath, body: `{`, wantStatus: 400, wantOutcome: "NotRun"},
-		{name: "body too large", path: "/services/s/x", body: strings.Repeat("x", 2<<20), wantStatus: 413, wantOutcome: "NotRun"},
+		{name: "failure domain is out", prepare: func(b *bench) { b.declare(plain(true), domain) }, path: "/services/s/x", wantStatus: 503, wantOutcome: outcomeNotRun},
+		{name: "unknown service", path: "/services/other/x", wantStatus: 404, wantOutcome: outcomeNotRun},
+		{name: "plain service asked as a model", path: chatPath, body: `{"model":"s"}`, wantStatus: 404, wantOutcome: outcomeNotRun},
+		{name: "not JSON", path: chatPath, body: `{`, wantStatus: 400, wantOutcome: outcomeNotRun},
+		{name: "body too large", path: "/services/s/x", body: strings.Repeat("x", 2<<20), wantStatus: 413, wantOutcome: outcomeNotRun},
 		{
-			name: "agent has left the version that was routed to", path: "/services/s/x", wantStatus: 503, wantOutcome: "NotRun",
+			name: "agent has left the version that was routed to", path: "/services/s/x", wantStatus: 503, wantOutcome: outcomeNotRun,
 			prepare: func(b *bench) {
 				b.declare(&schema.ServiceDeclaration{Name: "s", Kind: kindPlain, Manifest: "v9", Repeatable: true})
 				stale := b.agents[0].Record()
@@ -224,7 +224,7 @@
 			},
 		},
 		{
-			name: "upstream is down", path: "/services/s/x", wantStatus: 503, wantOutcome: "NotRun",
+			name: "upstream is down", path: "/services/s/x", wantStatus: 503, wantOutcome: outcomeNotRun,
 			prepare: func(b *bench) {
 				gone := b.agents[0].Record()
 				gone.Address = "127.0.0.1:1"
@@ -301,7 +301,7 @@
 	go func() { first <- b.send(http.MethodPost, "/services/s/x", "", "") }()
 	b.await("first call runs", func() bool { return b.agents[0].Record().GetInUse() == 1 })
 	got := b.send(http.MethodPost, "/services/s/x", "", "")
-	if got.status != 503 || got.outcome != "NotRun" || got.header.Get("Retry-After") == "" {
+	if got.status != 503 || got.outcome != outcomeNotRun || got.header.Get("Retry-After") == "" {
 		t.Errorf("answer = %d, %s, Retry-After %q, want 503, NotRun, a time", got.status, got.outcome, got.header.Get("Retry-After"))
 	}
 	close(release)
@@ -363,7 +363,7 @@
 	b.declare(plain(true))
 	_, service := newBackend(t, answerOK)
 	b.addAgent(service, 8)
-	if got := b.send(http.MethodPost, "/services/s/x", "", strings.Repeat("x", 100<<10)); got.status != 503 || got.outcome != "NotRun" {
+	if got := b.send(http.MethodPost, "/services/s/x", "", strings.Repeat("x", 100<<10)); got.status != 503 || got.outcome != outcomeNotRun {
 		t.Errorf("answer over the budget = %d, %s, want 503, NotRun", got.status, got.outcome)
 	}
 	if got := b.send(http.MethodPost, "/services/s/x", "", "small"); got.status != 200 {
@@ -438,7 +438,7 @@
 	})
 	b.addAgent(engine.NewModel(back.server.URL), 8)
 	got := b.send(http.MethodPost, chatPath, "", `{"model":"s","messages":[]}`)
-	if got.status != 502 || got.outcome != "Unknown" || strings.Contains(got.body, "done") {
+	if got.status != 502 || got.outcome != outcomeUnknown || strings.Contains(got.body, "done") {
 		t.Errorf("answer = %d, %s, %q, want 502, Unknown, without the answer", got.status, got.outcome, got.body)
 	}
 }
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -77,7 +77,7 @@
 		change(&settings)
 	}
 	b := &bench{
-		t: t, holder: configuration.NewHolder(recorder), proposer: fake.NewProposer(),
+		t: t, holder: configuration.NewHolder(recorder), proposer: fake.NewProposer(clock.System{}),
 		common: common, pool: transport.NewPool(common), settings: settings,
 	}
 	b.gateway = New(common, settings, b.holder, b.pool, b.proposer, func() bool { return true })
@@ -120,7 +120,7 @@
 }
 
 // addAgent starts an agent before a back end, and waits until it is ready.
-func (b *bench) addAgent(backend figbank.Engine, capacity figbank.Cost) *agent.Agent {
+func (b *bench) addAgent(backend figbank.Engine, capacity figbank.Cost) {
 	b.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -141,7 +141,6 @@
 	b.agents = append(b.agents, a)
 	b.await("agent ready", func() bool { return a.Record().GetState() == schema.UpstreamState_UPSTREAM_STATE_READY })
 	b.hear()
-	return a
 }
 
 // hear takes the agents' present announcements into routing.
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -13,8 +13,15 @@
 	"figbank/schema"
 )
 
-// defaultRetryAfter is what a refused caller is told when nothing better is known.
-const defaultRetryAfter = time.Second
+const (
+	// defaultRetryAfter is what a refused caller is told when nothing better is known.
+	defaultRetryAfter = time.Second
+
+	// Values of the outcome header.
+	outcomeRan     = "Ran"
+	outcomeNotRun  = "NotRun"
+	outcomeUnknown = "Unknown"
+)
 
 type (
 	// keyError refuses a caller's key.
@@ -183,10 +190,10 @@
 func nameOf(outcome schema.Outcome) string {
 	switch outcome {
 	case schema.Outcome_OUTCOME_RAN:
-		return "Ran"
+		return outcomeRan
 	case schema.Outcome_OUTCOME_NOT_RUN:
-		return "NotRun"
+		return outcomeNotRun
 	default:
-		return "Unknown"
+		return outcomeUnknown
 	}
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -28,6 +28,7 @@
 	// has its prefix in cache.
 	affinityPrefix = 512
 	maxKeyLength   = 255
+	subjectBody    = "body"
 )
 
 type (
@@ -129,10 +130,10 @@
 func (req *request) asChat() error {
 	var chat chatBody
 	if err := json.Unmarshal(req.body, &chat); err != nil {
-		return figbank.InvalidError{Subject: "body", Detail: "not a JSON object of a chat completion"}
+		return figbank.InvalidError{Subject: subjectBody, Detail: "not a JSON object of a chat completion"}
 	}
 	if chat.Model == "" {
-		return figbank.InvalidError{Subject: "body", Detail: "model is missing"}
+		return figbank.InvalidError{Subject: subjectBody, Detail: "model is missing"}
 	}
 	req.service = figbank.ServiceName(chat.Model)
 	req.path = chatPath
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -37,17 +37,17 @@
 	return m.apply(&schema.Command{Action: &schema.Command_Publish{Publish: &schema.Publish{Declarations: declarations}}})
 }
 
-func (m *machine) claim(key, owner, fingerprint string) *schema.Result {
+func (m *machine) claim(owner, fingerprint string) *schema.Result {
 	m.t.Helper()
 	return m.apply(&schema.Command{Action: &schema.Command_Claim{Claim: &schema.Claim{
-		Key: &schema.ClaimKey{Key: key}, Owner: owner, Fingerprint: []byte(fingerprint),
+		Key: &schema.ClaimKey{Key: "k"}, Owner: owner, Fingerprint: []byte(fingerprint),
 	}}})
 }
 
-func (m *machine) settle(key, owner string, state schema.ClaimState, answer *schema.RecordedAnswer) {
+func (m *machine) settle(owner string, state schema.ClaimState, answer *schema.RecordedAnswer) {
 	m.t.Helper()
 	m.apply(&schema.Command{Action: &schema.Command_Settle{Settle: &schema.Settle{
-		Key: &schema.ClaimKey{Key: key}, Owner: owner, State: state, Answer: answer,
+		Key: &schema.ClaimKey{Key: "k"}, Owner: owner, State: state, Answer: answer,
 	}}})
 }
 
@@ -124,47 +124,47 @@
 		wantAnswer  bool
 	}{
 		{name: "grants a fresh key", before: func(*machine) {}},
-		{name: "grants the same owner again", before: func(m *machine) { m.claim("k", "second", "f") }},
-		{name: "refuses while another runs", before: func(m *machine) { m.claim("k", "first", "f") }, want: schema.Refusal_REFUSAL_CLAIM_RUNNING},
+		{name: "grants the same owner again", before: func(m *machine) { m.claim("second", "f") }},
+		{name: "refuses while another runs", before: func(m *machine) { m.claim("first", "f") }, want: schema.Refusal_REFUSAL_CLAIM_RUNNING},
 		{
-			name: "refuses another request under the key", before: func(m *machine) { m.claim("k", "first", "f") },
+			name: "refuses another request under the key", before: func(m *machine) { m.claim("first", "f") },
 			fingerprint: "other", want: schema.Refusal_REFUSAL_CLAIM_MISMATCH,
 		},
 		{
 			name: "returns the recorded answer",
 			before: func(m *machine) {
-				m.claim("k", "first", "f")
-				m.settle("k", "first", schema.ClaimState_CLAIM_STATE_DONE, answer)
+				m.claim("first", "f")
+				m.settle("first", schema.ClaimState_CLAIM_STATE_DONE, answer)
 			},
 			wantAnswer: true,
 		},
 		{
 			name: "says unknown after an unknown outcome",
 			before: func(m *machine) {
-				m.claim("k", "first", "f")
-				m.settle("k", "first", schema.ClaimState_CLAIM_STATE_UNKNOWN, nil)
+				m.claim("first", "f")
+				m.settle("first", schema.ClaimState_CLAIM_STATE_UNKNOWN, nil)
 			},
 			want: schema.Refusal_REFUSAL_CLAIM_UNKNOWN,
 		},
 		{
 			name: "grants again after a request that did not run",
 			before: func(m *machine) {
-				m.claim("k", "first", "f")
-				m.settle("k", "first", schema.ClaimState_CLAIM_STATE_UNSPECIFIED, nil)
+				m.claim("first", "f")
+				m.settle("first", schema.ClaimState_CLAIM_STATE_UNSPECIFIED, nil)
 			},
 		},
 		{
 			name: "does not let a stranger settle",
 			before: func(m *machine) {
-				m.claim("k", "first", "f")
-				m.settle("k", "stranger", schema.ClaimState_CLAIM_STATE_UNSPECIFIED, nil)
+				m.claim("first", "f")
+				m.settle("stranger", schema.ClaimState_CLAIM_STATE_UNSPECIFIED, nil)
 			},
 			want: schema.Refusal_REFUSAL_CLAIM_RUNNING,
 		},
 		{
 			name: "says unknown when the owner never reported",
 			before: func(m *machine) {
-				m.claim("k", "first", "f")
+				m.claim("first", "f")
 				m.now = m.now.Add(runningLimit + time.Second)
 			},
 			want: schema.Refusal_REFUSAL_CLAIM_UNKNOWN,
@@ -172,8 +172,8 @@
 		{
 			name: "says unknown when the answer is no longer kept",
 			before: func(m *machine) {
-				m.claim("k", "first", "f")
-				m.settle("k", "first", schema.ClaimState_CLAIM_STATE_DONE, answer)
+				m.claim("first", "f")
+				m.settle("first", schema.ClaimState_CLAIM_STATE_DONE, answer)
 				m.now = m.now.Add(answerLifetime + time.Second)
 			},
 			want: schema.Refusal_REFUSAL_CLAIM_UNKNOWN,
@@ -181,7 +181,7 @@
 		{
 			name: "forgets after the key's lifetime",
 			before: func(m *machine) {
-				m.claim("k", "first", "f")
+				m.claim("first", "f")
 				m.now = m.now.Add(keyLifetime + time.Second)
 			},
 		},
@@ -205,7 +205,7 @@
 			}
 			again := &machine{t: t, state: restored, index: m.index, now: m.now}
 			for _, tried := range []*machine{m, again} {
-				got := tried.claim("k", "second", fingerprint)
+				got := tried.claim("second", fingerprint)
 				if got.GetRefusal() != s.want {
 					t.Errorf("refusal = %v, want %v", got.GetRefusal(), s.want)
 				}
--- /dev/null
+++ b/measure/world.go
@@ -0,0 +1,267 @@
+// Package measure runs real gateways and agents in virtual time, over an
+// in-memory network and before stand-in back ends, and measures what they
+// promise. Its functions must be called inside a testing/synctest bubble.
+package measure
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"figbank"
+	"figbank/agent"
+	"figbank/clock"
+	"figbank/configuration"
+	"figbank/deployment"
+	"figbank/exchange"
+	"figbank/fake"
+	"figbank/gateway"
+	"figbank/routing"
+	"figbank/schema"
+	"figbank/timeline"
+	"figbank/transfer"
+	"figbank/transport"
+)
+
+const (
+	nearDelay        = 200 * time.Microsecond
+	farDelay         = 3 * time.Millisecond
+	upstreamLease    = 3 * time.Second
+	announceInterval = time.Second
+	pollInterval     = 250 * time.Millisecond
+	deadline         = 30 * time.Second
+	maxBody          = 1 << 20
+	queueLength      = 512
+	retryShare       = 20
+	manifest         = "v1"
+	timelineEvents   = 16
+)
+
+type (
+	// Policy is what a measure varies against its baseline.
+	Policy struct {
+		StreamWindow figbank.Bytes
+		MaxHeld      figbank.Bytes
+		QueueAge     time.Duration
+		// FixedLimit admits an upstream's whole capacity from the start.
+		FixedLimit bool
+	}
+
+	// World is a deployment in virtual time.
+	World struct {
+		Deployment *deployment.Deployment
+		Network    *fake.Network
+		Log        *fake.Proposer
+		Gateways   []*Gateway
+		Upstreams  []*Upstream
+		Book       *fake.Book
+		policy     Policy
+		keys       map[string]figbank.Workspace
+	}
+
+	// Gateway is one gateway of a world.
+	Gateway struct {
+		world   *World
+		id      string
+		domain  deployment.Domain
+		address figbank.Address
+		// replica gateways hear of commits first.
+		replica  bool
+		peers    []figbank.Address
+		holder   *configuration.Holder
+		pool     *transport.Pool
+		exchange *exchange.Exchange
+		door     *gateway.Gateway
+		server   *transport.Server
+	}
+
+	// Upstream is one back end with its agent.
+	Upstream struct {
+		world    *World
+		id       string
+		service  deployment.Service
+		domain   deployment.Domain
+		address  figbank.Address
+		gateways []figbank.Address
+		Engine   *Engine
+		holder   *configuration.Holder
+		pool     *transport.Pool
+		agent    *agent.Agent
+		server   *transport.Server
+	}
+)
+
+// DefaultPolicy is what figbank does.
+func DefaultPolicy() Policy {
+	return Policy{StreamWindow: 32 << 10, MaxHeld: 64 << 20, QueueAge: 5 * time.Second}
+}
+
+// NewWorld starts a deployment and publishes its services.
+func NewWorld(d *deployment.Deployment, policy Policy) *World {
+	w := &World{
+		Deployment: d, Network: fake.NewNetwork(clock.System{}, nearDelay, farDelay),
+		Log: fake.NewProposer(clock.System{}), Book: fake.NewBook(), policy: policy, keys: keysOf(d),
+	}
+	for _, domain := range d.Domains {
+		for i := range domain.Gateways {
+			id := fmt.Sprintf("gateway-%d", i)
+			address := figbank.Address(string(domain.Name) + "/" + id)
+			w.Gateways = append(w.Gateways, &Gateway{world: w, id: string(address), domain: domain, address: address, replica: i == 0})
+		}
+	}
+	for _, g := range w.Gateways {
+		for _, other := range w.Gateways {
+			if other != g {
+				g.peers = append(g.peers, other.address)
+			}
+		}
+		g.Start()
+	}
+	for _, service := range d.Services {
+		for i, domain := range d.Domains {
+			for n := range service.Upstreams[i] {
+				w.addUpstream(service, domain, n)
+			}
+		}
+	}
+	w.Publish(w.services()...)
+	time.Sleep(settleTime)
+	return w
+}
+
+// settleTime lets announcements and configuration spread.
+const settleTime = 3 * time.Second
+
+// Close stops everything.
+func (w *World) Close() {
+	for _, u := range w.Upstreams {
+		u.Stop()
+	}
+	for _, g := range w.Gateways {
+		g.Stop()
+	}
+}
+
+// Publish commits declarations and tells the gateways that keep the log.
+func (w *World) Publish(declarations ...*schema.Declaration) {
+	offer := &schema.Publish{Declarations: declarations}
+	_, _ = w.Log.Propose(context.Background(), &schema.Command{Action: &schema.Command_Publish{Publish: offer}})
+	for _, g := range w.Gateways {
+		if g.replica {
+			g.holder.Offer(w.Log.Configuration())
+		}
+	}
+}
+
+// DeclareDomain takes a failure domain out or brings it back.
+func (w *World) DeclareDomain(domain figbank.FailureDomain, revision int64, state string) {
+	w.Publish(&schema.Declaration{Subject: &schema.Declaration_FailureDomain{FailureDomain: &schema.FailureDomainDeclaration{
+		Name: string(domain), Revision: revision, State: state,
+	}}})
+}
+
+func (w *World) services() []*schema.Declaration {
+	var declarations []*schema.Declaration
+	for _, service := range w.Deployment.Services {
+		declared := &schema.ServiceDeclaration{
+			Name: string(service.Name), Revision: 1, Kind: "Plain", Workspaces: []string{"*"}, Repeatable: service.Repeatable,
+		}
+		if service.Model {
+			declared.Kind, declared.Manifest = "Model", manifest
+		}
+		for i, domain := range w.Deployment.Domains {
+			if service.Upstreams[i] > 0 {
+				declared.FailureDomains = append(declared.FailureDomains, string(domain.Name))
+			}
+		}
+		declarations = append(declarations, &schema.Declaration{Subject: &schema.Declaration_Service{Service: declared}})
+	}
+	return declarations
+}
+
+func (w *World) addUpstream(service deployment.Service, domain deployment.Domain, n int) {
+	id := fmt.Sprintf("%s/%s-%d", domain.Name, service.Name, n)
+	u := &Upstream{world: w, id: id, service: service, domain: domain, address: figbank.Address(id)}
+	for _, g := range w.Gateways {
+		if g.domain.Name == domain.Name {
+			u.gateways = append(u.gateways, g.address)
+		}
+	}
+	u.Engine = NewEngine(service, w.Book)
+	w.Upstreams = append(w.Upstreams, u)
+	u.Start()
+}
+
+func commonOf(id string) figbank.Common {
+	process := figbank.ProcessID(id)
+	return figbank.Common{
+		Process: process, Log: zap.NewNop(), Clock: clock.System{}, Scope: tally.NoopScope,
+		Recorder: timeline.NewRecorder(process, clock.System{}, timelineEvents),
+	}
+}
+
+// Start starts the gateway, without any state from before.
+func (g *Gateway) Start() {
+	w, common := g.world, commonOf(g.id)
+	g.holder = configuration.NewHolder(common.Recorder)
+	if g.replica {
+		g.holder.Offer(w.Log.Configuration())
+	}
+	g.pool = transport.NewPool(common, transport.WithDialer(w.Network.Dialer(g.address)))
+	g.door = gateway.New(common, gateway.Settings{
+		Place:   routing.Place{Region: g.domain.Region, FailureDomain: g.domain.Name},
+		MaxBody: maxBody, MaxHeld: w.policy.MaxHeld, StreamWindow: w.policy.StreamWindow,
+		QueueLength: queueLength, QueueAge: w.policy.QueueAge, Deadline: deadline, RetryShare: retryShare, CallerKeys: w.keys,
+	}, g.holder, g.pool, w.Log, func() bool { return g.exchange != nil && g.exchange.CaughtUp() })
+	g.exchange = exchange.New(common, g.domain.Name, upstreamLease, g.holder, g.pool, g.peers,
+		exchange.WithChange(g.door.SetUpstreams), exchange.WithLoad(g.door.HearLoad))
+	g.server = transport.NewServer(common, w.Network.Listen(g.address), transport.Handlers{
+		schema.StreamKind_STREAM_KIND_EXCHANGE: g.exchange.ServeExchange,
+		schema.StreamKind_STREAM_KIND_ANNOUNCE: g.exchange.ServeAnnounce,
+	})
+}
+
+// Stop ends the gateway at once: its connections are cut.
+func (g *Gateway) Stop() {
+	g.world.Network.Kill(g.address)
+	g.exchange.Close()
+	g.server.Close()
+	g.door.Close()
+	g.pool.Close()
+}
+
+// Ready tells whether the platform's balancer may send callers here.
+func (g *Gateway) Ready() bool {
+	return g.door.Ready()
+}
+
+// Start starts the agent beside its engine, without any state from before.
+func (u *Upstream) Start() {
+	w, common := u.world, commonOf(u.id)
+	u.holder = configuration.NewHolder(common.Recorder)
+	u.pool = transport.NewPool(common, transport.WithDialer(w.Network.Dialer(u.address)))
+	capacity := figbank.Cost(u.service.Capacity)
+	first := figbank.Cost(coldCapacity)
+	if w.policy.FixedLimit {
+		first = capacity
+	}
+	u.agent = agent.New(common, agent.Settings{
+		Service: u.service.Name, Plain: true, Address: u.address, Capacity: capacity, FirstLimit: first,
+		Gateways: u.gateways, AnnounceInterval: announceInterval, PollInterval: pollInterval,
+	}, agent.Place{Region: u.domain.Region, FailureDomain: u.domain.Name},
+		u.Engine, u.holder, u.pool, agent.Weights{Active: &transfer.Active{}}, agent.NewPeers())
+	u.server = transport.NewServer(common, w.Network.Listen(u.address), transport.Handlers{
+		schema.StreamKind_STREAM_KIND_CALL: u.agent.ServeCall,
+	})
+}
+
+// Stop ends the agent at once: its connections are cut.
+func (u *Upstream) Stop() {
+	u.world.Network.Kill(u.address)
+	u.agent.Close()
+	u.server.Close()
+	u.pool.Close()
+}
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -46,8 +46,10 @@
 		closed   bool
 	}
 
+	// dialed is one peer's session. The lock is a channel, so that who waits for
+	// another's dialing can give up.
 	dialed struct {
-		mu      sync.Mutex
+		lock    chan struct{}
 		session *yamux.Session
 	}
 )
@@ -108,9 +110,12 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	for _, d := range p.sessions {
-		if d.mu.TryLock() {
+		select {
+		case d.lock <- struct{}{}:
 			closeSession(d.session)
-			d.mu.Unlock()
+			<-d.lock
+		default:
+			// Whoever dials finds the pool closed; see session.
 		}
 	}
 }
@@ -120,8 +125,12 @@
 	if err != nil {
 		return nil, err
 	}
-	slot.mu.Lock()
-	defer slot.mu.Unlock()
+	select {
+	case slot.lock <- struct{}{}:
+		defer func() { <-slot.lock }()
+	case <-ctx.Done():
+		return nil, figbank.Fail("transport", "Dial", ctx.Err(), "address", address)
+	}
 	if slot.session != nil && !slot.session.IsClosed() {
 		return slot.session, nil
 	}
@@ -137,6 +146,9 @@
 		return nil, figbank.Fail("transport", "Session", err, "address", address)
 	}
 	slot.session = session
+	if p.isClosed() {
+		_ = session.Close()
+	}
 	return session, nil
 }
 
@@ -148,12 +160,18 @@
 	}
 	slot, found := p.sessions[address]
 	if !found {
-		slot = &dialed{}
+		slot = &dialed{lock: make(chan struct{}, 1)}
 		p.sessions[address] = slot
 	}
 	return slot, nil
 }
 
+func (p *Pool) isClosed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
+}
+
 func closeSession(session *yamux.Session) {
 	if session != nil {
 		_ = session.Close()
