Count work across restarts of an upstream

Cause: the new rapid machine (random calls, crashes, restarts, cuts, drains against an oracle) found upstreams that held more than a cold one bears: work admitted before a restart began after it; late news of an old incarnation reset the count; work begun between a restart and its discovery was forgotten; an answer to a question asked before a doubt settled it. Change: work is renewed right before it begins, replaced incarnations stay replaced, a new ramp adopts the work in hand, doubts are numbered. Each cause has a test in admission.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -41,15 +41,15 @@
 	}
 }
 
-// TestLimiterAgainstSum holds a limiter against a plain sum: work admitted to
-// one incarnation never exceeds its limit, but for one request alone.
+// TestLimiterAgainstSum holds a limiter against a plain sum: work in hand never
+// exceeds the limit, but for one request alone, and work of an earlier
+// incarnation counts until it is given back.
 func TestLimiterAgainstSum(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limiter := NewLimiter(4, 32)
 		now := noon
-		limiter.Confirm(now, "0")
+		limiter.Confirm(now, limiter.Mark(), "0")
 		var held []*Held
-		var incarnations []int
 		incarnation, sum := 0, figbank.Cost(0)
 		t.Repeat(map[string]func(*rapid.T){
 			"acquire": func(t *rapid.T) {
@@ -61,7 +61,6 @@
 				}
 				if h != nil {
 					held = append(held, h)
-					incarnations = append(incarnations, incarnation)
 					sum += cost
 				}
 			},
@@ -71,16 +70,12 @@
 				}
 				at := rapid.IntRange(0, len(held)-1).Draw(t, "at")
 				held[at].Release(rapid.Bool().Draw(t, "succeeded"))
-				if incarnations[at] == incarnation {
-					sum -= held[at].cost
-				}
-				incarnations = append(incarnations[:at], incarnations[at+1:]...)
+				sum -= held[at].cost
 				held = append(held[:at], held[at+1:]...)
 			},
 			"restart": func(*rapid.T) {
 				incarnation++
-				limiter.Confirm(now, figbank.Incarnation(fmt.Sprint(incarnation)))
-				sum = 0
+				limiter.Confirm(now, limiter.Mark(), figbank.Incarnation(fmt.Sprint(incarnation)))
 				if limit, _ := limiter.Usage(); limit != 4 {
 					t.Fatalf("limit of a new incarnation = %d, want 4", limit)
 				}
@@ -110,11 +105,20 @@
 		{name: "broke a call", act: func(l *Limiter) { l.Suspect() }, want: first},
 		{
 			name: "broke a call, but is the same",
-			act:  func(l *Limiter) { l.Suspect(); l.Confirm(noon, "warm") }, want: 16,
+			act:  func(l *Limiter) { l.Suspect(); l.Confirm(noon, l.Mark(), "warm") }, want: 16,
+		},
+		{
+			name: "was found to be the same, but asked before it broke the call",
+			act: func(l *Limiter) {
+				mark := l.Mark()
+				l.Suspect()
+				l.Confirm(noon, mark, "warm")
+			},
+			want: first,
 		},
 		{
 			name: "broke a call and has restarted",
-			act:  func(l *Limiter) { l.Suspect(); l.Confirm(noon, "new") }, want: first,
+			act:  func(l *Limiter) { l.Suspect(); l.Confirm(noon, l.Mark(), "new") }, want: first,
 		},
 		{
 			name: "broke a call of many, the others may still run",
@@ -130,7 +134,7 @@
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			limiter := NewLimiter(first, ceiling)
-			limiter.Confirm(noon, "warm")
+			limiter.Confirm(noon, limiter.Mark(), "warm")
 			for range 40 {
 				held, _ := limiter.Acquire(noon, 1)
 				held.Release(true)
@@ -149,6 +153,60 @@
 	}
 }
 
+// TestWorkIsRenewed has work admitted to a warm upstream that restarts before
+// the work begins: only what a cold upstream bears may still begin.
+func TestWorkIsRenewed(t *testing.T) {
+	limiter := NewLimiter(4, 16)
+	limiter.Confirm(noon, limiter.Mark(), "warm")
+	for range 40 {
+		held, _ := limiter.Acquire(noon, 1)
+		held.Release(true)
+	}
+	var admitted []*Held
+	for range 12 {
+		held, _ := limiter.Acquire(noon, 1)
+		admitted = append(admitted, held)
+	}
+	limiter.Confirm(noon, limiter.Mark(), "new")
+	begun := 0
+	for _, held := range admitted {
+		if held.Renew() {
+			begun++
+			continue
+		}
+		held.Abandon()
+	}
+	if begun != 4 {
+		t.Errorf("begun on the cold upstream = %d, want 4", begun)
+	}
+	if held, _ := limiter.Acquire(noon, 1); held != nil {
+		t.Error("Acquire() beside them = admitted, want none")
+	}
+	if limit, inUse := limiter.Usage(); limit != 4 || inUse != 4 {
+		t.Errorf("usage = %d of %d, want 4 of 4", inUse, limit)
+	}
+}
+
+// TestLateNewsOfAnOldIncarnation must not begin another ramp, which would
+// forget the work that runs.
+func TestLateNewsOfAnOldIncarnation(t *testing.T) {
+	limiter := NewLimiter(4, 16)
+	limiter.Confirm(noon, limiter.Mark(), "old")
+	limiter.Confirm(noon, limiter.Mark(), "new")
+	for range 4 {
+		limiter.Acquire(noon, 1)
+	}
+	if limiter.Confirm(noon, limiter.Mark(), "old") {
+		t.Error("Confirm() of the old incarnation began a ramp")
+	}
+	if limiter.Confirm(noon, limiter.Mark(), "new") {
+		t.Error("Confirm() of the present incarnation began a ramp")
+	}
+	if _, inUse := limiter.Usage(); inUse != 4 {
+		t.Errorf("work counted = %d, want 4", inUse)
+	}
+}
+
 func TestQueueSharesByCost(t *testing.T) {
 	queue := NewQueue(1000, time.Minute)
 	// One workspace sends many cheap requests, one a few dear ones.
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -1,15 +1,19 @@
 package admission
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"figbank"
 )
 
-// confirmAge is how long a sign of life vouches for an idle upstream. After
-// that, it may have turned cold unnoticed.
-const confirmAge = 50 * time.Millisecond
+// confirmAge is how long a sign of life vouches for an idle upstream. It is less
+// than any process needs to start anew.
+const confirmAge = 10 * time.Millisecond
+
+// retiredKept is how many earlier incarnations are remembered.
+const retiredKept = 16
 
 type (
 	// Limiter counts the work that one upstream holds against its ramp. It is the
@@ -28,8 +32,17 @@
 		suspected *Ramp
 		probing   bool
 		confirmed time.Time
+		// doubts counts the times that the upstream became doubtful.
+		doubts Doubts
+		// retired incarnations have been replaced. Late news of one must not begin
+		// another ramp: the work that runs would no longer be counted.
+		retired []figbank.Incarnation
 	}
 
+	// Doubts marks a moment: what was asked of an upstream before it became
+	// doubtful again cannot settle the new doubt.
+	Doubts uint64
+
 	// Held is work that a limiter has admitted.
 	Held struct {
 		limiter *Limiter
@@ -43,20 +56,40 @@
 	return &Limiter{first: first, ceiling: ceiling, ramp: NewRamp("", first, ceiling)}
 }
 
-// Confirm says that the upstream is of that incarnation now. A new one begins a
-// new ramp, and Confirm returns true; work held by the one before is gone with it.
-func (l *Limiter) Confirm(now time.Time, incarnation figbank.Incarnation) (cold bool) {
+// Mark returns the present moment, for Confirm.
+func (l *Limiter) Mark() Doubts {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.confirmed = now
-	l.probing = false
+	return l.doubts
+}
+
+// Confirm says that the upstream, asked at mark, is of that incarnation. A new one begins a
+// new ramp, and Confirm returns true.
+func (l *Limiter) Confirm(now time.Time, mark Doubts, incarnation figbank.Incarnation) (cold bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if slices.Contains(l.retired, incarnation) {
+		return false
+	}
 	known := l.ramp
 	if l.suspected != nil {
 		known = l.suspected
 	}
+	if known.incarnation == incarnation && mark != l.doubts {
+		return false
+	}
+	l.confirmed = now
+	l.probing = false
 	if known.incarnation != incarnation {
-		l.suspected = nil
-		l.ramp = NewRamp(incarnation, l.first, l.ceiling)
+		l.retire(known.incarnation)
+		next := NewRamp(incarnation, l.first, l.ceiling)
+		// Some of the work in hand may have begun on the new incarnation. What was
+		// lost with the old one is broken, and given back, at once.
+		next.adopt(l.ramp)
+		if l.suspected != nil {
+			next.adopt(l.suspected)
+		}
+		l.ramp, l.suspected = next, nil
 		return true
 	}
 	if l.suspected != nil {
@@ -67,10 +100,18 @@
 	return false
 }
 
+// Retired tells whether an incarnation has been replaced by another.
+func (l *Limiter) Retired(incarnation figbank.Incarnation) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Contains(l.retired, incarnation)
+}
+
 // Suspect says that the upstream broke a call, and may have restarted.
 func (l *Limiter) Suspect() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.doubts++
 	if l.suspected == nil {
 		l.suspected, l.ramp = l.ramp, NewRamp("", l.first, l.ceiling)
 	}
@@ -82,8 +123,9 @@
 func (l *Limiter) Acquire(now time.Time, cost figbank.Cost) (held *Held, doubtful bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.inUse() == 0 && now.Sub(l.confirmed) > confirmAge {
+	if !l.probing && l.inUse() == 0 && now.Sub(l.confirmed) > confirmAge {
 		l.probing = true
+		l.doubts++
 	}
 	doubtful = l.probing || l.suspected != nil
 	if !l.fits(cost) {
@@ -93,6 +135,33 @@
 	return &Held{limiter: l, ramp: l.ramp, cost: cost}, doubtful
 }
 
+// Renew tells, right before the work begins, whether it is still admitted. Since
+// Acquire the upstream may have restarted or become suspect; the work then has
+// to fit anew.
+func (h *Held) Renew() bool {
+	l := h.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if h.ramp == l.ramp {
+		return true
+	}
+	h.ramp.successor().inUse -= h.cost
+	if !l.fits(h.cost) {
+		h.ramp.successor().inUse += h.cost
+		return false
+	}
+	l.ramp.inUse += h.cost
+	h.ramp = l.ramp
+	return true
+}
+
+// Abandon ends admitted work that never began.
+func (h *Held) Abandon() {
+	h.limiter.mu.Lock()
+	defer h.limiter.mu.Unlock()
+	h.ramp.successor().inUse -= h.cost
+}
+
 // Release ends admitted work; succeeded tells whether the upstream bore it.
 func (h *Held) Release(succeeded bool) {
 	l := h.limiter
@@ -100,11 +169,14 @@
 	defer l.mu.Unlock()
 	ramp := h.ramp.successor()
 	ramp.inUse -= h.cost
-	if succeeded {
+	switch {
+	case ramp != h.ramp:
+		// Work of another ramp says nothing about this one.
+	case succeeded:
 		ramp.Complete(h.cost)
-		return
+	default:
+		ramp.Fail()
 	}
-	ramp.Fail()
 }
 
 // Usage returns the present limit and the work held.
@@ -120,6 +192,13 @@
 	return max(0, limit-inUse)
 }
 
+func (l *Limiter) retire(incarnation figbank.Incarnation) {
+	l.retired = append(l.retired, incarnation)
+	if len(l.retired) > retiredKept {
+		l.retired = l.retired[1:]
+	}
+}
+
 func (l *Limiter) fits(cost figbank.Cost) bool {
 	if l.inUse() == 0 {
 		return true
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -80,11 +80,6 @@
 		group  sync.WaitGroup
 	}
 
-	// admitted is work that counts against the limit.
-	admitted interface {
-		Release(succeeded bool)
-	}
-
 	// Peers is the list of agents that fetch the same weights. It is safe for
 	// concurrent use.
 	Peers struct {
@@ -168,8 +163,16 @@
 }
 
 func (a *Agent) incarnation() figbank.Incarnation {
-	told := a.status.Load().GetIncarnation()
-	return figbank.Incarnation(told + "/" + strconv.FormatInt(a.lives.Load(), 10))
+	return incarnationOf(a.status.Load(), a.lives.Load())
+}
+
+// incarnationOf is what the engine tells, or for a service that tells none, the
+// number of times that it came back.
+func incarnationOf(status *schema.EngineStatus, lives int64) figbank.Incarnation {
+	if told := status.GetIncarnation(); told != "" {
+		return figbank.Incarnation(told)
+	}
+	return figbank.Incarnation("life " + strconv.FormatInt(lives, 10))
 }
 
 func (a *Agent) event(name, request, detail string) {
--- a/agent/call.go
+++ b/agent/call.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"figbank"
+	"figbank/admission"
 	"figbank/configuration"
 	"figbank/schema"
 	"figbank/transport"
@@ -33,6 +34,9 @@
 	id     string
 	head   *schema.CallHead
 	credit *credit
+	held   *admission.Held
+	// begun is set once the engine may have seen the call.
+	begun bool
 }
 
 // ServeCall runs one call that a gateway routed here.
@@ -48,12 +52,17 @@
 		_ = c.send(refusal(reason))
 		return
 	}
+	c.held = held
 	last, succeeded := c.run(ctx)
 	// The last frame tells the free capacity, so the call's own part of it is given
 	// back first: gateways would take an idle upstream for a full one otherwise.
 	wasFull := a.limiter.Free() == 0
 	a.gate.exit()
-	held.Release(succeeded)
+	if c.begun {
+		held.Release(succeeded)
+	} else {
+		held.Abandon()
+	}
 	if wasFull {
 		// Only the gateway of this call hears of the free capacity; others have been
 		// told that there is none.
@@ -66,7 +75,7 @@
 
 // admit checks place, version and limit. Nothing has reached the engine yet, so
 // a refusal proves that the call did not run.
-func (a *Agent) admit(head *schema.CallHead) (admitted, figbank.Reason) {
+func (a *Agent) admit(head *schema.CallHead) (*admission.Held, figbank.Reason) {
 	c := a.holder.Current()
 	service := configuration.Service(c, a.service)
 	switch {
@@ -98,17 +107,22 @@
 func (c *call) run(ctx context.Context) (last *schema.AnswerFrame, succeeded bool) {
 	body, err := c.receiveBody()
 	if err != nil {
-		return refusal(figbank.ReasonCallerGone), true
+		return refusal(figbank.ReasonCallerGone), false
+	}
+	if !c.held.Renew() {
+		return refusal(figbank.ReasonUpstreamFull), false
 	}
+	c.begun = true
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go c.receiveCredits(cancel)
+	mark := c.agent.limiter.Mark()
 	answer, err := c.callEngine(ctx, body)
 	if err != nil {
 		return c.fail(ctx, err)
 	}
 	defer answer.Body.Close()
-	c.agent.notice(answer.Incarnation)
+	c.agent.notice(answer.Incarnation, mark)
 	if answer.Manifest != "" && answer.Manifest != c.head.GetManifest() {
 		return cut("engine answered from another version"), false
 	}
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -151,7 +151,7 @@
 		return
 	}
 	a.gate.set(schema.UpstreamState_UPSTREAM_STATE_STARTING, "")
-	a.engineHeard(a.status.Load())
+	a.engineHeard(a.status.Load(), a.limiter.Mark())
 	a.changed.raise()
 }
 
--- a/agent/monitor.go
+++ b/agent/monitor.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"figbank"
+	"figbank/admission"
 	"figbank/schema"
 
 	"go.uber.org/zap"
@@ -45,12 +46,13 @@
 func (a *Agent) poll(ctx context.Context) {
 	asking, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
+	mark := a.limiter.Mark()
 	status, err := a.engine.Status(asking)
 	if err != nil {
 		a.engineLost(err)
 		return
 	}
-	a.engineHeard(status)
+	a.engineHeard(status, mark)
 }
 
 func (a *Agent) engineLost(err error) {
@@ -65,9 +67,12 @@
 	a.changed.raise()
 }
 
-func (a *Agent) engineHeard(status *schema.EngineStatus) {
+func (a *Agent) engineHeard(status *schema.EngineStatus, mark admission.Doubts) {
+	if a.limiter.Retired(incarnationOf(status, a.lives.Load())) {
+		return
+	}
 	a.status.Store(status)
-	a.startRamp()
+	a.startRamp(mark)
 	state, _ := a.gate.current()
 	if a.leaving.Load() || state == schema.UpstreamState_UPSTREAM_STATE_SWITCHING {
 		return
@@ -83,22 +88,22 @@
 	}
 }
 
-// notice looks at the incarnation that an answer tells: it may be news before
-// the next poll.
-func (a *Agent) notice(told figbank.Incarnation) {
+// notice looks at the incarnation that an answer tells, to a call sent at mark:
+// it may be news before the next poll.
+func (a *Agent) notice(told figbank.Incarnation, mark admission.Doubts) {
 	known := a.status.Load()
-	if told == "" {
+	if told == "" || a.limiter.Retired(told) {
 		return
 	}
 	a.status.Store(&schema.EngineStatus{
 		Incarnation: string(told), Ready: known.GetReady(), Manifest: known.GetManifest(), Fencing: known.GetFencing(),
 	})
-	a.startRamp()
+	a.startRamp(mark)
 }
 
 // startRamp treats a new incarnation as cold, whatever it was before.
-func (a *Agent) startRamp() {
-	if a.limiter.Confirm(a.common.Clock.Now(), a.incarnation()) {
+func (a *Agent) startRamp(mark admission.Doubts) {
+	if a.limiter.Confirm(a.common.Clock.Now(), mark, a.incarnation()) {
 		a.event("ColdStart", "", string(a.incarnation()))
 		a.changed.raise()
 	}
--- a/measure/caller.go
+++ b/measure/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -57,7 +56,9 @@
 	if request.Service.Model {
 		path = "/v1/chat/completions"
 	}
-	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, path, bytes.NewReader(content))
+	process := g.process.Load()
+	life := process.life
+	r, err := http.NewRequestWithContext(life, http.MethodPost, path, bytes.NewReader(content))
 	if err != nil {
 		return Seen{Cut: true}
 	}
@@ -72,6 +73,10 @@
 		if recovered := recover(); recovered != nil {
 			seen.Cut = true
 		}
+		if life.Err() != nil {
+			seen = Seen{Cut: true}
+			return
+		}
 		seen.Time = time.Since(started) //nolint:forbidigo // virtual time
 		seen.Status, seen.Outcome = w.status, w.header.Get("Figbank-Outcome")
 		seen.Body, seen.Read = w.body.Bytes(), w.read
@@ -80,7 +85,7 @@
 			seen.Reason = problem.Reason
 		}
 	}()
-	g.door.Handler().ServeHTTP(w, r)
+	process.door.Handler().ServeHTTP(w, r)
 	return seen
 }
 
--- a/measure/measure_test.go
+++ b/measure/measure_test.go
@@ -6,11 +6,18 @@
 	"testing"
 	"testing/synctest"
 
+	"pgregory.net/rapid"
+
 	"figbank/deployment"
 )
 
-// seed makes the measures repeatable.
-const seed = 20261204
+const (
+	// seed makes the measures repeatable.
+	seed = 20261204
+	// leastSteps and mostSteps bound the steps of one run of the machine.
+	leastSteps = 40
+	mostSteps  = 100
+)
 
 // forgetTimers empties the pools of timers that yamux keeps between sessions:
 // one of another bubble must not be used. Two collections empty a sync.Pool.
@@ -75,3 +82,31 @@
 		}
 	}
 }
+
+// TestMachine lets a rapid machine take random steps in a world and holds it
+// against the oracle. The steps are drawn before the bubble begins, since rapid
+// ends a failing check on the goroutine that drew.
+func TestMachine(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		// Calls come more often than each fault, so that faults meet running calls.
+		calls := rapid.SampledFrom([]Step{StepBook, StepBook, StepBookAgain, StepChat, StepRestartEngine})
+		faults := rapid.Custom(func(t *rapid.T) Step { return Step(rapid.IntRange(0, int(Steps)-1).Draw(t, "step")) })
+		action := rapid.Custom(func(t *rapid.T) Action {
+			return Action{
+				Step:   rapid.OneOf(calls, faults).Draw(t, "step"),
+				Choose: rapid.IntRange(0, 1000).Draw(t, "choose"),
+			}
+		})
+		actions := rapid.SliceOfN(action, leastSteps, mostSteps).Draw(rt, "actions")
+		name := rapid.SampledFrom([]string{"tabwright", "bluehole"}).Draw(rt, "deployment")
+		worldSeed := rapid.Uint64().Draw(rt, "seed")
+		var violations []string
+		forgetTimers()
+		synctest.Test(t, func(*testing.T) {
+			violations = RunMachine(deployment.Named(name), actions, worldSeed)
+		})
+		if len(violations) > 0 {
+			rt.Fatalf("violations: %v", violations)
+		}
+	})
+}
--- a/measure/world.go
+++ b/measure/world.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -59,7 +60,10 @@
 		Upstreams  []*Upstream
 		Book       *fake.Book
 		policy     Policy
-		keys       map[string]figbank.Workspace
+		// cutOff are the domains that no other can reach; a commit does not reach
+		// their replicas before they heal.
+		cutOff map[figbank.FailureDomain]bool
+		keys   map[string]figbank.Workspace
 	}
 
 	// Gateway is one gateway of a world.
@@ -69,13 +73,21 @@
 		domain  deployment.Domain
 		address figbank.Address
 		// replica gateways hear of commits first.
-		replica  bool
-		peers    []figbank.Address
+		replica bool
+		peers   []figbank.Address
+		process atomic.Pointer[gatewayProcess]
+	}
+
+	// gatewayProcess is one life of a gateway.
+	gatewayProcess struct {
 		holder   *configuration.Holder
 		pool     *transport.Pool
 		exchange *exchange.Exchange
 		door     *gateway.Gateway
 		server   *transport.Server
+		// life ends with the process; its callers' connections end with it.
+		life context.Context //nolint:containedctx // a process's life
+		end  context.CancelFunc
 	}
 
 	// Upstream is one back end with its agent.
@@ -104,6 +116,7 @@
 	w := &World{
 		Deployment: d, Network: fake.NewNetwork(clock.System{}, nearDelay, farDelay),
 		Log: fake.NewProposer(clock.System{}), Book: fake.NewBook(), policy: policy, keys: keysOf(d),
+		cutOff: map[figbank.FailureDomain]bool{},
 	}
 	for _, domain := range d.Domains {
 		for i := range domain.Gateways {
@@ -135,6 +148,22 @@
 // settleTime lets announcements and configuration spread.
 const settleTime = 3 * time.Second
 
+// Cut cuts a domain off from all others, or heals it. What was committed
+// meanwhile reaches a healed domain's replica as the log would bring it.
+func (w *World) Cut(domain figbank.FailureDomain, cut bool) {
+	w.cutOff[domain] = cut
+	for _, other := range w.Deployment.Domains {
+		if other.Name != domain {
+			w.Network.SetCut(string(domain), string(other.Name), cut || w.cutOff[other.Name])
+		}
+	}
+	for _, g := range w.Gateways {
+		if g.replica && g.domain.Name == domain && !cut {
+			g.process.Load().holder.Offer(w.Log.Configuration())
+		}
+	}
+}
+
 // Close stops everything.
 func (w *World) Close() {
 	for _, u := range w.Upstreams {
@@ -146,19 +175,24 @@
 }
 
 // Publish commits declarations and tells the gateways that keep the log.
-func (w *World) Publish(declarations ...*schema.Declaration) {
+func (w *World) Publish(declarations ...*schema.Declaration) bool {
 	offer := &schema.Publish{Declarations: declarations}
-	_, _ = w.Log.Propose(context.Background(), &schema.Command{Action: &schema.Command_Publish{Publish: offer}})
+	result, err := w.Log.Propose(context.Background(), &schema.Command{Action: &schema.Command_Publish{Publish: offer}})
+	if err != nil || result.GetRefusal() != schema.Refusal_REFUSAL_NONE {
+		return false
+	}
 	for _, g := range w.Gateways {
-		if g.replica {
-			g.holder.Offer(w.Log.Configuration())
+		if g.replica && !w.cutOff[g.domain.Name] {
+			g.process.Load().holder.Offer(w.Log.Configuration())
 		}
 	}
+	return true
 }
 
-// DeclareDomain takes a failure domain out or brings it back.
-func (w *World) DeclareDomain(domain figbank.FailureDomain, revision int64, state string) {
-	w.Publish(&schema.Declaration{Subject: &schema.Declaration_FailureDomain{FailureDomain: &schema.FailureDomainDeclaration{
+// DeclareDomain takes a failure domain out or brings it back, and tells whether
+// that was accepted.
+func (w *World) DeclareDomain(domain figbank.FailureDomain, revision int64, state string) bool {
+	return w.Publish(&schema.Declaration{Subject: &schema.Declaration_FailureDomain{FailureDomain: &schema.FailureDomainDeclaration{
 		Name: string(domain), Revision: revision, State: state,
 	}}})
 }
@@ -206,36 +240,42 @@
 // Start starts the gateway, without any state from before.
 func (g *Gateway) Start() {
 	w, common := g.world, commonOf(g.id)
-	g.holder = configuration.NewHolder(common.Recorder)
-	if g.replica {
-		g.holder.Offer(w.Log.Configuration())
+	p := &gatewayProcess{}
+	p.life, p.end = context.WithCancel(context.Background())
+	p.holder = configuration.NewHolder(common.Recorder)
+	if g.replica && !w.cutOff[g.domain.Name] {
+		p.holder.Offer(w.Log.Configuration())
 	}
-	g.pool = transport.NewPool(common, transport.WithDialer(w.Network.Dialer(g.address)))
-	g.door = gateway.New(common, gateway.Settings{
+	p.pool = transport.NewPool(common, transport.WithDialer(w.Network.Dialer(g.address)))
+	p.door = gateway.New(common, gateway.Settings{
 		Place:   routing.Place{Region: g.domain.Region, FailureDomain: g.domain.Name},
 		MaxBody: maxBody, MaxHeld: w.policy.MaxHeld, StreamWindow: w.policy.StreamWindow,
 		QueueLength: queueLength, QueueAge: w.policy.QueueAge, Deadline: deadline, RetryShare: retryShare, CallerKeys: w.keys,
-	}, g.holder, g.pool, w.Log, func() bool { return g.exchange != nil && g.exchange.CaughtUp() })
-	g.exchange = exchange.New(common, g.domain.Name, upstreamLease, g.holder, g.pool, g.peers,
-		exchange.WithChange(g.door.SetUpstreams), exchange.WithLoad(g.door.HearLoad))
-	g.server = transport.NewServer(common, w.Network.Listen(g.address), transport.Handlers{
-		schema.StreamKind_STREAM_KIND_EXCHANGE: g.exchange.ServeExchange,
-		schema.StreamKind_STREAM_KIND_ANNOUNCE: g.exchange.ServeAnnounce,
+	}, p.holder, p.pool, w.Log, func() bool { return p.exchange.CaughtUp() })
+	p.exchange = exchange.New(common, g.domain.Name, upstreamLease, p.holder, p.pool, g.peers,
+		exchange.WithChange(p.door.SetUpstreams), exchange.WithLoad(p.door.HearLoad))
+	p.server = transport.NewServer(common, w.Network.Listen(g.address), transport.Handlers{
+		schema.StreamKind_STREAM_KIND_EXCHANGE: p.exchange.ServeExchange,
+		schema.StreamKind_STREAM_KIND_ANNOUNCE: p.exchange.ServeAnnounce,
 	})
+	g.process.Store(p)
 }
 
 // Stop ends the gateway at once: its connections are cut.
 func (g *Gateway) Stop() {
+	p := g.process.Load()
+	p.end()
 	g.world.Network.Kill(g.address)
-	g.exchange.Close()
-	g.server.Close()
-	g.door.Close()
-	g.pool.Close()
+	p.exchange.Close()
+	p.server.Close()
+	p.door.Close()
+	p.pool.Close()
 }
 
 // Ready tells whether the platform's balancer may send callers here.
 func (g *Gateway) Ready() bool {
-	return g.door.Ready()
+	p := g.process.Load()
+	return p.life.Err() == nil && p.door.Ready()
 }
 
 // Start starts the agent beside its engine, without any state from before.
