--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -12,6 +12,16 @@
 // than any process needs to start anew.
 const confirmAge = 10 * time.Millisecond
 
+// Ends of work.
+const (
+	// Abandoned work never began, or its caller went away: it shows nothing.
+	Abandoned End = iota
+	// Completed work was borne to its end.
+	Completed
+	// Failed work was broken by the upstream.
+	Failed
+)
+
 // retiredKept is how many earlier incarnations are remembered.
 const retiredKept = 16
 
@@ -39,6 +49,9 @@
 		retired []figbank.Incarnation
 	}
 
+	// End says how work ended, as evidence of what the upstream bears.
+	End int
+
 	// Doubts marks a moment: what was asked of an upstream before it became
 	// doubtful again cannot settle the new doubt.
 	Doubts uint64
@@ -155,27 +168,23 @@
 	return true
 }
 
-// Abandon ends admitted work that never began.
-func (h *Held) Abandon() {
-	h.limiter.mu.Lock()
-	defer h.limiter.mu.Unlock()
-	h.ramp.successor().inUse -= h.cost
-}
-
-// Release ends admitted work; succeeded tells whether the upstream bore it.
-func (h *Held) Release(succeeded bool) {
+// Release ends admitted work.
+func (h *Held) Release(end End) {
 	l := h.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	ramp := h.ramp.successor()
 	ramp.inUse -= h.cost
-	switch {
-	case ramp != h.ramp:
+	if ramp != h.ramp {
 		// Work of another ramp says nothing about this one.
-	case succeeded:
+		return
+	}
+	switch end {
+	case Completed:
 		ramp.Complete(h.cost)
-	default:
+	case Failed:
 		ramp.Fail()
+	case Abandoned:
 	}
 }
 
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -69,6 +69,9 @@
 		lives   atomic.Int64
 		leaving atomic.Bool
 		changed *signal
+		// grown tells at once that the limit has risen; that is rare, and work waits
+		// for it.
+		grown *signal
 		// doubt asks the monitor to poll at once.
 		doubt chan struct{}
 		// ready is closed once a gateway has told its configuration: before that, this
@@ -101,6 +104,7 @@
 		limiter: admission.NewLimiter(settings.FirstLimit, settings.Capacity),
 		started: common.Clock.Now(),
 		changed: newSignal(),
+		grown:   newSignal(),
 		doubt:   make(chan struct{}, 1),
 		ready:   make(chan struct{}),
 	}
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -51,7 +51,7 @@
 	ticks, stop := a.common.Clock.Tick(a.settings.AnnounceInterval)
 	defer stop()
 	for {
-		changed := a.changed.wait()
+		changed, grown := a.changed.wait(), a.grown.wait()
 		report := &schema.AnnounceReport{Upstream: a.Record(), Configuration: heard.lacks(a.holder)}
 		if err := stream.Send(report); err != nil {
 			return err
@@ -62,11 +62,14 @@
 			return nil
 		case <-ticks:
 			continue
+		case <-grown:
+			continue
 		case <-changed:
 		}
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-grown:
 		case <-a.common.Clock.After(sent.Add(changeInterval).Sub(a.common.Clock.Now())):
 		}
 	}
--- a/cmd/figbank/command.go
+++ b/cmd/figbank/command.go
@@ -22,7 +22,7 @@
 	exitFailed
 	// exitInvalid: arguments, settings or declarations are wrong; nothing was done.
 	exitInvalid
-	// exitRefused: the gateway refused; nothing was accepted.
+	// exitRefused: the gateway refused or was not reached; nothing was accepted.
 	exitRefused
 	// exitUnknown: the answer was lost; the same command may be given again.
 	exitUnknown
@@ -81,7 +81,7 @@
 	switch {
 	case errors.As(err, new(figbank.InvalidError)):
 		return exitInvalid
-	case errors.As(err, new(operators.RefusedError)):
+	case errors.As(err, new(operators.RefusedError)), errors.As(err, new(figbank.NotAcceptedError)):
 		return exitRefused
 	case errors.As(err, new(figbank.UnknownOutcomeError)):
 		return exitUnknown
--- a/fake/network.go
+++ b/fake/network.go
@@ -26,6 +26,8 @@
 		cut       map[[2]string]bool
 		healed    chan struct{}
 		conns     map[*memoryConn]struct{}
+		// sent counts the bytes that each process has sent.
+		sent map[figbank.Address]int64
 	}
 
 	memoryListener struct {
@@ -83,7 +85,7 @@
 	return &Network{
 		clock: clock, near: near, far: far,
 		listeners: map[figbank.Address]*memoryListener{}, cut: map[[2]string]bool{},
-		healed: make(chan struct{}), conns: map[*memoryConn]struct{}{},
+		healed: make(chan struct{}), conns: map[*memoryConn]struct{}{}, sent: map[figbank.Address]int64{},
 	}
 }
 
@@ -131,6 +133,19 @@
 	n.healed = make(chan struct{})
 }
 
+// Sent is the number of bytes that a process has sent.
+func (n *Network) Sent(address figbank.Address) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sent[address]
+}
+
+func (n *Network) count(address figbank.Address, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sent[address] += int64(bytes)
+}
+
 // Kill ends all connections of a process and stops it from listening.
 func (n *Network) Kill(address figbank.Address) {
 	n.mu.Lock()
@@ -261,6 +276,7 @@
 
 // Write sends bytes; it never blocks.
 func (c *memoryConn) Write(p []byte) (int, error) {
+	c.network.count(c.from, len(p))
 	due := c.network.clock.Now().Add(c.network.delay(c.from, c.to))
 	d := c.out
 	d.mu.Lock()
--- a/measure/drain.go
+++ b/measure/drain.go
@@ -88,7 +88,7 @@
 		switch {
 		case s.Cut:
 			c.cut++
-		case s.Outcome == "NotRun":
+		case s.Outcome == outcomeNotRun:
 			c.lost++
 		case s.Outcome == "Unknown":
 			c.unknown++
--- a/measure/report.go
+++ b/measure/report.go
@@ -35,6 +35,16 @@
 	r.lines = append(r.lines, line{name: name, value: value, unit: unit, bound: fmt.Sprintf("at least %g", bound), fell: value < bound})
 }
 
+// Aim adds a figure that should not exceed aim; missing it is shown, but is no
+// failure.
+func (r *Report) Aim(name string, value float64, unit string, aim float64) {
+	text := fmt.Sprintf("aim %g", aim)
+	if value > aim {
+		text += ", missed"
+	}
+	r.lines = append(r.lines, line{name: name, value: value, unit: unit, bound: text})
+}
+
 // Fell lists the figures that are out of their bounds.
 func (r *Report) Fell() []string {
 	var fell []string
--- /dev/null
+++ b/measure/virtual.go
@@ -0,0 +1,21 @@
+package measure
+
+import (
+	"time"
+
+	"figbank/clock"
+)
+
+// outcomeNotRun is the outcome header of a refusal.
+const outcomeNotRun = "NotRun"
+
+// virtual is the clock of the bubble that a measure runs in.
+var virtual clock.System
+
+func sleep(d time.Duration) {
+	<-virtual.After(d)
+}
+
+func since(t time.Time) time.Duration {
+	return virtual.Now().Sub(t)
+}
--- a/operators/client.go
+++ b/operators/client.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -79,7 +81,7 @@
 	request.Header.Set("Authorization", "Bearer "+c.key)
 	response, err := c.http.Do(request)
 	if err != nil {
-		return figbank.Fail("operators", "Send", figbank.UnknownOutcomeError{Detail: err.Error()})
+		return sendFailure(err)
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
@@ -93,6 +95,15 @@
 	return figbank.Fail("operators", "Unmarshal", options.Unmarshal(content, answer))
 }
 
+// sendFailure tells a gateway that was never reached from a lost answer.
+func sendFailure(err error) error {
+	var network *net.OpError
+	if errors.As(err, &network) && network.Op == "dial" {
+		return figbank.Fail("operators", "Unreachable", figbank.NotAcceptedError{Detail: err.Error()})
+	}
+	return figbank.Fail("operators", "Send", figbank.UnknownOutcomeError{Detail: err.Error()})
+}
+
 func refusal(status int, content []byte) error {
 	problem := Problem{Title: "Refused", Status: status}
 	if err := json.Unmarshal(content, &problem); err != nil {
