--- a/agent/announce.go
+++ b/agent/announce.go
@@ -24,7 +24,7 @@
 func (a *Agent) announce(ctx context.Context, gateway figbank.Address) {
 	for ctx.Err() == nil {
 		if err := a.announceOnce(ctx, gateway); err != nil {
-			a.common.Log.Debug("gateway lost", zap.String("gateway", string(gateway)), zap.Error(err))
+			a.common.Log.Debug("gateway lost", zap.String("gateway", string(gateway)), figbank.ErrorField(err))
 		}
 		select {
 		case <-ctx.Done():
--- a/agent/call.go
+++ b/agent/call.go
@@ -194,7 +194,7 @@
 	if errors.As(err, &notRun) {
 		return refusal(notRun.Reason), admission.Failed
 	}
-	c.agent.common.Log.Info("call failed", zap.String("request", c.id), zap.Error(err))
+	c.agent.common.Log.Info("call failed", zap.String("request", c.id), figbank.ErrorField(err))
 	return cut("upstream failed before it answered"), c.broken(ctx)
 }
 
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -68,7 +68,7 @@
 		err = a.weights.Store.Retain([]figbank.ManifestDigest{digest}, a.settings.VersionsKept)
 	}
 	if err != nil && ctx.Err() == nil {
-		a.common.Log.Warn("declared version not reached, will try again", zap.String("manifest", string(digest)), zap.Error(err))
+		a.common.Log.Warn("declared version not reached, will try again", zap.String("manifest", string(digest)), figbank.ErrorField(err))
 	}
 }
 
--- a/agent/monitor.go
+++ b/agent/monitor.go
@@ -60,7 +60,7 @@
 	if state == schema.UpstreamState_UPSTREAM_STATE_DOWN || a.leaving.Load() {
 		return
 	}
-	a.common.Log.Warn("upstream does not answer", zap.Error(err))
+	a.common.Log.Warn("upstream does not answer", figbank.ErrorField(err))
 	a.event("UpstreamLost", "", "")
 	a.lives.Add(1)
 	a.gate.set(schema.UpstreamState_UPSTREAM_STATE_DOWN, manifest)
--- a/common.go
+++ b/common.go
@@ -25,3 +25,9 @@
 	c.Scope = c.Scope.SubScope(part)
 	return c
 }
+
+// ErrorField is the log field of a failure: its message, without the stack that
+// the failure also carries.
+func ErrorField(err error) zap.Field {
+	return zap.String("error", err.Error())
+}
--- a/gateway/claims.go
+++ b/gateway/claims.go
@@ -49,7 +49,7 @@
 		Key: req.claimKey(), Owner: string(req.id), State: state, Answer: answer,
 	}}})
 	if err != nil {
-		g.common.Log.Warn("outcome not recorded", zap.String("request", string(req.id)), zap.Error(err))
+		g.common.Log.Warn("outcome not recorded", zap.String("request", string(req.id)), figbank.ErrorField(err))
 	}
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -205,7 +205,7 @@
 			r.takeBatch(first)
 		}
 		if err := r.work(); err != nil {
-			r.common.Log.Error("disk failed, replica stopped", zap.Error(err))
+			r.common.Log.Error("disk failed, replica stopped", figbank.ErrorField(err))
 			r.onFailure(err)
 			return
 		}
--- a/transfer/fetcher.go
+++ b/transfer/fetcher.go
@@ -110,7 +110,7 @@
 		whole, err := partial.Seal()
 		var corrupt figbank.CorruptError
 		if errors.As(err, &corrupt) {
-			f.common.Log.Warn("a chunk went bad on disk, fetching it again", zap.Error(err))
+			f.common.Log.Warn("a chunk went bad on disk, fetching it again", figbank.ErrorField(err))
 			continue
 		}
 		if err == nil {
@@ -223,7 +223,7 @@
 	default:
 		failure, wait := classify(n.err)
 		plan.Failed(*n.fetch, failure, wait, now)
-		f.common.Log.Debug("chunk did not arrive", zap.Uint32("chunk", uint32(n.fetch.Chunk)), zap.String("peer", string(n.fetch.Peer)), zap.Error(n.err))
+		f.common.Log.Debug("chunk did not arrive", zap.Uint32("chunk", uint32(n.fetch.Chunk)), zap.String("peer", string(n.fetch.Peer)), figbank.ErrorField(n.err))
 	}
 }
 
--- a/transport/server.go
+++ b/transport/server.go
@@ -52,7 +52,7 @@
 		conn, err := s.listener.Accept()
 		if err != nil {
 			if !errors.Is(err, net.ErrClosed) {
-				s.common.Log.Error("listener failed", zap.Error(err))
+				s.common.Log.Error("listener failed", figbank.ErrorField(err))
 			}
 			return
 		}
