--- /dev/null
+++ b/app/platform.go
@@ -0,0 +1,119 @@
+package app
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"figbank"
+	"figbank/clock"
+	"figbank/configuration"
+	"figbank/feed"
+	"figbank/schema"
+	"figbank/settings"
+	"figbank/transport"
+
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+)
+
+const (
+	// leaseAnnouncements is how many announcements an upstream may miss.
+	leaseAnnouncements = 4
+	// idleTimeout is how long callers' idle connections are kept.
+	idleTimeout = 20 * time.Second
+)
+
+// platformBase is what all processes on a platform are made of.
+func platformBase(s *schema.PlatformSettings, role schema.MemberRole) fx.Option {
+	return fx.Options(
+		base(s.GetProcess()),
+		fx.Decorate(func(Output) Output {
+			return Output{Writer: NewBoundedWriter(os.Stdout, clock.System{}, int(s.GetNode().GetLogLinesPerSecond()))}
+		}),
+		fx.Supply(s, role),
+		fx.Provide(newFleetHolder, newPool, newView, newSubscriber),
+		fx.Invoke(servePlatformMetrics),
+	)
+}
+
+func newFleetHolder(common figbank.Common) *configuration.FleetHolder {
+	return configuration.NewFleetHolder(common.Recorder)
+}
+
+func newView(common figbank.Common, s *schema.PlatformSettings, fleet *configuration.FleetHolder) *feed.View {
+	return feed.NewView(common, leaseAnnouncements*s.GetBounds().GetAnnounceInterval().AsDuration(), fleet)
+}
+
+func newSubscriber(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, role schema.MemberRole,
+	view *feed.View, pool *transport.Pool,
+) *feed.Subscriber {
+	subscriber := feed.NewSubscriber(common, view, pool, &schema.Member{
+		Id: s.GetProcess().GetId(), Role: role, Address: s.GetProcess().GetListenProcesses(),
+		Region: s.GetProcess().GetRegion(), FailureDomain: s.GetProcess().GetFailureDomain(), Upstream: s.GetNode().GetUpstream(),
+	}, seedAddresses(s))
+	lifecycle.Append(fx.StopHook(subscriber.Close))
+	return subscriber
+}
+
+// seedAddresses are where the replicas at the seeds listen for other processes:
+// on the same port as this one.
+func seedAddresses(s *schema.PlatformSettings) []figbank.Address {
+	_, port, _ := net.SplitHostPort(s.GetProcess().GetListenProcesses())
+	var seeds []figbank.Address
+	for _, seed := range s.GetNode().GetSeeds() {
+		host, _, _ := strings.Cut(seed, ":")
+		seeds = append(seeds, figbank.Address(net.JoinHostPort(host, port)))
+	}
+	return seeds
+}
+
+func servePlatformMetrics(lifecycle fx.Lifecycle, s *schema.PlatformSettings, m metrics) error {
+	if s.GetNode().GetListenMetrics() == "" {
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", m.handler)
+	return serveHTTP(lifecycle, s.GetNode().GetListenMetrics(), mux)
+}
+
+// serveHTTP serves until the process stops; running calls are then cut.
+func serveHTTP(lifecycle fx.Lifecycle, address string, handler http.Handler) error {
+	listener, err := listen(address)
+	if err != nil {
+		return err
+	}
+	server := newHTTPServer(handler)
+	go func() { _ = server.Serve(listener) }()
+	lifecycle.Append(fx.StopHook(server.Close))
+	return nil
+}
+
+// watchSettings reads the settings again when the process is told to, or when
+// the file has changed.
+func watchSettings(lifecycle fx.Lifecycle, common figbank.Common, file SettingsFile, subscriber *feed.Subscriber) {
+	ctx, cancel := context.WithCancel(context.Background())
+	reload := func(cause string) {
+		s, err := settings.ReadPlatform(string(file))
+		if err != nil {
+			common.Log.Error("settings: reload failed, keeping the old ones", zap.String("cause", cause), figbank.ErrorField(err))
+			return
+		}
+		subscriber.SetSeeds(seedAddresses(s))
+		common.Log.Info("settings: reloaded", zap.String("cause", cause), zap.Strings("seeds", s.GetNode().GetSeeds()))
+	}
+	go followFile(ctx, common.Clock, string(file), reload)
+	lifecycle.Append(fx.StopHook(cancel))
+}
+
+// SettingsFile is the path of the settings file.
+type SettingsFile string
+
+// stopFlag is set once a process has been asked to stop.
+type stopFlag struct {
+	atomic.Bool
+}
--- /dev/null
+++ b/app/platformgateway.go
@@ -0,0 +1,102 @@
+package app
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"figbank"
+	"figbank/dispatch"
+	"figbank/feed"
+	"figbank/platform"
+	"figbank/schema"
+	"figbank/settings"
+	"figbank/transport"
+	"figbank/upstream"
+
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+)
+
+const (
+	// noticeTime is how long the entry needs to see that a gateway is leaving.
+	noticeTime = 2300 * time.Millisecond
+	// stopMargin is kept of the grace time.
+	stopMargin = 500 * time.Millisecond
+)
+
+// NewPlatformGateway wires a gateway on a platform.
+func NewPlatformGateway(s *schema.PlatformSettings, file SettingsFile, options ...fx.Option) *fx.App {
+	return fx.New(
+		platformBase(s, schema.MemberRole_MEMBER_ROLE_GATEWAY),
+		fx.Supply(file, &stopFlag{}),
+		fx.Provide(newUpstreamPool, newDispatcher),
+		fx.Invoke(watchSettings, serveReadiness, servePlatformCallers),
+		fx.Options(options...),
+	)
+}
+
+func newUpstreamPool(lifecycle fx.Lifecycle, common figbank.Common) *upstream.Pool {
+	dialed := common.Scope.SubScope("upstream").Counter("connections")
+	pool := upstream.NewPool(common.Clock, upstream.WithDialed(func() { dialed.Inc(1) }))
+	lifecycle.Append(fx.StopHook(pool.Close))
+	return pool
+}
+
+func newDispatcher(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings,
+	pool *upstream.Pool, view *feed.View, _ *feed.Subscriber,
+) *dispatch.Dispatcher {
+	dispatcher := dispatch.New(common, dispatch.Settings{
+		Place: dispatch.Place{
+			Region:        figbank.Region(s.GetProcess().GetRegion()),
+			FailureDomain: figbank.FailureDomain(s.GetProcess().GetFailureDomain()),
+			Regions:       settings.RegionsOf(s),
+			VersionTime:   s.GetBounds().GetVersionTime().AsDuration(),
+		},
+		RetryPercent: s.GetBounds().GetRetryPercent(),
+	}, platform.NewTransport(pool), view)
+	lifecycle.Append(fx.StopHook(dispatcher.Close))
+	return dispatcher
+}
+
+func serveReadiness(lifecycle fx.Lifecycle, s *schema.PlatformSettings, d *dispatch.Dispatcher, stopping *stopFlag) error {
+	ready := func() bool { return d.Table() != nil && !stopping.Load() }
+	return serveHTTP(lifecycle, s.GetNode().GetListenReadiness(), platform.ReadinessHandler(ready))
+}
+
+// servePlatformCallers comes last, so that it is stopped first: gracefully.
+func servePlatformCallers(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings,
+	d *dispatch.Dispatcher, stopping *stopFlag, _ *transport.Pool,
+) error {
+	listener, err := listen(s.GetNode().GetListenCallers())
+	if err != nil {
+		return err
+	}
+	front := platform.NewFrontDoor(common, d).Handler()
+	server := newHTTPServer(closeWhen(stopping, front))
+	server.IdleTimeout = idleTimeout
+	go func() { _ = server.Serve(listener) }()
+	common.Log.Info("gateway: started", zap.String("callers", listener.Addr().String()))
+	lifecycle.Append(fx.StopHook(func(ctx context.Context) error {
+		common.Log.Info("gateway: stopping")
+		stopping.Store(true)
+		// The entry goes on sending callers until it has noticed.
+		<-common.Clock.After(noticeTime)
+		ctx, cancel := context.WithTimeout(ctx, s.GetBounds().GetGraceTime().AsDuration()-noticeTime-stopMargin)
+		defer cancel()
+		err := server.Shutdown(ctx)
+		common.Log.Info("gateway: stopped", zap.Bool("whole", err == nil))
+		return nil
+	}))
+	return nil
+}
+
+// closeWhen asks callers to open a new connection, elsewhere, once stopping is set.
+func closeWhen(stopping *stopFlag, handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
--- a/configuration/holder.go
+++ b/configuration/holder.go
@@ -10,36 +10,64 @@
 	"figbank/schema"
 )
 
-// Holder keeps the newest configuration that this process has seen. Reading is
-// one atomic load; it is safe for concurrent use.
-type Holder struct {
-	recorder figbank.Recorder
-	current  atomic.Pointer[schema.Configuration]
-
-	mu       sync.Mutex
-	changed  chan struct{}
-	watchers []func(*schema.Configuration)
-}
+type (
+	// Indexed is what is in force as of a commit index.
+	Indexed interface {
+		GetCommitIndex() uint64
+	}
+
+	// Latest keeps the newest value that this process has seen. Reading is one
+	// atomic load; it is safe for concurrent use.
+	Latest[T any, P interface {
+		*T
+		Indexed
+	}] struct {
+		recorder figbank.Recorder
+		current  atomic.Pointer[T]
+
+		mu       sync.Mutex
+		changed  chan struct{}
+		watchers []func(P)
+	}
+
+	// Holder keeps the newest configuration.
+	Holder = Latest[schema.Configuration, *schema.Configuration]
+
+	// FleetHolder keeps the newest fleet.
+	FleetHolder = Latest[schema.Fleet, *schema.Fleet]
+)
 
 // NewHolder returns a holder with nothing in force.
 func NewHolder(recorder figbank.Recorder) *Holder {
-	h := &Holder{recorder: recorder, changed: make(chan struct{})}
-	h.current.Store(&schema.Configuration{})
+	return newLatest[schema.Configuration](recorder)
+}
+
+// NewFleetHolder returns a holder with nothing in force.
+func NewFleetHolder(recorder figbank.Recorder) *FleetHolder {
+	return newLatest[schema.Fleet](recorder)
+}
+
+func newLatest[T any, P interface {
+	*T
+	Indexed
+}](recorder figbank.Recorder) *Latest[T, P] {
+	h := &Latest[T, P]{recorder: recorder, changed: make(chan struct{})}
+	h.current.Store(new(T))
 	return h
 }
 
 // Current returns what is in force. It must not be modified.
-func (h *Holder) Current() *schema.Configuration {
+func (h *Latest[T, P]) Current() P {
 	return h.current.Load()
 }
 
 // Index is the commit index in force.
-func (h *Holder) Index() figbank.CommitIndex {
+func (h *Latest[T, P]) Index() figbank.CommitIndex {
 	return figbank.CommitIndex(h.Current().GetCommitIndex())
 }
 
-// Offer puts a configuration in force unless one at least as new already is.
-func (h *Holder) Offer(offered *schema.Configuration) bool {
+// Offer puts a value in force unless one at least as new already is.
+func (h *Latest[T, P]) Offer(offered P) bool {
 	if offered.GetCommitIndex() <= h.Current().GetCommitIndex() {
 		return false
 	}
@@ -59,21 +87,21 @@
 }
 
 // Watch calls watcher in the order of changes. It must not block.
-func (h *Holder) Watch(watcher func(*schema.Configuration)) {
+func (h *Latest[T, P]) Watch(watcher func(P)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.watchers = append(h.watchers, watcher)
 }
 
 // Changed returns a channel that is closed at the next change.
-func (h *Holder) Changed() <-chan struct{} {
+func (h *Latest[T, P]) Changed() <-chan struct{} {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.changed
 }
 
-// NewerThan returns the configuration in force if its index is above index.
-func (h *Holder) NewerThan(index uint64) *schema.Configuration {
+// NewerThan returns the value in force if its index is above index.
+func (h *Latest[T, P]) NewerThan(index uint64) P {
 	current := h.Current()
 	if current.GetCommitIndex() > index {
 		return current
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,103 @@
+// Package control carries out what operators and upstreams ask: rules,
+// evacuations and versions go through the replicated log, announcements into
+// the feeds.
+package control
+
+import (
+	"context"
+
+	"figbank"
+	"figbank/feed"
+	"figbank/schema"
+	"figbank/traffic"
+
+	"go.uber.org/zap"
+)
+
+// Control is safe for concurrent use.
+type Control struct {
+	common   figbank.Common
+	proposer figbank.Proposer
+	view     *feed.View
+}
+
+// New returns control over the log that proposer reaches.
+func New(common figbank.Common, proposer figbank.Proposer, view *feed.View) *Control {
+	return &Control{common: common.For("control"), proposer: proposer, view: view}
+}
+
+// Announce notes what an upstream says of itself.
+func (c *Control) Announce(_ context.Context, instance *schema.Instance) error {
+	if c.view.Announce(instance) {
+		c.common.Log.Info("upstream changed", zap.String("upstream", instance.GetId()), zap.String("service", instance.GetService()),
+			zap.String("address", instance.GetAddress()), zap.Stringer("state", instance.GetState()),
+			zap.Int64("born", instance.GetBornUnixMilli()), zap.Uint64("sequence", instance.GetSequence()),
+			zap.Int64("version", instance.GetLoaded().GetVersion()), zap.Int64("layers", instance.GetLoaded().GetLayers()),
+			zap.Int64("coldMilliseconds", instance.GetColdMilliseconds()))
+	}
+	return nil
+}
+
+// Leave notes that an upstream's incarnation leaves for good.
+func (c *Control) Leave(_ context.Context, id figbank.UpstreamID) error {
+	c.view.Leave(id)
+	return nil
+}
+
+// Publish checks rules and puts them in force, unless rules with as high a
+// number already are.
+func (c *Control) Publish(ctx context.Context, rules *schema.Traffic, document []byte) error {
+	if err := traffic.Check(rules); err != nil {
+		return err
+	}
+	packedRules, err := traffic.PackRules(rules)
+	if err != nil {
+		return err
+	}
+	packedDocument, err := traffic.Pack(document)
+	if err != nil {
+		return err
+	}
+	return c.propose(ctx, &schema.Command{Action: &schema.Command_PublishTraffic{PublishTraffic: &schema.PublishTraffic{
+		Number: rules.GetNumber(), PackedTraffic: packedRules, PackedDocument: packedDocument,
+	}}})
+}
+
+// Document returns the text of the rules in force, empty before the first. The
+// read has its own place in the log, so that it cannot be older than what was
+// accepted before it.
+func (c *Control) Document(ctx context.Context) ([]byte, error) {
+	result, err := c.proposer.Propose(ctx, &schema.Command{Action: &schema.Command_ReadTraffic{ReadTraffic: &schema.ReadTraffic{}}})
+	if err != nil {
+		return nil, err
+	}
+	if len(result.GetPackedDocument()) == 0 {
+		return nil, nil
+	}
+	return traffic.Unpack(result.GetPackedDocument())
+}
+
+// Evacuate takes a failure domain out of service, or back in.
+func (c *Control) Evacuate(ctx context.Context, domain figbank.FailureDomain, withdraw bool) error {
+	return c.propose(ctx, &schema.Command{Action: &schema.Command_Evacuate{Evacuate: &schema.Evacuate{
+		FailureDomain: string(domain), Withdraw: withdraw,
+	}}})
+}
+
+// NameVersion names the weights that a model's upstreams should serve.
+func (c *Control) NameVersion(ctx context.Context, model string, version int64) error {
+	return c.propose(ctx, &schema.Command{Action: &schema.Command_NameVersion{NameVersion: &schema.NameVersion{
+		Model: model, Version: version,
+	}}})
+}
+
+func (c *Control) propose(ctx context.Context, command *schema.Command) error {
+	result, err := c.proposer.Propose(ctx, command)
+	if err != nil {
+		return err
+	}
+	if result.GetRefusal() != schema.Refusal_REFUSAL_NONE {
+		return figbank.InvalidError{Subject: "command", Detail: result.GetDetail()}
+	}
+	return nil
+}
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,326 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"figbank"
+	"figbank/feed"
+	"figbank/placement"
+	"figbank/retry"
+	"figbank/schema"
+	"figbank/traffic"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// mostTries bounds the upstreams that one request is offered to, those that
+	// prove they have not run it included.
+	mostTries = 4
+	// delayNear and delayFar are there and back, within and between failure domains.
+	delayNear = time.Millisecond
+	delayFar  = 6 * time.Millisecond
+	// retryShare of the allowed retries is used, for those that cross on their way.
+	retryShare = 0.75
+)
+
+type (
+	// Settings of a dispatcher.
+	Settings struct {
+		Place Place
+		// RetryPercent is how many retries are allowed per hundred requests.
+		RetryPercent int64
+	}
+
+	// Dispatcher sends requests to upstreams. It is safe for concurrent use.
+	Dispatcher struct {
+		common    figbank.Common
+		settings  Settings
+		transport Transport
+		view      *feed.View
+		table     atomic.Pointer[Table]
+		budget    *retry.Budget
+		rebuild   chan struct{}
+		stop      context.CancelFunc
+		group     sync.WaitGroup
+
+		named   map[string]time.Time
+		numbers map[string]int64
+	}
+
+	// run is one request on its way.
+	run struct {
+		*Dispatcher
+		request *Request
+		reply   Reply
+		log     *zap.Logger
+		tried   map[figbank.UpstreamID]bool
+		// sent counts upstreams that may have run the request.
+		sent      int
+		lastEvent string
+		// held is a whole failed answer to pass on when no other try succeeds.
+		held     *heldAnswer
+		firstAt  time.Duration
+		upstream figbank.UpstreamID
+	}
+)
+
+// New returns a dispatcher that follows the view until Close.
+func New(common figbank.Common, settings Settings, transport Transport, view *feed.View) *Dispatcher {
+	ctx, stop := context.WithCancel(context.Background())
+	d := &Dispatcher{
+		common: common.For("dispatch"), settings: settings, transport: transport, view: view,
+		budget:  retry.NewBudget(int64(retryShare * float64(settings.RetryPercent))),
+		rebuild: make(chan struct{}, 1), stop: stop,
+		named: map[string]time.Time{}, numbers: map[string]int64{},
+	}
+	view.Watch(func() {
+		select {
+		case d.rebuild <- struct{}{}:
+		default:
+		}
+	})
+	d.group.Go(func() { d.follow(ctx) })
+	return d
+}
+
+// Close stops following the view.
+func (d *Dispatcher) Close() {
+	d.stop()
+	d.group.Wait()
+}
+
+// Table is the present view of routes and upstreams, nil before the first
+// traffic rules.
+func (d *Dispatcher) Table() *Table {
+	return d.table.Load()
+}
+
+// follow builds a new table after changes, off the request path.
+func (d *Dispatcher) follow(ctx context.Context) {
+	for {
+		d.build()
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.rebuild:
+		}
+	}
+}
+
+func (d *Dispatcher) build() {
+	fleet := d.view.Fleet()
+	if fleet.GetTrafficNumber() == 0 {
+		return
+	}
+	previous := d.table.Load()
+	rules, err := d.rules(previous, fleet)
+	if err != nil {
+		d.common.Log.Error("traffic rules cannot be read, keeping the old ones", figbank.ErrorField(err))
+		return
+	}
+	now := d.common.Clock.Now()
+	d.noteNamed(fleet, now)
+	gateways := 0
+	for _, member := range d.view.Members() {
+		if member.GetRole() == schema.MemberRole_MEMBER_ROLE_GATEWAY {
+			gateways++
+		}
+	}
+	d.table.Store(NewTable(previous, d.settings.Place, Sources{
+		Fleet: fleet, Traffic: rules, Upstreams: d.view.Upstreams(), Named: d.named, Gateways: gateways, Now: now,
+	}))
+	if previous == nil || previous.Index != figbank.CommitIndex(fleet.GetCommitIndex()) {
+		d.common.Log.Info("fleet in force", zap.Uint64("commit", fleet.GetCommitIndex()), zap.Int64("rules", rules.Number()),
+			zap.Strings("evacuated", fleet.GetEvacuated()), zap.Any("versions", d.numbers))
+	}
+}
+
+// rules reuses the compiled rules while their number stays.
+func (d *Dispatcher) rules(previous *Table, fleet *schema.Fleet) (*traffic.Table, error) {
+	if previous != nil && previous.Traffic.Number() == fleet.GetTrafficNumber() {
+		return previous.Traffic, nil
+	}
+	rules, err := traffic.UnpackRules(fleet.GetPackedTraffic())
+	if err != nil {
+		return nil, err
+	}
+	return traffic.NewTable(rules), nil
+}
+
+// noteNamed remembers when each model's version was first heard of.
+func (d *Dispatcher) noteNamed(fleet *schema.Fleet, now time.Time) {
+	for _, version := range fleet.GetVersions() {
+		if d.numbers[version.GetModel()] != version.GetVersion() {
+			d.numbers[version.GetModel()] = version.GetVersion()
+			d.named[version.GetModel()] = now
+		}
+	}
+}
+
+// Serve carries the request to an upstream. A nil error means that the whole
+// answer has gone into the reply. NotRunError proves that the request has not
+// run and will not; after any other error it may have.
+func (d *Dispatcher) Serve(ctx context.Context, request *Request, reply Reply) error {
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	d.budget.Deposit()
+	r := &run{
+		Dispatcher: d, request: request, reply: reply, tried: map[figbank.UpstreamID]bool{}, lastEvent: request.LastEvent,
+		log: d.common.Log.With(zap.String("request", string(request.ID))),
+	}
+	err := r.serve(ctx)
+	r.finished(err)
+	return err
+}
+
+func (r *run) serve(ctx context.Context) error {
+	var last error
+	for attempt := 1; ; attempt++ {
+		target, err := r.place(attempt)
+		if err != nil {
+			return r.concede(last, err)
+		}
+		last = r.try(ctx, target)
+		if last == nil {
+			return nil
+		}
+		if ctx.Err() != nil || errors.As(last, new(figbank.CallerGoneError)) {
+			return r.ended(ctx, last)
+		}
+		if !r.again(attempt, target, last) {
+			return r.concede(last, last)
+		}
+	}
+}
+
+// place picks an upstream, or says why there is none.
+func (r *run) place(attempt int) (*Target, error) {
+	now := r.common.Clock.Now()
+	table := r.table.Load()
+	targets, candidates := r.candidates(table, now)
+	demand := placement.Demand{
+		Prompt: r.request.PromptTokens, Target: r.request.Route.Target,
+		Left: r.request.Deadline.Sub(now),
+	}
+	if attempt == 1 {
+		demand.Waited = now.Sub(r.request.ReceivedAt)
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // spreads load, no secret
+	decision := placement.Decide(demand, candidates, random)
+	if decision.Index < 0 {
+		r.log.Info("refused", zap.String("reason", string(decision.Reason)), zap.Duration("retryAfter", decision.RetryAfter),
+			zap.Int("candidates", len(candidates)), zap.Int("attempt", attempt), zap.Uint64("table", uint64(table.Index)))
+		return nil, figbank.NotRunError{Reason: decision.Reason, RetryAfter: decision.RetryAfter}
+	}
+	target := targets[decision.Index]
+	target.takeCold(now)
+	r.log.Info("placed", zap.String("upstream", string(target.ID)), zap.Int("attempt", attempt),
+		zap.Int("outstanding", candidates[decision.Index].Outstanding), zap.Duration("predicted", decision.Predicted),
+		zap.Int64("version", target.Version), zap.Int("candidates", len(candidates)), zap.Uint64("table", uint64(table.Index)))
+	return target, nil
+}
+
+// candidates lists the upstreams that may take the request.
+func (r *run) candidates(table *Table, now time.Time) ([]*Target, []placement.Candidate) {
+	homes, bound := traffic.Homes(r.request.Route, r.request.Workspace)
+	var targets []*Target
+	var candidates []placement.Candidate
+	for _, target := range table.Targets(r.request.Service) {
+		if r.tried[target.ID] || target.Engine != nil && target.Model != r.request.Model {
+			continue
+		}
+		if bound && !containsRegion(homes, target.Region) || !target.ready(now) {
+			continue
+		}
+		delay := delayFar
+		if target.Near {
+			delay = delayNear
+		}
+		targets = append(targets, target)
+		candidates = append(candidates, placement.Candidate{
+			Outstanding: target.Load.Outstanding(now), Slots: target.Slots, Engine: target.Engine,
+			Near: target.Near, Delay: delay + target.Load.Penalty(), Full: !target.bears(now),
+		})
+	}
+	return targets, candidates
+}
+
+// again decides whether another upstream is tried.
+func (r *run) again(attempt int, target *Target, err error) bool {
+	r.tried[target.ID] = true
+	if r.lastEvent != r.request.LastEvent && !r.request.Route.GetResumable() || attempt >= mostTries {
+		return false
+	}
+	if r.sent >= int(max(1, r.request.Route.GetMaxUpstreams())) && !errors.As(err, new(figbank.NotRunError)) {
+		return false
+	}
+	resumable := r.request.Route.Streamed() && r.request.Route.GetResumable()
+	action := retry.Decide(retry.Failed{
+		Err: err, Repeatable: r.request.Route.Repeatable(), Passed: r.reply.Started() && !resumable,
+	}, r.budget)
+	again := action != retry.GiveUp
+	r.log.Info("attempt failed", zap.String("upstream", string(target.ID)), zap.Int("attempt", attempt),
+		zap.Bool("again", again), figbank.ErrorField(err))
+	return again
+}
+
+// concede ends a request that no further upstream gets. A whole failed answer
+// is still the upstream's answer; a try that may have run is never called
+// refused.
+func (r *run) concede(last, none error) error {
+	if r.held != nil && !r.reply.Started() {
+		return r.held.deliver(r.reply)
+	}
+	if last == nil {
+		return none
+	}
+	if r.sent > 0 && errors.As(none, new(figbank.NotRunError)) {
+		return last
+	}
+	return none
+}
+
+// ended tells why the context is over: the deadline, or a caller that left.
+func (r *run) ended(ctx context.Context, last error) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return figbank.DeadlineError{NotSent: r.sent == 0}
+	}
+	if r.sent == 0 {
+		return figbank.NotRunError{Reason: figbank.ReasonCallerGone}
+	}
+	return last
+}
+
+func (r *run) finished(err error) {
+	fields := []zap.Field{
+		zap.String("route", r.request.Route.GetName()), zap.String("upstream", string(r.upstream)),
+		zap.Int("sent", r.sent), zap.Duration("first", r.firstAt),
+		zap.Duration("total", r.common.Clock.Now().Sub(r.request.ReceivedAt)),
+	}
+	outcome := "answered"
+	if err != nil {
+		outcome = "failed"
+		fields = append(fields, figbank.ErrorField(err))
+	}
+	r.log.Info("finished", append(fields, zap.String("outcome", outcome))...)
+	scope := r.common.Scope.Tagged(map[string]string{"outcome": outcome})
+	scope.Counter("requests").Inc(1)
+	if r.firstAt > 0 {
+		scope.Timer("first_byte").Record(r.firstAt)
+	}
+}
+
+func containsRegion(regions []string, region figbank.Region) bool {
+	for _, r := range regions {
+		if r == string(region) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/dispatch/try.go
@@ -0,0 +1,175 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"figbank"
+)
+
+const (
+	// heldMost is the largest answer that is read whole before it is passed on, so
+	// that one which breaks off can be tried again.
+	heldMost = 256 << 10
+	// copyBuffer is how much of a longer answer is held.
+	copyBuffer = 32 << 10
+)
+
+type (
+	// heldAnswer is a whole answer that has not been passed on.
+	heldAnswer struct {
+		status int
+		header http.Header
+		body   []byte
+	}
+
+	// joined is a body whose beginning has been read already.
+	joined struct {
+		io.Reader
+		io.Closer
+	}
+)
+
+// try sends the request to one upstream and passes the answer on. A nil error
+// means that the whole answer has gone into the reply.
+func (r *run) try(ctx context.Context, target *Target) error {
+	target.Load.begin()
+	defer target.Load.end()
+	now := r.common.Clock.Now()
+	answer, err := r.transport.Send(ctx, r.request, Hop{
+		Address: target.Address, Upstream: target.ID, Version: target.Version,
+		Left: r.request.Deadline.Sub(now), LastEvent: r.lastEvent,
+	})
+	if err != nil {
+		if !errors.As(err, new(figbank.NotRunError)) {
+			r.sent++
+		}
+		r.noteFailure(ctx, target, err)
+		return err
+	}
+	defer answer.Body.Close()
+	r.sent++
+	r.upstream = target.ID
+	target.Load.hear(r.common.Clock.Now(), answer.Load)
+	err = r.pass(answer)
+	if err == nil {
+		target.Load.succeed(r.common.Clock.Now())
+		return nil
+	}
+	r.noteFailure(ctx, target, err)
+	return err
+}
+
+// noteFailure keeps what a failed try tells about the upstream. What a caller
+// that left has broken off tells nothing.
+func (r *run) noteFailure(ctx context.Context, target *Target, err error) {
+	now := r.common.Clock.Now()
+	var notRun figbank.NotRunError
+	proved := errors.As(err, &notRun)
+	switch {
+	case ctx.Err() != nil, errors.As(err, new(figbank.CallerGoneError)):
+	case proved && notRun.Reason == figbank.ReasonUpstreamBusy:
+		target.Load.busy(now)
+	case errors.As(err, new(figbank.FailedAnswerError)):
+		target.Load.fail(now, false)
+	default:
+		target.Load.fail(now, true)
+	}
+}
+
+// pass takes one answer to the caller.
+func (r *run) pass(answer *Answer) error {
+	if answer.Events && answer.Status == http.StatusOK {
+		return r.passEvents(answer)
+	}
+	if answer.Length > heldMost {
+		return r.passLong(answer)
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, heldMost+1))
+	r.noteFirst()
+	if err != nil {
+		return figbank.UnknownOutcomeError{Detail: "the answer broke off: " + err.Error()}
+	}
+	if len(body) > heldMost {
+		answer.Body = joined{Reader: io.MultiReader(bytes.NewReader(body), answer.Body), Closer: answer.Body}
+		return r.passLong(answer)
+	}
+	held := &heldAnswer{status: answer.Status, header: answer.Header, body: body}
+	if answer.Status >= http.StatusInternalServerError && r.request.Route.Repeatable() && !r.reply.Started() {
+		r.held = held
+		return figbank.FailedAnswerError{Status: answer.Status}
+	}
+	if r.reply.Started() {
+		return figbank.CutAnswerError{Detail: "the stream could not go on at another upstream"}
+	}
+	return held.deliver(r.reply)
+}
+
+// passEvents passes each whole event on as it arrives.
+func (r *run) passEvents(answer *Answer) error {
+	events := newEventReader(answer.Body)
+	for {
+		event, id, err := events.next()
+		if errors.Is(err, io.EOF) {
+			r.startEvents(answer)
+			return r.reply.Write(nil)
+		}
+		if err != nil {
+			return err
+		}
+		r.noteFirst()
+		r.startEvents(answer)
+		if err := r.reply.Write(event); err != nil {
+			return err
+		}
+		if id != "" {
+			r.lastEvent = id
+		}
+	}
+}
+
+// startEvents sends the head of the first upstream that had an event to give.
+func (r *run) startEvents(answer *Answer) {
+	if !r.reply.Started() {
+		r.reply.Head(answer.Status, answer.Header, -1)
+	}
+}
+
+// passLong passes an answer on as it arrives; when it breaks off, so does the
+// caller's.
+func (r *run) passLong(answer *Answer) error {
+	r.noteFirst()
+	if r.reply.Started() {
+		return figbank.CutAnswerError{Detail: "the stream could not go on at another upstream"}
+	}
+	r.reply.Head(answer.Status, answer.Header, answer.Length)
+	buffer := make([]byte, copyBuffer)
+	for {
+		n, err := answer.Body.Read(buffer)
+		if n > 0 {
+			if err := r.reply.Write(buffer[:n]); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return figbank.CutAnswerError{Detail: err.Error()}
+		}
+	}
+}
+
+func (r *run) noteFirst() {
+	if r.firstAt == 0 {
+		r.firstAt = r.common.Clock.Now().Sub(r.request.ReceivedAt)
+	}
+}
+
+func (h *heldAnswer) deliver(reply Reply) error {
+	reply.Head(h.status, h.header, int64(len(h.body)))
+	return reply.Write(h.body)
+}
--- a/errors.go
+++ b/errors.go
@@ -23,6 +23,9 @@
 	ReasonLogUnavailable   Reason = "LogUnavailable"
 	ReasonRetriesExhausted Reason = "RetriesExhausted"
 	ReasonCallerGone       Reason = "CallerGone"
+	ReasonUpstreamBusy     Reason = "UpstreamBusy"
+	ReasonOtherIncarnation Reason = "OtherIncarnation"
+	ReasonNoRules          Reason = "NoTrafficRules"
 )
 
 type (
@@ -62,6 +65,21 @@
 		Detail string
 	}
 
+	// DeadlineError reports a request whose time ran out. NotSent proves that no
+	// upstream has run it.
+	DeadlineError struct {
+		NotSent bool
+	}
+
+	// CallerGoneError reports a caller that no longer takes its answer.
+	CallerGoneError struct{}
+
+	// FailedAnswerError reports a whole answer by which an upstream says that it
+	// failed.
+	FailedAnswerError struct {
+		Status int
+	}
+
 	// CorruptError reports stored or received bytes that fail their check.
 	CorruptError struct {
 		Subject string
@@ -99,6 +117,24 @@
 	return "protocol violation: " + e.Detail
 }
 
+// Error says that the time ran out.
+func (e DeadlineError) Error() string {
+	if e.NotSent {
+		return "deadline passed before the request was sent to an upstream"
+	}
+	return "deadline passed before the answer was complete"
+}
+
+// Error says that the caller left.
+func (e CallerGoneError) Error() string {
+	return "the caller no longer takes its answer"
+}
+
+// Error gives the status.
+func (e FailedAnswerError) Error() string {
+	return fmt.Sprintf("upstream failed with status %d", e.Status)
+}
+
 // Error names the corrupt bytes.
 func (e CorruptError) Error() string {
 	return fmt.Sprintf("corrupt %s: %s", e.Subject, e.Detail)
--- /dev/null
+++ b/feed/view.go
@@ -0,0 +1,212 @@
+// Package feed spreads what changes at run time: traffic rules, upstreams,
+// engines and the deployment's own processes. Replicas serve feeds, all
+// processes subscribe to each replica, so that any one that is reached suffices.
+package feed
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"figbank"
+	"figbank/configuration"
+	"figbank/registry"
+	"figbank/schema"
+)
+
+// expireInterval is how often leases are looked at.
+const expireInterval = 200 * time.Millisecond
+
+type (
+	// View is what one process knows. It is safe for concurrent use.
+	View struct {
+		common figbank.Common
+		fleet  *configuration.FleetHolder
+
+		mu       sync.Mutex
+		registry *registry.Registry
+		// direct are the processes subscribed here, listed those that replicas name.
+		direct   map[figbank.ProcessID]*schema.Member
+		listed   map[figbank.Address][]*schema.Member
+		members  registry.Cursor
+		changed  chan struct{}
+		watchers []func()
+	}
+)
+
+// NewView returns a view that knows nothing yet. Upstreams that announce
+// themselves here are silent after lease.
+func NewView(common figbank.Common, lease time.Duration, fleet *configuration.FleetHolder) *View {
+	v := &View{
+		common: common.For("feed"), fleet: fleet, registry: registry.New(lease),
+		direct:  map[figbank.ProcessID]*schema.Member{},
+		listed:  map[figbank.Address][]*schema.Member{},
+		changed: make(chan struct{}),
+	}
+	fleet.Watch(func(*schema.Fleet) { v.tell() })
+	return v
+}
+
+// Watch calls watcher after each change. It must not block.
+func (v *View) Watch(watcher func()) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.watchers = append(v.watchers, watcher)
+}
+
+// Fleet is the newest fleet known here.
+func (v *View) Fleet() *schema.Fleet {
+	return v.fleet.Current()
+}
+
+// Upstreams lists the newest incarnation at each address.
+func (v *View) Upstreams() []registry.Upstream {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.registry.Instances()
+}
+
+// Members lists the processes in touch with any replica, sorted by id.
+func (v *View) Members() []*schema.Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	all := map[string]*schema.Member{}
+	for _, list := range v.listed {
+		for _, member := range list {
+			all[member.GetId()] = member
+		}
+	}
+	for _, member := range v.direct {
+		all[member.GetId()] = member
+	}
+	members := make([]*schema.Member, 0, len(all))
+	for _, member := range all {
+		members = append(members, member)
+	}
+	slices.SortFunc(members, func(a, b *schema.Member) int { return cmp.Compare(a.GetId(), b.GetId()) })
+	return members
+}
+
+// Announce notes what an upstream says of itself. It tells whether anything
+// that matters to routing changed.
+func (v *View) Announce(record *schema.Instance) bool {
+	v.mu.Lock()
+	before := v.registry.Revision()
+	material := v.registry.Announce(v.common.Clock.Now(), record)
+	moved := v.registry.Revision() != before
+	v.mu.Unlock()
+	if moved {
+		v.tell()
+	}
+	return material
+}
+
+// Leave notes that an upstream's incarnation leaves for good.
+func (v *View) Leave(id figbank.UpstreamID) bool {
+	v.mu.Lock()
+	left := v.registry.Leave(v.common.Clock.Now(), id)
+	v.mu.Unlock()
+	if left {
+		v.tell()
+	}
+	return left
+}
+
+// hearEngine notes what an agent says of its engine.
+func (v *View) hearEngine(state *schema.EngineState) {
+	if state.GetAddress() == "" {
+		return
+	}
+	v.mu.Lock()
+	changed := v.registry.HearEngine(state)
+	v.mu.Unlock()
+	if changed {
+		v.tell()
+	}
+}
+
+// apply takes in what a replica tells.
+func (v *View) apply(from figbank.Address, update *schema.FeedUpdate) {
+	if update.GetFleet() != nil {
+		v.fleet.Offer(update.GetFleet())
+	}
+	v.mu.Lock()
+	before, members := v.registry.Revision(), v.members
+	now := v.common.Clock.Now()
+	for _, record := range update.GetInstances() {
+		v.registry.Announce(now, record)
+	}
+	for _, state := range update.GetEngines() {
+		v.registry.HearEngine(state)
+	}
+	if update.GetHasMembers() {
+		v.listed[from] = update.GetMembers()
+		v.members++
+	}
+	changed := v.registry.Revision() != before || v.members != members
+	v.mu.Unlock()
+	if changed {
+		v.tell()
+	}
+}
+
+// join and leave keep the list of processes that are subscribed here.
+func (v *View) join(member *schema.Member) {
+	v.mu.Lock()
+	v.direct[figbank.ProcessID(member.GetId())] = member
+	v.members++
+	v.mu.Unlock()
+	v.tell()
+}
+
+func (v *View) part(member *schema.Member) {
+	v.mu.Lock()
+	id := figbank.ProcessID(member.GetId())
+	// A process that has already subscribed again stays.
+	if v.direct[id] == member {
+		delete(v.direct, id)
+		v.members++
+	}
+	v.mu.Unlock()
+	v.tell()
+}
+
+// tell wakes all that wait for changes.
+func (v *View) tell() {
+	v.mu.Lock()
+	close(v.changed)
+	v.changed = make(chan struct{})
+	watchers := v.watchers
+	v.mu.Unlock()
+	for _, watcher := range watchers {
+		watcher()
+	}
+}
+
+func (v *View) change() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+// Expire lets leases run out until ctx ends. Only processes that hear
+// announcements themselves do so; the others are told.
+func (v *View) Expire(ctx context.Context) {
+	ticks, stop := v.common.Clock.Tick(expireInterval)
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+		}
+		v.mu.Lock()
+		expired := v.registry.Expire(v.common.Clock.Now())
+		v.mu.Unlock()
+		if expired {
+			v.tell()
+		}
+	}
+}
--- /dev/null
+++ b/ledger/fleet.go
@@ -0,0 +1,74 @@
+package ledger
+
+import (
+	"slices"
+	"strings"
+
+	"figbank/schema"
+)
+
+// publishTraffic puts traffic rules in force unless rules with as high a number
+// already are. Either way the offer is accepted, since offers may be sent again.
+func (s *State) publishTraffic(offer *schema.PublishTraffic) *schema.Result {
+	if offer.GetNumber() <= s.fleet.GetTrafficNumber() {
+		return &schema.Result{CommitIndex: s.fleet.GetCommitIndex()}
+	}
+	next := s.nextFleet()
+	next.TrafficNumber = offer.GetNumber()
+	next.PackedTraffic = offer.GetPackedTraffic()
+	s.fleet = next
+	s.document = offer.GetPackedDocument()
+	return &schema.Result{CommitIndex: s.applied}
+}
+
+// evacuate takes a failure domain out of service, or back in.
+func (s *State) evacuate(asked *schema.Evacuate) *schema.Result {
+	out := slices.Contains(s.fleet.GetEvacuated(), asked.GetFailureDomain())
+	if out != asked.GetWithdraw() {
+		return &schema.Result{CommitIndex: s.fleet.GetCommitIndex()}
+	}
+	next := s.nextFleet()
+	if asked.GetWithdraw() {
+		next.Evacuated = slices.DeleteFunc(next.Evacuated, func(d string) bool { return d == asked.GetFailureDomain() })
+	} else {
+		next.Evacuated = append(next.Evacuated, asked.GetFailureDomain())
+		slices.Sort(next.Evacuated)
+	}
+	s.fleet = next
+	return &schema.Result{CommitIndex: s.applied}
+}
+
+// nameVersion names newer weights of a model; an older or equal version changes nothing.
+func (s *State) nameVersion(named *schema.NameVersion) *schema.Result {
+	next := s.nextFleet()
+	version := &schema.NamedVersion{Model: named.GetModel(), Version: named.GetVersion(), NamedUnixNano: s.now.UnixNano()}
+	i, found := slices.BinarySearchFunc(next.Versions, version, func(a, b *schema.NamedVersion) int {
+		return strings.Compare(a.GetModel(), b.GetModel())
+	})
+	switch {
+	case found && next.Versions[i].GetVersion() >= named.GetVersion():
+		return &schema.Result{CommitIndex: s.fleet.GetCommitIndex()}
+	case found:
+		next.Versions[i] = version
+	default:
+		next.Versions = slices.Insert(next.Versions, i, version)
+	}
+	s.fleet = next
+	return &schema.Result{CommitIndex: s.applied}
+}
+
+// readTraffic answers with the document in force at this place of the log.
+func (s *State) readTraffic() *schema.Result {
+	return &schema.Result{CommitIndex: s.applied, PackedDocument: s.document}
+}
+
+// nextFleet copies the fleet, since those handed out are immutable.
+func (s *State) nextFleet() *schema.Fleet {
+	return &schema.Fleet{
+		CommitIndex:   s.applied,
+		TrafficNumber: s.fleet.GetTrafficNumber(),
+		PackedTraffic: s.fleet.GetPackedTraffic(),
+		Evacuated:     slices.Clone(s.fleet.GetEvacuated()),
+		Versions:      slices.Clone(s.fleet.GetVersions()),
+	}
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -22,6 +22,9 @@
 		claims        map[claimKey]*schema.ClaimRecord
 		claimOrder    []claimKey
 		grants        map[grantKey]*schema.GrantRecord
+		fleet         *schema.Fleet
+		// document is the compressed text that the fleet's traffic rules came from.
+		document []byte
 	}
 
 	claimKey struct {
@@ -40,6 +43,7 @@
 		configuration: &schema.Configuration{},
 		claims:        map[claimKey]*schema.ClaimRecord{},
 		grants:        map[grantKey]*schema.GrantRecord{},
+		fleet:         &schema.Fleet{},
 	}
 }
 
@@ -58,6 +62,10 @@
 	if stored.GetConfiguration() != nil {
 		s.configuration = stored.GetConfiguration()
 	}
+	if stored.GetFleet() != nil {
+		s.fleet = stored.GetFleet().GetFleet()
+		s.document = stored.GetFleet().GetPackedDocument()
+	}
 	for _, record := range stored.GetClaims() {
 		s.putClaim(record)
 	}
@@ -73,6 +81,7 @@
 		AppliedIndex:  s.applied,
 		TimeUnixNano:  s.now.UnixNano(),
 		Configuration: s.configuration,
+		Fleet:         &schema.FleetRecord{Fleet: s.fleet, PackedDocument: s.document},
 	}
 	for _, key := range s.claimOrder {
 		stored.Claims = append(stored.Claims, s.claims[key])
@@ -97,6 +106,11 @@
 	return s.configuration
 }
 
+// Fleet is all that operators have set for upstreams that announce themselves.
+func (s *State) Fleet() *schema.Fleet {
+	return s.fleet
+}
+
 // Apply applies the next entry. A leader's empty entry has a nil result.
 func (s *State) Apply(entry *schema.Entry) *schema.Result {
 	s.applied = entry.GetIndex()
@@ -120,6 +134,20 @@
 	case *schema.Command_Release:
 		return s.release(action.Release)
 	}
+	return s.applyFleet(&command)
+}
+
+func (s *State) applyFleet(command *schema.Command) *schema.Result {
+	switch action := command.GetAction().(type) {
+	case *schema.Command_PublishTraffic:
+		return s.publishTraffic(action.PublishTraffic)
+	case *schema.Command_Evacuate:
+		return s.evacuate(action.Evacuate)
+	case *schema.Command_NameVersion:
+		return s.nameVersion(action.NameVersion)
+	case *schema.Command_ReadTraffic:
+		return s.readTraffic()
+	}
 	return refuse(schema.Refusal_REFUSAL_INVALID, "command of unknown kind")
 }
 
--- /dev/null
+++ b/pace/pace_test.go
@@ -0,0 +1,46 @@
+package pace
+
+import (
+	"testing"
+	"time"
+
+	"figbank/schema"
+)
+
+func engine() *Engine {
+	return NewEngine(&schema.EngineModel{
+		Slots: 16, Stride: 6, StepMilliseconds: 7.4, StepPerRequestMilliseconds: 0.0387,
+		StepPerThousandTokensMilliseconds: 0.0203, ReadTokensPerSecond: 31900, ReadPairsMilliseconds: 0.733,
+		UsualPromptTokens: 973, UsualAnswerTokens: 106,
+	})
+}
+
+func TestFirst(t *testing.T) {
+	scenarios := []struct {
+		name        string
+		outstanding int
+		prompt      int
+		least, most time.Duration
+	}{
+		{name: "idle engine", outstanding: 0, prompt: 973, least: 90 * time.Millisecond, most: 120 * time.Millisecond},
+		{name: "full engine, one waits for an end", outstanding: 16, prompt: 973, least: 190 * time.Millisecond, most: 300 * time.Millisecond},
+		{name: "long prompt", outstanding: 0, prompt: 3880, least: 180 * time.Millisecond, most: 240 * time.Millisecond},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			got := engine().First(s.outstanding, s.prompt)
+			if got < s.least || got > s.most {
+				t.Errorf("First(%d, %d) = %v, want %v to %v", s.outstanding, s.prompt, got, s.least, s.most)
+			}
+		})
+	}
+}
+
+func TestFirstGrowsWithLoad(t *testing.T) {
+	e := engine()
+	for outstanding := range 40 {
+		if a, b := e.First(outstanding, 900), e.First(outstanding+1, 900); b < a {
+			t.Errorf("First(%d) = %v is more than First(%d) = %v", outstanding, a, outstanding+1, b)
+		}
+	}
+}
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,79 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"figbank"
+	"figbank/pace"
+	"figbank/schema"
+)
+
+func engine() *pace.Engine {
+	return pace.NewEngine(&schema.EngineModel{
+		Slots: 16, Stride: 6, StepMilliseconds: 7.4, StepPerRequestMilliseconds: 0.0387,
+		ReadTokensPerSecond: 31900, UsualPromptTokens: 973, UsualAnswerTokens: 106,
+	})
+}
+
+func model(outstanding int, near bool) Candidate {
+	return Candidate{Outstanding: outstanding, Slots: 16, Engine: engine(), Near: near}
+}
+
+func TestDecide(t *testing.T) {
+	full := model(0, true)
+	full.Full = true
+	demand := Demand{Prompt: 900, Target: 400 * time.Millisecond, Left: 6 * time.Second}
+	scenarios := []struct {
+		name       string
+		candidates []Candidate
+		want       int
+		reason     figbank.Reason
+	}{
+		{name: "the emptier of two near ones", candidates: []Candidate{model(14, true), model(3, true)}, want: 1},
+		{name: "near rather than slightly emptier", candidates: []Candidate{model(3, false), model(5, true)}, want: 1},
+		{name: "spills when the near one queues", candidates: []Candidate{model(19, true), model(3, false)}, want: 1},
+		{name: "a full one gets nothing however empty it looks", candidates: []Candidate{full, model(15, true)}, want: 1},
+		{name: "refuses at saturation", candidates: []Candidate{model(40, true), model(40, false)}, want: -1, reason: figbank.ReasonQueueFull},
+		{name: "refuses when there is none", want: -1, reason: figbank.ReasonNoUpstream},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			got := Decide(demand, s.candidates, rand.New(rand.NewPCG(1, 2)))
+			if got.Index != s.want || got.Reason != s.reason {
+				t.Errorf("Decide() = %d %q, want %d %q", got.Index, got.Reason, s.want, s.reason)
+			}
+		})
+	}
+}
+
+// A step to twice the capacity: what is accepted stays within the lateness
+// allowed, what is not is refused at once, and refused callers don't return together.
+func TestStepToSaturation(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	candidates := []Candidate{model(0, true), model(0, true), model(0, false)}
+	demand := Demand{Prompt: 900, Target: 400 * time.Millisecond, Left: 6 * time.Second}
+	returns := map[time.Duration]int{}
+	refused := 0
+	for range 200 {
+		got := Decide(demand, candidates, random)
+		if got.Index < 0 {
+			refused++
+			returns[got.RetryAfter.Round(50*time.Millisecond)]++
+			continue
+		}
+		if got.Predicted > 600*time.Millisecond {
+			t.Errorf("accepted with a predicted first event after %v, want at most 600 ms", got.Predicted)
+		}
+		candidates[got.Index].Outstanding++
+	}
+	if refused == 0 {
+		t.Fatal("nothing was refused at saturation")
+	}
+	for at, count := range returns {
+		if count > refused/2 {
+			t.Errorf("%d of %d refused callers return at %v", count, refused, at)
+		}
+	}
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -52,6 +52,7 @@
 		sinceSnapshot int
 
 		onConfiguration func(*schema.Configuration)
+		onFleet         func(*schema.Fleet)
 		onFailure       func(error)
 
 		status atomic.Pointer[schema.ReplicaStatus]
@@ -81,6 +82,11 @@
 	return func(r *Replica) { r.onConfiguration = act }
 }
 
+// WithFleet calls act with each fleet that becomes committed.
+func WithFleet(act func(*schema.Fleet)) Option {
+	return func(r *Replica) { r.onFleet = act }
+}
+
 // WithFailure calls act when the disk failed and the replica has stopped.
 func WithFailure(act func(error)) Option {
 	return func(r *Replica) { r.onFailure = act }
@@ -109,6 +115,7 @@
 		inbox:           make(chan input, inboxLength),
 		waiting:         map[uint64]proposal{},
 		onConfiguration: func(*schema.Configuration) {},
+		onFleet:         func(*schema.Fleet) {},
 		onFailure:       func(error) {},
 		ended:           make(chan struct{}),
 	}
@@ -188,6 +195,7 @@
 	}
 	r.publishStatus()
 	r.onConfiguration(r.state.Configuration())
+	r.onFleet(r.state.Fleet())
 	r.group.Go(func() { r.run(ctx) })
 }
 
@@ -307,17 +315,22 @@
 	r.sinceSnapshot = 0
 	r.common.Log.Info("installed a snapshot from the leader", zap.Uint64("index", ready.Snapshot.GetIndex()))
 	r.onConfiguration(state.Configuration())
+	r.onFleet(state.Fleet())
 	return nil
 }
 
 func (r *Replica) apply(entry *schema.Entry) {
-	before := r.state.Configuration()
+	before, fleet := r.state.Configuration(), r.state.Fleet()
 	result := r.state.Apply(entry)
 	r.sinceSnapshot++
 	if after := r.state.Configuration(); after != before {
 		r.common.Recorder.Record(&schema.Event{Part: "replica", Name: "Committed", CommitIndex: entry.GetIndex()})
 		r.onConfiguration(after)
 	}
+	if after := r.state.Fleet(); after != fleet {
+		r.common.Recorder.Record(&schema.Event{Part: "replica", Name: "Committed", CommitIndex: entry.GetIndex()})
+		r.onFleet(after)
+	}
 	p, found := r.waiting[entry.GetIndex()]
 	if !found {
 		return
--- a/settings/check.go
+++ b/settings/check.go
@@ -52,6 +52,28 @@
 	return problems
 }
 
+// checkPlatform checks that the shortest bounds can be kept.
+func checkPlatform(file string, sections map[string]keyfile.Section, s *schema.PlatformSettings) []keyfile.Problem {
+	var problems []keyfile.Problem
+	if s.GetLog().GetHeartbeatInterval().AsDuration()*heartbeatsPerElection > s.GetLog().GetElectionTimeout().AsDuration() {
+		problems = append(problems, keyfile.Problem{
+			File: file, Line: max(1, sections["Log"].LineOf("HeartbeatInterval")), Section: "Log", Key: "HeartbeatInterval",
+			Detail: "must be at most a third of ElectionTimeout",
+		})
+	}
+	return problems
+}
+
+// RegionsOf returns the region of each failure domain.
+func RegionsOf(s *schema.PlatformSettings) map[figbank.FailureDomain]figbank.Region {
+	regions := map[figbank.FailureDomain]figbank.Region{}
+	for _, text := range s.GetNode().GetRegions() {
+		domain, region, _ := strings.Cut(text, "=")
+		regions[figbank.FailureDomain(domain)] = figbank.Region(region)
+	}
+	return regions
+}
+
 // IsReplica tells whether a gateway keeps the log.
 func IsReplica(s *schema.GatewaySettings) bool {
 	_, found := Replicas(s)[figbank.ProcessID(s.GetProcess().GetId())]
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -1,4 +1,4 @@
-// Package settings reads the settings files of gateways and agents.
+// Package settings reads the settings files of figbank's processes.
 package settings
 
 import (
@@ -54,7 +54,26 @@
 	return message, keyfile.AsError(problems)
 }
 
-// WriteReference prints the commented reference of both kinds of file.
+// ReadPlatform reads and checks the settings file of a process on a platform.
+func ReadPlatform(path string) (*schema.PlatformSettings, error) {
+	content, err := os.ReadFile(path) //nolint:gosec // the operator names the file
+	if err != nil {
+		return nil, figbank.Fail("settings", "Read", figbank.InvalidError{Subject: "settings file", Detail: err.Error()})
+	}
+	return ParsePlatform(path, content)
+}
+
+// ParsePlatform checks the content of the settings file of a process on a platform.
+func ParsePlatform(file string, content []byte) (*schema.PlatformSettings, error) {
+	message := &schema.PlatformSettings{}
+	sections, problems := parse(file, content, message)
+	if len(problems) == 0 {
+		problems = append(problems, checkPlatform(file, sections, message)...)
+	}
+	return message, keyfile.AsError(problems)
+}
+
+// WriteReference prints the commented reference of all kinds of file.
 func WriteReference(w io.Writer) error {
 	kinds := []struct {
 		title   string
@@ -62,6 +81,7 @@
 	}{
 		{title: "Settings of a gateway", message: &schema.GatewaySettings{}},
 		{title: "Settings of an agent", message: &schema.AgentSettings{}},
+		{title: "Settings of a process on a platform", message: &schema.PlatformSettings{}},
 	}
 	fmt.Fprint(w, "# Settings\n\nMade by `figbank settings`. A key with `;` before it shows its default.\n")
 	for _, kind := range kinds {
--- /dev/null
+++ b/traffic/check.go
@@ -0,0 +1,73 @@
+package traffic
+
+import (
+	"fmt"
+
+	"figbank"
+	"figbank/schema"
+)
+
+// Check returns why rules cannot be put in force, or nil.
+func Check(rules *schema.Traffic) error {
+	services := map[string]bool{}
+	for _, service := range rules.GetServices() {
+		if service.GetName() == "" || services[service.GetName()] {
+			return invalid("service %q has no name, or stands twice", service.GetName())
+		}
+		services[service.GetName()] = true
+	}
+	places := map[string]bool{}
+	for _, route := range rules.GetRoutes() {
+		if err := checkRoute(route, services); err != nil {
+			return err
+		}
+		place := route.GetHost() + " " + route.GetPathPrefix()
+		if places[place] {
+			return invalid("route %q shares its host and path prefix with another", route.GetName())
+		}
+		places[place] = true
+	}
+	return checkKeys(rules.GetWorkspaces())
+}
+
+func checkRoute(route *schema.Route, services map[string]bool) error {
+	var weight int64
+	for _, share := range route.GetShares() {
+		if !services[share.GetService()] {
+			return invalid("route %q names the unknown service %q", route.GetName(), share.GetService())
+		}
+		if share.GetWeight() < 0 {
+			return invalid("route %q has a negative weight", route.GetName())
+		}
+		weight += share.GetWeight()
+	}
+	switch {
+	case weight == 0:
+		return invalid("the weights of route %q add up to 0", route.GetName())
+	case route.GetTimeoutMilliseconds() <= 0:
+		return invalid("route %q has no timeout", route.GetName())
+	case route.GetHost() == "" || route.GetPathPrefix() == "":
+		return invalid("route %q has no host or no path prefix", route.GetName())
+	case route.GetKind() == schema.CallKind_CALL_KIND_UNSPECIFIED:
+		return invalid("route %q has an unknown kind", route.GetName())
+	}
+	return nil
+}
+
+func checkKeys(workspaces []*schema.WorkspaceKeys) error {
+	holders := map[string]string{}
+	for _, workspace := range workspaces {
+		for _, key := range workspace.GetKeys() {
+			holder, found := holders[key]
+			if found && holder != workspace.GetName() {
+				return invalid("workspaces %q and %q share a key", holder, workspace.GetName())
+			}
+			holders[key] = workspace.GetName()
+		}
+	}
+	return nil
+}
+
+func invalid(format string, arguments ...any) error {
+	return figbank.InvalidError{Subject: "traffic rules", Detail: fmt.Sprintf(format, arguments...)}
+}
--- /dev/null
+++ b/traffic/pack.go
@@ -0,0 +1,64 @@
+package traffic
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"figbank"
+	"figbank/schema"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// maxUnpacked bounds what a compressed document may grow to.
+const maxUnpacked = 64 << 20
+
+// Pack compresses a document.
+func Pack(document []byte) ([]byte, error) {
+	var packed bytes.Buffer
+	writer, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return nil, figbank.Fail("traffic", "Pack", err)
+	}
+	if _, err := writer.Write(document); err != nil {
+		return nil, figbank.Fail("traffic", "Pack", err)
+	}
+	if err := writer.Close(); err != nil {
+		return nil, figbank.Fail("traffic", "Pack", err)
+	}
+	return packed.Bytes(), nil
+}
+
+// Unpack is the inverse of Pack.
+func Unpack(packed []byte) ([]byte, error) {
+	reader := flate.NewReader(bytes.NewReader(packed))
+	defer reader.Close()
+	document, err := io.ReadAll(io.LimitReader(reader, maxUnpacked))
+	if err != nil {
+		return nil, figbank.Fail("traffic", "Unpack", figbank.CorruptError{Subject: "document", Detail: err.Error()})
+	}
+	return document, nil
+}
+
+// PackRules compresses rules.
+func PackRules(rules *schema.Traffic) ([]byte, error) {
+	content, err := proto.Marshal(rules)
+	if err != nil {
+		return nil, figbank.Fail("traffic", "PackRules", err)
+	}
+	return Pack(content)
+}
+
+// UnpackRules is the inverse of PackRules.
+func UnpackRules(packed []byte) (*schema.Traffic, error) {
+	content, err := Unpack(packed)
+	if err != nil {
+		return nil, err
+	}
+	rules := &schema.Traffic{}
+	if err := proto.Unmarshal(content, rules); err != nil {
+		return nil, figbank.Fail("traffic", "UnpackRules", figbank.CorruptError{Subject: "traffic rules", Detail: err.Error()})
+	}
+	return rules, nil
+}
--- /dev/null
+++ b/traffic/table.go
@@ -0,0 +1,175 @@
+// Package traffic finds the route and the workspace of a request in an
+// immutable table, built from the rules that operators publish.
+package traffic
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"figbank"
+	"figbank/schema"
+)
+
+type (
+	// Table is an immutable form of one set of traffic rules.
+	Table struct {
+		rules     *schema.Traffic
+		routes    map[string][]*Route
+		keys      map[string]*Workspace
+		services  map[figbank.ServiceName]*schema.RoutedService
+		maxHeader figbank.Bytes
+		maxBody   figbank.Bytes
+	}
+
+	// Route is one rule with its durations and shares worked out.
+	Route struct {
+		*schema.Route
+		// Timeout is the longest time to the end of an answer.
+		Timeout time.Duration
+		// Target is the latency objective.
+		Target time.Duration
+		// Gap is the longest pause between events that is still on time.
+		Gap         time.Duration
+		totalWeight uint64
+	}
+
+	// Workspace is the holder of a key.
+	Workspace struct {
+		Name        figbank.Workspace
+		Priority    int64
+		HasPriority bool
+		HomeRegions []string
+	}
+)
+
+// NewTable compiles rules, which must be valid.
+func NewTable(rules *schema.Traffic) *Table {
+	t := &Table{
+		rules: rules, routes: map[string][]*Route{}, keys: map[string]*Workspace{},
+		services:  map[figbank.ServiceName]*schema.RoutedService{},
+		maxHeader: figbank.Bytes(rules.GetLimits().GetMaxHeaderBytes()),
+		maxBody:   figbank.Bytes(rules.GetLimits().GetMaxBodyBytes()),
+	}
+	for _, rule := range rules.GetRoutes() {
+		t.routes[rule.GetHost()] = append(t.routes[rule.GetHost()], newRoute(rule))
+	}
+	for _, routes := range t.routes {
+		slices.SortFunc(routes, func(a, b *Route) int {
+			return cmp.Compare(len(b.GetPathPrefix()), len(a.GetPathPrefix()))
+		})
+	}
+	for _, holder := range rules.GetWorkspaces() {
+		workspace := &Workspace{
+			Name: figbank.Workspace(holder.GetName()), Priority: holder.GetPriority(),
+			HasPriority: holder.GetHasPriority(), HomeRegions: holder.GetHomeRegions(),
+		}
+		for _, key := range holder.GetKeys() {
+			t.keys[key] = workspace
+		}
+	}
+	for _, service := range rules.GetServices() {
+		t.services[figbank.ServiceName(service.GetName())] = service
+	}
+	return t
+}
+
+func newRoute(rule *schema.Route) *Route {
+	route := &Route{
+		Route:   rule,
+		Timeout: time.Duration(rule.GetTimeoutMilliseconds()) * time.Millisecond,
+		Target:  time.Duration(rule.GetTargetMilliseconds()) * time.Millisecond,
+		Gap:     time.Duration(rule.GetTargetGapMilliseconds()) * time.Millisecond,
+	}
+	for _, share := range rule.GetShares() {
+		route.totalWeight += uint64(max(0, share.GetWeight())) //nolint:gosec // never negative
+	}
+	return route
+}
+
+// Number is the operators' number of the rules.
+func (t *Table) Number() int64 {
+	return t.rules.GetNumber()
+}
+
+// MaxBody is the largest request body that callers may send, 0 for no bound.
+func (t *Table) MaxBody() figbank.Bytes {
+	return t.maxBody
+}
+
+// MaxHeader is the largest request head that callers may send, 0 for no bound.
+func (t *Table) MaxHeader() figbank.Bytes {
+	return t.maxHeader
+}
+
+// RequiresKeys tells whether routes that are not public need a key.
+func (t *Table) RequiresKeys() bool {
+	return t.rules.GetRequiresKeys()
+}
+
+// Route returns the route of a host whose path prefix is the longest that
+// begins the path, or nil.
+func (t *Table) Route(host, path string) *Route {
+	for _, route := range t.routes[host] {
+		if strings.HasPrefix(path, route.GetPathPrefix()) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Workspace returns the holder of a key, or nil.
+func (t *Table) Workspace(key string) *Workspace {
+	return t.keys[key]
+}
+
+// Service returns a service that routes may name, or nil.
+func (t *Table) Service(name figbank.ServiceName) *schema.RoutedService {
+	return t.services[name]
+}
+
+// Services lists all services.
+func (t *Table) Services() []*schema.RoutedService {
+	return t.rules.GetServices()
+}
+
+// Service picks one of the route's services by weight, with a draw that is
+// evenly spread over all of uint64.
+func (r *Route) Service(draw uint64) figbank.ServiceName {
+	point := draw % max(1, r.totalWeight)
+	for _, share := range r.GetShares() {
+		weight := uint64(max(0, share.GetWeight())) //nolint:gosec // never negative
+		if point < weight {
+			return figbank.ServiceName(share.GetService())
+		}
+		point -= weight
+	}
+	return ""
+}
+
+// Repeatable tells whether a request on the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.GetKind() == schema.CallKind_CALL_KIND_SAFE || r.Streamed() && r.GetResumable()
+}
+
+// Streamed tells whether answers are events.
+func (r *Route) Streamed() bool {
+	return r.GetKind() == schema.CallKind_CALL_KIND_STREAM
+}
+
+// Homes returns the regions to which both the route and the workspace allow a
+// request to go, or bound false when neither restricts it.
+func Homes(route *Route, workspace *Workspace) (regions []string, bound bool) {
+	regions = route.GetHomeRegions()
+	if workspace == nil || len(workspace.HomeRegions) == 0 {
+		return regions, len(regions) > 0
+	}
+	if len(regions) == 0 {
+		return workspace.HomeRegions, true
+	}
+	both := slices.DeleteFunc(slices.Clone(regions), func(region string) bool {
+		return !slices.Contains(workspace.HomeRegions, region)
+	})
+	return both, true
+}
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -104,6 +104,23 @@
 	return true, stream.Receive(answer)
 }
 
+// Drop ends the session to one process, so that the next use dials anew.
+func (p *Pool) Drop(address figbank.Address) {
+	p.mu.Lock()
+	slot, found := p.sessions[address]
+	p.mu.Unlock()
+	if !found {
+		return
+	}
+	select {
+	case slot.lock <- struct{}{}:
+		closeSession(slot.session)
+		<-slot.lock
+	default:
+		// Somebody dials anew already.
+	}
+}
+
 // Close ends all sessions.
 func (p *Pool) Close() {
 	p.mu.Lock()
