Wake only those to whom a change matters

Cause: every repeated announcement woke every subscriber, and replicas passed member lists on to each other without end. Change: replicas alone hear repeated announcements; a member list counts only when it differs.

--- a/feed/server.go
+++ b/feed/server.go
@@ -1,7 +1,9 @@
 package feed
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"figbank"
@@ -21,12 +23,12 @@
 
 // subscription is what one subscriber has been told.
 type subscription struct {
-	view    *View
-	stream  *transport.Stream
-	member  *schema.Member
-	cursor  registry.Cursor
-	members registry.Cursor
-	index   uint64
+	view   *View
+	stream *transport.Stream
+	member *schema.Member
+	cursor registry.Cursor
+	joins  uint64
+	index  uint64
 }
 
 // Serve feeds one subscriber until it is lost.
@@ -68,7 +70,7 @@
 // feed sends what has changed, and something at least every keepAlive.
 func (s *subscription) feed(ctx context.Context) {
 	for {
-		changed := s.view.change()
+		changed := s.view.change(s.member.GetRole())
 		if err := s.stream.Send(s.next()); err != nil {
 			return
 		}
@@ -95,12 +97,13 @@
 	s.cursor = v.registry.Revision()
 	update.Instances = changes.Instances
 	update.Engines = changes.Engines
-	if s.members != v.members {
-		s.members = v.members
+	if s.joins != v.joins {
+		s.joins = v.joins
 		update.HasMembers = true
 		for _, member := range v.direct {
 			update.Members = append(update.Members, member)
 		}
+		slices.SortFunc(update.Members, func(a, b *schema.Member) int { return cmp.Compare(a.GetId(), b.GetId()) })
 	}
 	return update
 }
--- a/feed/view.go
+++ b/feed/view.go
@@ -28,11 +28,15 @@
 		mu       sync.Mutex
 		registry *registry.Registry
 		// direct are the processes subscribed here, listed those that replicas name.
-		direct   map[figbank.ProcessID]*schema.Member
-		listed   map[figbank.Address][]*schema.Member
-		members  registry.Cursor
-		changed  chan struct{}
-		watchers []func()
+		direct map[figbank.ProcessID]*schema.Member
+		listed map[figbank.Address][]*schema.Member
+		// joins counts the changes of direct.
+		joins uint64
+		// changed is closed when something matters to routing, announced also when an
+		// upstream has only announced itself again.
+		changed   chan struct{}
+		announced chan struct{}
+		watchers  []func()
 	}
 )
 
@@ -41,9 +45,10 @@
 func NewView(common figbank.Common, lease time.Duration, fleet *configuration.FleetHolder) *View {
 	v := &View{
 		common: common.For("feed"), fleet: fleet, registry: registry.New(lease),
-		direct:  map[figbank.ProcessID]*schema.Member{},
-		listed:  map[figbank.Address][]*schema.Member{},
-		changed: make(chan struct{}),
+		direct:    map[figbank.ProcessID]*schema.Member{},
+		listed:    map[figbank.Address][]*schema.Member{},
+		changed:   make(chan struct{}),
+		announced: make(chan struct{}),
 	}
 	fleet.Watch(func(*schema.Fleet) { v.tell() })
 	return v
@@ -97,9 +102,7 @@
 	material := v.registry.Announce(v.common.Clock.Now(), record)
 	moved := v.registry.Revision() != before
 	v.mu.Unlock()
-	if moved {
-		v.tell()
-	}
+	v.tellOf(material, moved)
 	return material
 }
 
@@ -133,30 +136,29 @@
 		v.fleet.Offer(update.GetFleet())
 	}
 	v.mu.Lock()
-	before, members := v.registry.Revision(), v.members
+	before := v.registry.Revision()
 	now := v.common.Clock.Now()
+	material := false
 	for _, record := range update.GetInstances() {
-		v.registry.Announce(now, record)
+		material = v.registry.Announce(now, record) || material
 	}
 	for _, state := range update.GetEngines() {
-		v.registry.HearEngine(state)
+		material = v.registry.HearEngine(state) || material
 	}
-	if update.GetHasMembers() {
+	if update.GetHasMembers() && !slices.EqualFunc(v.listed[from], update.GetMembers(), sameMember) {
 		v.listed[from] = update.GetMembers()
-		v.members++
+		material = true
 	}
-	changed := v.registry.Revision() != before || v.members != members
+	moved := v.registry.Revision() != before
 	v.mu.Unlock()
-	if changed {
-		v.tell()
-	}
+	v.tellOf(material, moved)
 }
 
 // join and leave keep the list of processes that are subscribed here.
 func (v *View) join(member *schema.Member) {
 	v.mu.Lock()
 	v.direct[figbank.ProcessID(member.GetId())] = member
-	v.members++
+	v.joins++
 	v.mu.Unlock()
 	v.tell()
 }
@@ -167,17 +169,39 @@
 	// A process that has already subscribed again stays.
 	if v.direct[id] == member {
 		delete(v.direct, id)
-		v.members++
+		v.joins++
 	}
 	v.mu.Unlock()
 	v.tell()
 }
 
+func sameMember(a, b *schema.Member) bool {
+	return a.GetId() == b.GetId() && a.GetRole() == b.GetRole() && a.GetAddress() == b.GetAddress()
+}
+
+// tellOf wakes those to whom the change matters.
+func (v *View) tellOf(material, moved bool) {
+	switch {
+	case material:
+		v.tell()
+	case moved:
+		v.mu.Lock()
+		v.renewAnnounced()
+		v.mu.Unlock()
+	}
+}
+
+func (v *View) renewAnnounced() {
+	close(v.announced)
+	v.announced = make(chan struct{})
+}
+
 // tell wakes all that wait for changes.
 func (v *View) tell() {
 	v.mu.Lock()
 	close(v.changed)
 	v.changed = make(chan struct{})
+	v.renewAnnounced()
 	watchers := v.watchers
 	v.mu.Unlock()
 	for _, watcher := range watchers {
@@ -185,9 +209,14 @@
 	}
 }
 
-func (v *View) change() <-chan struct{} {
+// change returns a channel that is closed at the next change that matters to
+// routing, or, for replicas, at the next announcement too.
+func (v *View) change(role schema.MemberRole) <-chan struct{} {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if role == schema.MemberRole_MEMBER_ROLE_REPLICA {
+		return v.announced
+	}
 	return v.changed
 }
 
