Agents stage the named weights and order their engines to start

Cause: empty upstreams earned nothing and the named version reached none. Change: staging decides, fetches through the swarm, stages, reads back, orders; engines' states go through the feed at once; rollout.MaySwitch keeps half of a failure domain in service.

--- a/app/platform.go
+++ b/app/platform.go
@@ -52,14 +52,20 @@
 func newSubscriber(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, role schema.MemberRole,
 	view *feed.View, pool *transport.Pool,
 ) *feed.Subscriber {
-	subscriber := feed.NewSubscriber(common, view, pool, &schema.Member{
-		Id: s.GetProcess().GetId(), Role: role, Address: s.GetProcess().GetListenProcesses(),
-		Region: s.GetProcess().GetRegion(), FailureDomain: s.GetProcess().GetFailureDomain(), Upstream: s.GetNode().GetUpstream(),
-	}, seedAddresses(s))
+	subscriber := feed.NewSubscriber(common, view, pool, memberOf(s, role), seedAddresses(s))
 	lifecycle.Append(fx.StopHook(subscriber.Close))
 	return subscriber
 }
 
+// memberOf is this process as others know it.
+func memberOf(s *schema.PlatformSettings, role schema.MemberRole) *schema.Member {
+	return &schema.Member{
+		Id: s.GetProcess().GetId(), Role: role, Address: s.GetProcess().GetListenProcesses(),
+		Region: s.GetProcess().GetRegion(), FailureDomain: s.GetProcess().GetFailureDomain(),
+		Upstream: s.GetNode().GetUpstream(), Service: s.GetNode().GetService(),
+	}
+}
+
 // seedAddresses are where the replicas at the seeds listen for other processes:
 // on the same port as this one.
 func seedAddresses(s *schema.PlatformSettings) []figbank.Address {
--- a/app/platformagent.go
+++ b/app/platformagent.go
@@ -1,24 +1,92 @@
 package app
 
 import (
+	"context"
+	"os"
+
 	"figbank"
 	"figbank/feed"
+	"figbank/platform"
 	"figbank/schema"
+	"figbank/staging"
+	"figbank/swarm"
+	"figbank/timeline"
+	"figbank/transfer"
+	"figbank/transport"
+	"figbank/upstream"
+	"figbank/weights"
 
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 )
 
+// piecesPattern names the folder of pieces, which does not outlive the process.
+const piecesPattern = "figbank-weights-*"
+
 // NewPlatformAgent wires an agent on a platform.
 func NewPlatformAgent(s *schema.PlatformSettings, file SettingsFile, options ...fx.Option) *fx.App {
 	return fx.New(
 		platformBase(s, schema.MemberRole_MEMBER_ROLE_AGENT),
-		fx.Supply(file),
-		fx.Invoke(watchSettings, servePlatformAgent),
+		fx.Supply(file, &transfer.Active{}),
+		fx.Provide(newUpstreamPool, newPieceStore),
+		fx.Invoke(watchSettings, servePieces, runStager),
 		fx.Options(options...),
 	)
 }
 
-func servePlatformAgent(common figbank.Common, s *schema.PlatformSettings, _ *feed.Subscriber) {
-	common.Log.Info("agent: started", zap.String("upstream", s.GetNode().GetUpstream()))
+// newPieceStore opens a store in a folder of this process's own.
+func newPieceStore(lifecycle fx.Lifecycle) (*weights.Store, error) {
+	folder, err := os.MkdirTemp("", piecesPattern)
+	if err != nil {
+		return nil, figbank.Fail("app", "PieceStore", err)
+	}
+	lifecycle.Append(fx.StopHook(func() error { return os.RemoveAll(folder) }))
+	return weights.OpenStore(folder, weights.WithoutSync())
+}
+
+func servePieces(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, store *weights.Store,
+	active *transfer.Active, recorder *timeline.Recorder,
+) error {
+	listener, err := listen(s.GetProcess().GetListenProcesses())
+	if err != nil {
+		return err
+	}
+	pieces := transfer.NewServer(common, store, active, int(s.GetWeights().GetChunksServed()))
+	server := transport.NewServer(common, listener, transport.Handlers{
+		schema.StreamKind_STREAM_KIND_HAVE:     pieces.ServeHave,
+		schema.StreamKind_STREAM_KIND_CHUNK:    pieces.ServeChunk,
+		schema.StreamKind_STREAM_KIND_MANIFEST: pieces.ServeManifest,
+		schema.StreamKind_STREAM_KIND_INSPECT:  recorder.Serve,
+	})
+	lifecycle.Append(fx.StopHook(server.Close))
+	return nil
+}
+
+func runStager(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, view *feed.View,
+	feeds *feed.Subscriber, pool *transport.Pool, connections *upstream.Pool, store *weights.Store, active *transfer.Active,
+) {
+	member := memberOf(s, schema.MemberRole_MEMBER_ROLE_AGENT)
+	w := s.GetWeights()
+	open := func(origin transfer.Origin, peers func() ([]swarm.Peer, <-chan struct{})) *transfer.Fetcher {
+		return transfer.NewFetcher(common, transfer.Settings{
+			Self: swarm.Peer{
+				ID: figbank.ProcessID(member.GetId()), Address: figbank.Address(member.GetAddress()),
+				Region: figbank.Region(member.GetRegion()), FailureDomain: figbank.FailureDomain(member.GetFailureDomain()),
+			},
+			InFlight: int(w.GetChunksInFlight()), StallTime: w.GetStallTime().AsDuration(),
+			OriginDelay: w.GetSettleTime().AsDuration(), Rate: figbank.Bytes(w.GetReceiveRate()),
+		}, store, active, pool, origin, peers)
+	}
+	stager := staging.New(common, staging.Settings{
+		Member: member, Service: figbank.ServiceName(s.GetNode().GetService()),
+		VersionTime: s.GetBounds().GetVersionTime().AsDuration(),
+	}, platform.NewEngine(connections, figbank.Address(s.GetNode().GetUpstream())), platform.NewOrigin(connections),
+		view, feeds, store, open)
+	ctx, cancel := context.WithCancel(context.Background())
+	go stager.Run(ctx)
+	common.Log.Info("agent: started", zap.String("engine", member.GetUpstream()), zap.String("service", member.GetService()))
+	lifecycle.Append(fx.StopHook(func() {
+		cancel()
+		common.Log.Info("agent: stopped")
+	}))
 }
--- /dev/null
+++ b/staging/stager.go
@@ -0,0 +1,397 @@
+package staging
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"maps"
+	"sync"
+	"time"
+
+	"figbank"
+	"figbank/feed"
+	"figbank/registry"
+	"figbank/rollout"
+	"figbank/schema"
+	"figbank/swarm"
+	"figbank/transfer"
+	"figbank/weights"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// lookInterval is how often the engine is asked for its state.
+	lookInterval = 100 * time.Millisecond
+	// noticeTime is how long gateways have to hear that an engine is switching.
+	noticeTime = 40 * time.Millisecond
+	// switchTime bounds one switch: running requests end first.
+	switchTime = 15 * time.Second
+	// stageTries is how often a piece that reads back wrong is staged again.
+	stageTries = 3
+	// strangePieces is how many staged pieces may be of another version before the
+	// rest is not looked at.
+	strangePieces = 2
+	// versionsKept is how many whole versions stay beside the newest.
+	versionsKept = 1
+	retryDelay   = 300 * time.Millisecond
+	// firstVersion is served before any other is named.
+	firstVersion = 1
+)
+
+type (
+	// Settings of a stager.
+	Settings struct {
+		// Member is this process; its Upstream is the engine's address.
+		Member  *schema.Member
+		Service figbank.ServiceName
+		// VersionTime is the bound after which no request begins on weights older
+		// than those named.
+		VersionTime time.Duration
+	}
+
+	// Stager drives one engine. Start it with Run.
+	Stager struct {
+		common   figbank.Common
+		settings Settings
+		engine   Engine
+		origin   Origin
+		view     *feed.View
+		feeds    *feed.Subscriber
+		store    *weights.Store
+		fetcher  *transfer.Fetcher
+
+		state     *schema.EngineState
+		collected collection
+		// rules are those in force, unpacked.
+		rules *schema.Traffic
+
+		mu sync.Mutex
+		// held are the versions whole on this host.
+		held map[Source]*weights.Version
+	}
+
+	// collection is the version that is being brought to this host.
+	collection struct {
+		source Source
+		cancel context.CancelFunc
+	}
+
+	// target is what the engine should serve.
+	target struct {
+		source Source
+		layers int64
+		// named is when the version was named, zero for the first.
+		named time.Time
+	}
+)
+
+// New returns a stager.
+func New(common figbank.Common, settings Settings, engine Engine, origin Origin, view *feed.View, feeds *feed.Subscriber,
+	store *weights.Store, open func(transfer.Origin, func() ([]swarm.Peer, <-chan struct{})) *transfer.Fetcher,
+) *Stager {
+	s := &Stager{
+		common: common.For("staging"), settings: settings, engine: engine, origin: origin, view: view, feeds: feeds, store: store,
+		state: &schema.EngineState{
+			Address: settings.Member.GetUpstream(), AgentStartUnixNano: common.Clock.Now().UnixNano(),
+		},
+		held: map[Source]*weights.Version{},
+	}
+	s.fetcher = open(newPieces(origin), newPeers(view, settings.Member).list)
+	return s
+}
+
+// Run drives the engine until ctx ends.
+func (s *Stager) Run(ctx context.Context) {
+	ticks, stop := s.common.Clock.Tick(lookInterval)
+	defer stop()
+	reachable := true
+	for {
+		report, err := s.engine.Report(ctx)
+		if (err == nil) != reachable {
+			reachable = err == nil
+			s.common.Log.Info("engine reachable", zap.Bool("reachable", reachable), zap.String("engine", s.settings.Member.GetUpstream()))
+		}
+		if err == nil {
+			s.publish(report, false)
+			s.step(ctx, report)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+		}
+	}
+}
+
+func (s *Stager) step(ctx context.Context, report Report) {
+	wanted, known := s.target()
+	if known && s.collected.source != wanted.source {
+		s.abandon()
+	}
+	held := s.whole(wanted.source)
+	situation := Situation{
+		Known: known, Loaded: report.Loaded.GetVersion(), Wanted: wanted.source.Version,
+		Layers: report.Loaded.GetLayers(), AllLayers: wanted.layers, Busy: report.Busy, Held: held != nil,
+	}
+	if known && held != nil && situation.Loaded != situation.Wanted {
+		situation.MaySwitch = s.maySwitch(wanted)
+	}
+	switch Decide(situation) {
+	case Collect, Seed:
+		s.collect(ctx, wanted.source)
+	case Switch:
+		s.switchTo(ctx, wanted, held, situation.Loaded > 0)
+	case Wait:
+	}
+}
+
+// target is the version that the engine should serve, and where it comes from.
+func (s *Stager) target() (target, bool) {
+	fleet := s.view.Fleet()
+	if s.rules == nil || s.rules.GetNumber() != fleet.GetTrafficNumber() {
+		s.rules = s.readRules(fleet)
+	}
+	var wanted target
+	for _, service := range s.rules.GetServices() {
+		if service.GetOrigin() != "" {
+			wanted.source.Address = figbank.Address(service.GetOrigin())
+		}
+		if service.GetName() == string(s.settings.Service) {
+			wanted.source.Model = service.GetEngine().GetModel()
+			wanted.layers = service.GetEngine().GetLayers()
+		}
+	}
+	wanted.source.Version = firstVersion
+	for _, named := range fleet.GetVersions() {
+		if named.GetModel() == wanted.source.Model {
+			wanted.source.Version = named.GetVersion()
+			wanted.named = time.Unix(0, named.GetNamedUnixNano())
+		}
+	}
+	return wanted, wanted.source.Address != "" && wanted.source.Model != ""
+}
+
+// maySwitch asks rollout, with what the registry tells of this failure domain.
+func (s *Stager) maySwitch(wanted target) bool {
+	var upstreams []rollout.Switching
+	for _, upstream := range s.view.Upstreams() {
+		if s.isNeighbour(upstream) {
+			upstreams = append(upstreams, rollout.Switching{
+				Old: upstream.Loaded.GetVersion() < wanted.source.Version, Out: upstream.Switching,
+				Self: upstream.Record.GetAddress() == s.settings.Member.GetUpstream(),
+			})
+		}
+	}
+	return rollout.MaySwitch(upstreams, s.common.Clock.Now().Sub(wanted.named), s.settings.VersionTime)
+}
+
+func (s *Stager) isNeighbour(upstream registry.Upstream) bool {
+	record := upstream.Record
+	return record.GetService() == string(s.settings.Service) &&
+		record.GetFailureDomain() == s.settings.Member.GetFailureDomain() &&
+		record.GetState() == schema.InstanceState_INSTANCE_STATE_READY && upstream.Loaded.GetVersion() > 0
+}
+
+// collect brings a version to this host in the background.
+func (s *Stager) collect(ctx context.Context, source Source) {
+	if s.collected.cancel != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx) //nolint:gosec // ended by abandon, or with the stager
+	s.collected = collection{source: source, cancel: cancel}
+	go func() {
+		for ctx.Err() == nil {
+			err := s.bring(ctx, source)
+			if err == nil {
+				return
+			}
+			s.common.Log.Warn("weights did not arrive", zap.Int64("version", source.Version), figbank.ErrorField(err))
+			select {
+			case <-ctx.Done():
+			case <-s.common.Clock.After(retryDelay):
+			}
+		}
+	}()
+}
+
+func (s *Stager) abandon() {
+	if s.collected.cancel != nil {
+		s.collected.cancel()
+	}
+	s.collected = collection{}
+}
+
+func (s *Stager) bring(ctx context.Context, source Source) error {
+	began := s.common.Clock.Now()
+	digests, err := s.origin.Digests(ctx, source)
+	if err != nil {
+		return err
+	}
+	content, digest, err := manifestOf(source, digests)
+	if err != nil {
+		return err
+	}
+	staged, err := s.takeStaged(ctx, source, content, digest)
+	if err != nil {
+		return err
+	}
+	whole, err := s.fetcher.FetchListed(withSource(ctx, source), content, digest)
+	if err != nil {
+		return err
+	}
+	s.keep(source, whole)
+	s.common.Log.Info("weights are whole", zap.Int64("version", source.Version), zap.Int("fromEngine", staged),
+		zap.Int("pieces", len(digests.SHA256)), zap.Duration("took", s.common.Clock.Now().Sub(began)))
+	return nil
+}
+
+// takeStaged keeps the pieces that the engine beside this agent still has.
+func (s *Stager) takeStaged(ctx context.Context, source Source, content []byte, digest figbank.ManifestDigest) (int, error) {
+	if s.store.Whole(digest) != nil {
+		return 0, nil
+	}
+	partial, err := s.store.Begin(content, digest)
+	if err != nil {
+		return 0, err
+	}
+	strange := 0
+	for i := range partial.Version().Manifest.GetChunks() {
+		piece, err := s.engine.Get(ctx, source.Model, i)
+		if err == nil {
+			err = partial.Put(figbank.ChunkIndex(i), piece)
+		}
+		if err != nil {
+			strange++
+		}
+		if strange > strangePieces {
+			break
+		}
+	}
+	return partial.Count(), nil
+}
+
+// keep remembers a whole version and drops those that nobody needs any more:
+// peers may still fetch the one before.
+func (s *Stager) keep(source Source, whole *weights.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held[source] = whole
+	maps.DeleteFunc(s.held, func(old Source, _ *weights.Version) bool {
+		return old.Version < source.Version-1
+	})
+	if err := s.store.Retain([]figbank.ManifestDigest{whole.Digest}, versionsKept); err != nil {
+		s.common.Log.Warn("old weights stay", figbank.ErrorField(err))
+	}
+}
+
+func (s *Stager) whole(source Source) *weights.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held[source]
+}
+
+// switchTo stages a version, orders the engine to start it, and waits until it
+// serves it.
+func (s *Stager) switchTo(ctx context.Context, wanted target, version *weights.Version, serving bool) {
+	ctx, cancel := context.WithTimeout(ctx, switchTime)
+	defer cancel()
+	began := s.common.Clock.Now()
+	if err := s.stage(ctx, wanted.source.Model, version); err != nil {
+		s.common.Log.Warn("staging failed", zap.Int64("version", wanted.source.Version), figbank.ErrorField(err))
+		return
+	}
+	report, err := s.engine.Report(ctx)
+	if err != nil || report.Busy {
+		return
+	}
+	if serving {
+		s.publish(report, true)
+		<-s.common.Clock.After(noticeTime)
+	}
+	err = s.engine.Start(ctx, wanted.source.Model, wanted.source.Version, report.Orders)
+	s.common.Log.Info("engine ordered to start", zap.Int64("version", wanted.source.Version), zap.Int64("from", report.Loaded.GetVersion()),
+		zap.Int64("running", report.Running), zap.Duration("staging", s.common.Clock.Now().Sub(began)), zap.Bool("accepted", err == nil))
+	if err != nil {
+		// The order may have been taken all the same; the next report tells.
+		s.common.Log.Warn("order failed", figbank.ErrorField(err))
+		<-s.common.Clock.After(retryDelay)
+		return
+	}
+	s.awaitSwitch(ctx, wanted.source.Version, report)
+}
+
+func (s *Stager) awaitSwitch(ctx context.Context, version int64, before Report) {
+	for ctx.Err() == nil {
+		<-s.common.Clock.After(lookInterval / 2)
+		report, err := s.engine.Report(ctx)
+		if err != nil {
+			continue
+		}
+		restarted := report.BornUnixMilli != before.BornUnixMilli
+		if report.Loaded.GetVersion() == version && !report.Busy || restarted || report.Orders > before.Orders && !report.Busy {
+			s.publish(report, false)
+			s.common.Log.Info("engine serves", zap.Int64("version", report.Loaded.GetVersion()), zap.Int64("layers", report.Loaded.GetLayers()))
+			return
+		}
+	}
+}
+
+// stage puts all pieces and reads them back, right before the order: the engine
+// loads what lies there, unchecked.
+func (s *Stager) stage(ctx context.Context, model string, version *weights.Version) error {
+	for i := range version.Manifest.GetChunks() {
+		if err := s.stagePiece(ctx, model, version, i); err != nil {
+			return err
+		}
+	}
+	for i := range version.Manifest.GetChunks() {
+		if !s.stagedWell(ctx, model, version, i) {
+			if err := s.stagePiece(ctx, model, version, i); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (s *Stager) stagePiece(ctx context.Context, model string, version *weights.Version, piece int) error {
+	content, err := version.ReadChunk(figbank.ChunkIndex(piece))
+	if err != nil {
+		return err
+	}
+	for range stageTries {
+		if err = s.engine.Put(ctx, model, piece, content); err != nil {
+			return err
+		}
+		if s.stagedWell(ctx, model, version, piece) {
+			return nil
+		}
+	}
+	return figbank.CorruptError{Subject: "staged piece", Detail: "it reads back wrong"}
+}
+
+func (s *Stager) stagedWell(ctx context.Context, model string, version *weights.Version, piece int) bool {
+	staged, err := s.engine.Get(ctx, model, piece)
+	if err != nil {
+		return false
+	}
+	sum := sha256.Sum256(staged)
+	return bytes.Equal(sum[:], version.Manifest.GetChunks()[piece].GetDigest())
+}
+
+// publish tells gateways and other agents what the engine holds, at once when
+// it has changed.
+func (s *Stager) publish(report Report, switching bool) {
+	old := s.state
+	same := old.GetBornUnixMilli() == report.BornUnixMilli && old.GetSwitching() == switching &&
+		old.GetLoaded().GetVersion() == report.Loaded.GetVersion() && old.GetLoaded().GetLayers() == report.Loaded.GetLayers()
+	if same && old.GetSequence() > 0 {
+		return
+	}
+	s.state = &schema.EngineState{
+		Address: old.GetAddress(), BornUnixMilli: report.BornUnixMilli, AgentStartUnixNano: old.GetAgentStartUnixNano(),
+		Sequence: old.GetSequence() + 1, Loaded: report.Loaded, Switching: switching,
+	}
+	s.feeds.SetEngine(s.state)
+}
--- a/swarm/plan.go
+++ b/swarm/plan.go
@@ -74,6 +74,9 @@
 		// StallTime is how long a region may go without a new chunk before the next
 		// in line goes to the origin.
 		StallTime time.Duration
+		// OriginDelay is how long peers have to say what they hold before this host
+		// goes to the origin.
+		OriginDelay time.Duration
 	}
 
 	// Plan is one host's view of one transfer. It is not safe for concurrent use.
@@ -111,7 +114,7 @@
 		inFlight: map[figbank.ChunkIndex]Fetch{},
 		peers:    map[figbank.ProcessID]*peer{},
 		copies:   make([]int, settings.Chunks),
-		progress: now,
+		progress: now, originUntil: now.Add(settings.OriginDelay),
 	}
 	p.rankLine()
 	return p
--- a/transfer/fetcher.go
+++ b/transfer/fetcher.go
@@ -39,10 +39,20 @@
 		InFlight  int
 		StallTime time.Duration
 		Settle    time.Duration
+		// OriginDelay is how long peers have to say what they hold before the origin is asked.
+		OriginDelay time.Duration
 		// Rate bounds the bytes received a second; 0 for no bound.
 		Rate figbank.Bytes
 	}
 
+	// Origin is a store of weights that has every version.
+	Origin interface {
+		// Manifest fetches a manifest's bytes; the caller checks them.
+		Manifest(ctx context.Context, digest figbank.ManifestDigest) ([]byte, error)
+		// Chunk fetches a chunk's bytes; the caller checks them.
+		Chunk(ctx context.Context, version *weights.Version, index figbank.ChunkIndex) ([]byte, error)
+	}
+
 	// Fetcher brings versions to this host, one at a time.
 	Fetcher struct {
 		common   figbank.Common
@@ -50,7 +60,7 @@
 		store    *weights.Store
 		active   *Active
 		pool     *transport.Pool
-		origin   *origin.Client
+		origin   Origin
 		limiter  *rate.Limiter
 		peers    func() ([]swarm.Peer, <-chan struct{})
 		random   *rand.Rand
@@ -70,7 +80,7 @@
 // NewFetcher returns a fetcher. Peers returns the present list of peers and a
 // channel that is closed when it changes.
 func NewFetcher(common figbank.Common, settings Settings, store *weights.Store, active *Active,
-	pool *transport.Pool, client *origin.Client, peers func() ([]swarm.Peer, <-chan struct{}),
+	pool *transport.Pool, client Origin, peers func() ([]swarm.Peer, <-chan struct{}),
 ) *Fetcher {
 	limit := rate.Inf
 	if settings.Rate > 0 {
@@ -96,6 +106,14 @@
 	if err != nil {
 		return nil, err
 	}
+	return f.FetchListed(ctx, content, digest)
+}
+
+// FetchListed is Fetch for a manifest whose bytes are known.
+func (f *Fetcher) FetchListed(ctx context.Context, content []byte, digest figbank.ManifestDigest) (*weights.Version, error) {
+	if whole := f.store.Whole(digest); whole != nil {
+		return whole, nil
+	}
 	partial, err := f.store.Begin(content, digest)
 	if err != nil {
 		return nil, err
@@ -142,7 +160,7 @@
 	now := f.common.Clock.Now()
 	plan := swarm.NewPlan(swarm.Settings{
 		Self: f.settings.Self, Chunks: len(partial.Version().Manifest.GetChunks()),
-		InFlight: f.settings.InFlight, StallTime: f.settings.StallTime,
+		InFlight: f.settings.InFlight, StallTime: f.settings.StallTime, OriginDelay: f.settings.OriginDelay,
 	}, f.random, now)
 	for _, index := range partial.Held() {
 		plan.Have(index, now)
--- a/weights/partial.go
+++ b/weights/partial.go
@@ -102,6 +102,9 @@
 			return nil, err
 		}
 	}
+	if p.store.volatile {
+		return p.enlist(p.version.Folder), nil
+	}
 	final := p.store.path(p.version.Digest)
 	if err := os.WriteFile(final+manifestSuffix, p.version.Content, fileMode); err != nil {
 		return nil, figbank.Fail("weights", "Seal", err)
@@ -115,11 +118,18 @@
 	if err := p.store.syncAll(); err != nil {
 		return nil, err
 	}
-	whole := &Version{Digest: p.version.Digest, Manifest: manifest, Content: p.version.Content, Folder: final, verified: true}
+	return p.enlist(final), nil
+}
+
+// enlist counts the version, which lies in folder, as whole.
+func (p *Partial) enlist(folder string) *Version {
+	whole := &Version{
+		Digest: p.version.Digest, Manifest: p.version.Manifest, Content: p.version.Content, Folder: folder, verified: true,
+	}
 	p.store.mu.Lock()
 	defer p.store.mu.Unlock()
 	p.store.whole[whole.Digest] = whole
-	return whole, nil
+	return whole
 }
 
 // lay creates all folders and files, the files at their full sizes.
--- a/weights/store.go
+++ b/weights/store.go
@@ -28,11 +28,16 @@
 	// for concurrent use.
 	Store struct {
 		folder string
+		// volatile stores do not outlive their process, so nothing is synced.
+		volatile bool
 
 		mu    sync.Mutex
 		whole map[figbank.ManifestDigest]*Version
 	}
 
+	// Option changes a Store under construction.
+	Option func(*Store)
+
 	// Version is a whole version on disk.
 	Version struct {
 		Digest   figbank.ManifestDigest
@@ -45,12 +50,20 @@
 	}
 )
 
+// WithoutSync is for folders that do not outlive the process.
+func WithoutSync() Option {
+	return func(s *Store) { s.volatile = true }
+}
+
 // OpenStore reads which versions a folder holds.
-func OpenStore(folder string) (*Store, error) {
+func OpenStore(folder string, options ...Option) (*Store, error) {
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, figbank.Fail("weights", "OpenStore", err, "folder", folder)
 	}
 	store := &Store{folder: folder, whole: map[figbank.ManifestDigest]*Version{}}
+	for _, option := range options {
+		option(store)
+	}
 	entries, err := os.ReadDir(folder)
 	if err != nil {
 		return nil, figbank.Fail("weights", "OpenStore", err, "folder", folder)
@@ -162,6 +175,9 @@
 }
 
 func (s *Store) remove(folder string) error {
+	if s.volatile {
+		return figbank.Fail("weights", "Remove", os.RemoveAll(folder), "folder", folder)
+	}
 	_ = os.Remove(folder + manifestSuffix)
 	// A half-removed folder must not pass for a whole one.
 	if err := os.Rename(folder, folder+partialSuffix); err != nil {
@@ -176,6 +192,9 @@
 		return figbank.Fail("weights", "Retain", err)
 	}
 	for _, entry := range entries {
+		if s.volatile {
+			break // whole versions keep the names of partial ones
+		}
 		name, partial := strings.CutSuffix(entry.Name(), partialSuffix)
 		if !partial || slices.Contains(named, figbank.ManifestDigest(digestPrefix+name)) {
 			continue
@@ -190,6 +209,9 @@
 // syncAll makes everything on the store's file system durable: one call in
 // place of one for each of thousands of files.
 func (s *Store) syncAll() error {
+	if s.volatile {
+		return nil
+	}
 	folder, err := os.Open(s.folder)
 	if err != nil {
 		return figbank.Fail("weights", "Sync", err)
