Keep weights out of the way of live answers, one copy from the origin

Cause: agents filled their 9.4 Mbit/s links with chunks, so events of streams reached callers over 120 ms late; three copies left a 15 Mbit/s origin. Change: sent and received weights are paced to a share of the link, requests for chunks wait their turn at a peer, each chunk leaves the origin once and one host a region brings it there. Streams log their longest pause.

--- a/app/agent.go
+++ b/app/agent.go
@@ -69,6 +69,7 @@
 		},
 		InFlight: int(w.GetChunksInFlight()), StallTime: w.GetStallTime().AsDuration(),
 		Settle: w.GetSettleTime().AsDuration(), Rate: figbank.Bytes(w.GetReceiveRate()),
+		OriginDelay: w.GetOriginDelay().AsDuration(), OneCopy: w.GetOneCopy(),
 	}, store, active, pool, origin.NewClient(w.GetOrigin()), peers.List)
 	return agentWeights{
 		Weights: agent.Weights{Store: store, Fetcher: fetcher, Active: active},
--- a/app/platformagent.go
+++ b/app/platformagent.go
@@ -8,6 +8,7 @@
 	"figbank/feed"
 	"figbank/platform"
 	"figbank/schema"
+	"figbank/settings"
 	"figbank/staging"
 	"figbank/swarm"
 	"figbank/timeline"
@@ -51,7 +52,8 @@
 	if err != nil {
 		return err
 	}
-	pieces := transfer.NewServer(common, store, active, int(s.GetWeights().GetChunksServed()))
+	pieces := transfer.NewServer(common, store, active, int(s.GetWeights().GetChunksServed()),
+		transfer.WithSendRate(settings.LinkBytes(s.GetWeights())))
 	server := transport.NewServer(common, listener, transport.Handlers{
 		schema.StreamKind_STREAM_KIND_HAVE:     pieces.ServeHave,
 		schema.StreamKind_STREAM_KIND_CHUNK:    pieces.ServeChunk,
@@ -74,7 +76,7 @@
 				Region: figbank.Region(member.GetRegion()), FailureDomain: figbank.FailureDomain(member.GetFailureDomain()),
 			},
 			InFlight: int(w.GetChunksInFlight()), StallTime: w.GetStallTime().AsDuration(),
-			OriginDelay: w.GetSettleTime().AsDuration(), Rate: figbank.Bytes(w.GetReceiveRate()),
+			OriginDelay: w.GetOriginDelay().AsDuration(), OneCopy: w.GetOneCopy(), Rate: settings.LinkBytes(w),
 		}, store, active, pool, origin, peers)
 	}
 	stager := staging.New(common, staging.Settings{
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -64,9 +64,12 @@
 		sent      int
 		lastEvent string
 		// held is a whole failed answer to pass on when no other try succeeds.
-		held     *heldAnswer
-		firstAt  time.Duration
-		upstream figbank.UpstreamID
+		held    *heldAnswer
+		firstAt time.Duration
+		// longestGap is the longest pause between two events.
+		longestGap  time.Duration
+		lastEventAt time.Time
+		upstream    figbank.UpstreamID
 	}
 )
 
@@ -221,7 +224,7 @@
 	target := targets[decision.Index]
 	target.takeCold(now)
 	r.log.Info("placed", zap.String("upstream", string(target.ID)), zap.Int("attempt", attempt),
-		zap.Int("outstanding", candidates[decision.Index].Outstanding), zap.Duration("predicted", decision.Predicted),
+		zap.Int("prompt", r.request.PromptTokens), zap.Int("outstanding", candidates[decision.Index].Outstanding), zap.Duration("predicted", decision.Predicted),
 		zap.Int64("version", target.Version), zap.Int("candidates", len(candidates)), zap.Uint64("table", uint64(table.Index)))
 	return target, nil
 }
@@ -300,7 +303,7 @@
 func (r *run) finished(err error) {
 	fields := []zap.Field{
 		zap.String("route", r.request.Route.GetName()), zap.String("upstream", string(r.upstream)),
-		zap.Int("sent", r.sent), zap.Duration("first", r.firstAt),
+		zap.Int("sent", r.sent), zap.Duration("first", r.firstAt), zap.Duration("longestGap", r.longestGap),
 		zap.Duration("total", r.common.Clock.Now().Sub(r.request.ReceivedAt)),
 	}
 	outcome := "answered"
--- a/dispatch/try.go
+++ b/dispatch/try.go
@@ -120,7 +120,7 @@
 		if err != nil {
 			return err
 		}
-		r.noteFirst()
+		r.noteEvent()
 		r.startEvents(answer)
 		if err := r.reply.Write(event); err != nil {
 			return err
@@ -169,6 +169,16 @@
 	}
 }
 
+// noteEvent keeps the longest pause between events.
+func (r *run) noteEvent() {
+	now := r.common.Clock.Now()
+	if r.firstAt > 0 {
+		r.longestGap = max(r.longestGap, now.Sub(r.lastEventAt))
+	}
+	r.lastEventAt = now
+	r.noteFirst()
+}
+
 func (h *heldAnswer) deliver(reply Reply) error {
 	reply.Head(h.status, h.header, int64(len(h.body)))
 	return reply.Write(h.body)
--- a/keyfile/decode.go
+++ b/keyfile/decode.go
@@ -104,6 +104,10 @@
 		number, detail := parseNumber(rule, text)
 		message.Set(field, protoreflect.ValueOfInt64(number))
 		return detail
+	case protoreflect.DoubleKind:
+		decimal, detail := parseDecimal(rule, text)
+		message.Set(field, protoreflect.ValueOfFloat64(decimal))
+		return detail
 	case protoreflect.MessageKind:
 		duration, detail := parseDuration(rule, text)
 		message.Set(field, protoreflect.ValueOfMessage(durationpb.New(duration).ProtoReflect()))
@@ -160,6 +164,14 @@
 	return number, checkRange(rule, float64(number), text)
 }
 
+func parseDecimal(rule *schema.KeyRule, text string) (decimal float64, detail string) {
+	decimal, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(decimal) || math.IsInf(decimal, 0) {
+		return 0, fmt.Sprintf("%q is not a number of %s", text, rule.GetUnit())
+	}
+	return decimal, checkRange(rule, decimal, text)
+}
+
 func parseBytes(text string) (int64, error) {
 	size, err := humanize.ParseBytes(text)
 	return int64(min(size, math.MaxInt64)), err //nolint:gosec // bounded by min
--- a/keyfile/reference.go
+++ b/keyfile/reference.go
@@ -45,7 +45,7 @@
 		return "Duration such as 250ms or 5s"
 	case field.Kind() == protoreflect.Int64Kind && rule.GetUnit() == unitBytes:
 		return "Size such as 64KiB"
-	case field.Kind() == protoreflect.Int64Kind:
+	case isNumber(field):
 		return "Number of " + rule.GetUnit()
 	case field.Kind() == protoreflect.BoolKind:
 		return "Truth value"
@@ -64,8 +64,12 @@
 	if field.Kind() == protoreflect.MessageKind {
 		return rangeText(rule) + " seconds"
 	}
-	if field.Kind() == protoreflect.Int64Kind {
+	if isNumber(field) {
 		return rangeText(rule)
 	}
 	return ""
 }
+
+func isNumber(field protoreflect.FieldDescriptor) bool {
+	return field.Kind() == protoreflect.Int64Kind || field.Kind() == protoreflect.DoubleKind
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -8,8 +8,12 @@
 	"figbank/schema"
 )
 
-// heartbeatsPerElection is the least ratio of election timeout to heartbeat.
-const heartbeatsPerElection = 3
+const (
+	// heartbeatsPerElection is the least ratio of election timeout to heartbeat.
+	heartbeatsPerElection = 3
+	bytesPerMegabit       = 1e6 / 8
+	percent               = 100
+)
 
 // checkGateway checks what no single key can tell.
 func checkGateway(file string, sections map[string]keyfile.Section, s *schema.GatewaySettings) []keyfile.Problem {
@@ -64,6 +68,12 @@
 	return problems
 }
 
+// LinkBytes is how many bytes of weights a second may use the host's link in
+// each direction, 0 for no bound.
+func LinkBytes(w *schema.WeightSettings) figbank.Bytes {
+	return figbank.Bytes(w.GetLinkRate() * bytesPerMegabit * float64(w.GetLinkShare()) / percent)
+}
+
 // RegionsOf returns the region of each failure domain.
 func RegionsOf(s *schema.PlatformSettings) map[figbank.FailureDomain]figbank.Region {
 	regions := map[figbank.FailureDomain]figbank.Region{}
--- a/swarm/plan.go
+++ b/swarm/plan.go
@@ -1,7 +1,9 @@
 // Package swarm decides which chunk a host fetches next, and from whom. One
 // host of each region, chosen by rendezvous hashing, takes a chunk from the
 // origin; the others take it from peers, the nearest first and the rarest chunk
-// first. The next in line goes to the origin when the region stalls.
+// first. The next in line goes to the origin when the region stalls. Where the
+// origin's link is the bottleneck, one host of all takes a chunk from the
+// origin, and one host of each other region brings it there.
 package swarm
 
 import (
@@ -77,6 +79,8 @@
 		// OriginDelay is how long peers have to say what they hold before this host
 		// goes to the origin.
 		OriginDelay time.Duration
+		// OneCopy is set when each chunk leaves the origin once, not once a region.
+		OneCopy bool
 	}
 
 	// Plan is one host's view of one transfer. It is not safe for concurrent use.
@@ -90,8 +94,11 @@
 		// copies counts the peers that hold each chunk.
 		copies []int
 		// progress is when the region last got a chunk that it did not have.
-		progress    time.Time
+		progress time.Time
+		// line is this host's place in the line to the origin, regionLine in the line
+		// of its region to other regions, for each chunk.
 		line        []int
+		regionLine  []int
 		originUntil time.Time
 		atOrigin    int
 	}
@@ -252,7 +259,7 @@
 	turns := int(now.Sub(p.progress) / p.settings.StallTime)
 	for chunk, place := range p.line {
 		index := figbank.ChunkIndex(chunk)
-		if place <= turns && p.wants(index) && !p.heldNear(index) {
+		if place <= turns && p.wants(index) && !p.heldNear(index) && !(p.settings.OneCopy && p.copies[chunk] > 0) {
 			return Fetch{Chunk: index}, true
 		}
 	}
@@ -260,13 +267,19 @@
 }
 
 // nextFromPeers picks the rarest chunk that some peer can give now, ties at
-// random. Peers in other regions are asked only when this region stalls.
+// random. Peers in other regions are asked when it is this host's turn to bring
+// the chunk into its region, or when this region stalls.
 func (p *Plan) nextFromPeers(now time.Time) (Fetch, bool) {
 	farthest := sameRegion
 	if now.Sub(p.progress) >= p.settings.StallTime {
 		farthest = elsewhere
 	}
 	ready := p.readyPeers(now, farthest)
+	if p.settings.OneCopy && farthest == sameRegion {
+		if fetch, found := p.nextFromFar(now); found {
+			return fetch, true
+		}
+	}
 	best, bestCopies, ties := -1, 0, 0
 	for chunk, copies := range p.copies {
 		index := figbank.ChunkIndex(chunk)
@@ -289,6 +302,22 @@
 	return Fetch{Chunk: figbank.ChunkIndex(best), Peer: source.ID, Address: source.Address}, true
 }
 
+// nextFromFar picks a chunk that no peer of this region holds and that it is
+// this host's turn to bring from another.
+func (p *Plan) nextFromFar(now time.Time) (Fetch, bool) {
+	ready := p.readyPeers(now, elsewhere)
+	turns := int(now.Sub(p.progress) / p.settings.StallTime)
+	for chunk, place := range p.regionLine {
+		index := figbank.ChunkIndex(chunk)
+		if place > turns || p.copies[chunk] == 0 || !p.wants(index) || p.heldNear(index) || !held(ready, chunk) {
+			continue
+		}
+		source := p.choose(ready, chunk)
+		return Fetch{Chunk: index, Peer: source.ID, Address: source.Address}, true
+	}
+	return Fetch{}, false
+}
+
 // readyPeers lists the peers that can be asked now, nearest first.
 func (p *Plan) readyPeers(now time.Time, farthest int) []*peer {
 	var ready []*peer
@@ -366,15 +395,21 @@
 	}
 }
 
-// rankLine computes, for each chunk, this host's place in its region's line to
-// the origin, by rendezvous hashing.
+// rankLine computes, for each chunk, this host's places in line, by rendezvous
+// hashing.
 func (p *Plan) rankLine() {
 	p.line = make([]int, p.settings.Chunks)
+	p.regionLine = make([]int, p.settings.Chunks)
 	for chunk := range p.line {
 		own := rank(p.settings.Self.ID, chunk)
 		for _, other := range p.peers {
-			if other.Region == p.settings.Self.Region && rank(other.ID, chunk) > own {
-				p.line[chunk]++
+			near := other.Region == p.settings.Self.Region
+			if !near && !p.settings.OneCopy || rank(other.ID, chunk) <= own {
+				continue
+			}
+			p.line[chunk]++
+			if near {
+				p.regionLine[chunk]++
 			}
 		}
 	}
--- a/transfer/fetcher.go
+++ b/transfer/fetcher.go
@@ -41,6 +41,8 @@
 		Settle    time.Duration
 		// OriginDelay is how long peers have to say what they hold before the origin is asked.
 		OriginDelay time.Duration
+		// OneCopy is set when each chunk leaves the origin once, not once a region.
+		OneCopy bool
 		// Rate bounds the bytes received a second; 0 for no bound.
 		Rate figbank.Bytes
 	}
@@ -161,10 +163,12 @@
 	plan := swarm.NewPlan(swarm.Settings{
 		Self: f.settings.Self, Chunks: len(partial.Version().Manifest.GetChunks()),
 		InFlight: f.settings.InFlight, StallTime: f.settings.StallTime, OriginDelay: f.settings.OriginDelay,
+		OneCopy: f.settings.OneCopy,
 	}, f.random, now)
 	for _, index := range partial.Held() {
 		plan.Have(index, now)
 	}
+	f.limiter.SetBurst(largestChunk(partial))
 	inbox := make(chan news, newsLength)
 	watched := map[figbank.Address]context.CancelFunc{}
 	changed := f.updatePeers(ctx, plan, partial, watched, inbox)
@@ -183,6 +187,16 @@
 	return nil
 }
 
+// largestChunk is the burst that the rate has to allow; a larger one would fill
+// the link's queue, where live answers wait too.
+func largestChunk(partial *weights.Partial) int {
+	largest := int64(1)
+	for _, chunk := range partial.Version().Manifest.GetChunks() {
+		largest = max(largest, weights.ChunkLength(chunk))
+	}
+	return int(largest)
+}
+
 func (f *Fetcher) updatePeers(ctx context.Context, plan *swarm.Plan, partial *weights.Partial, watched map[figbank.Address]context.CancelFunc, inbox chan<- news) <-chan struct{} {
 	peers, changed := f.peers()
 	plan.SetPeers(peers)
--- a/transfer/server.go
+++ b/transfer/server.go
@@ -10,13 +10,19 @@
 	"figbank/schema"
 	"figbank/transport"
 	"figbank/weights"
+
+	"golang.org/x/time/rate"
 )
 
 const (
 	// partSize is how much of a chunk one message carries.
 	partSize = 64 << 10
+	// pacedPartSize is the same where the rate of sending is bounded.
+	pacedPartSize = 8 << 10
 	// haveInterval is how often a peer is told of new chunks.
-	haveInterval = 50 * time.Millisecond
+	haveInterval = 20 * time.Millisecond
+	// slotWait is how long a request for a chunk waits for its turn.
+	slotWait = 150 * time.Millisecond
 )
 
 type (
@@ -26,8 +32,13 @@
 		store  *weights.Store
 		active *Active
 		slots  chan struct{}
+		// limiter paces what is sent, so that it does not fill the link's queue.
+		limiter *rate.Limiter
 	}
 
+	// Option changes a Server under construction.
+	Option func(*Server)
+
 	// holding is a version, whole or in transfer, from which chunks can be read.
 	holding struct {
 		version *weights.Version
@@ -35,13 +46,26 @@
 	}
 )
 
+// WithSendRate bounds the bytes of weights sent a second; 0 for no bound.
+func WithSendRate(perSecond figbank.Bytes) Option {
+	return func(s *Server) {
+		if perSecond > 0 {
+			s.limiter = rate.NewLimiter(rate.Limit(perSecond), pacedPartSize)
+		}
+	}
+}
+
 // NewServer returns a server that gives at most slots chunks at once.
-func NewServer(common figbank.Common, store *weights.Store, active *Active, slots int) *Server {
-	return &Server{common: common.For("transfer"), store: store, active: active, slots: make(chan struct{}, slots)}
+func NewServer(common figbank.Common, store *weights.Store, active *Active, slots int, options ...Option) *Server {
+	s := &Server{common: common.For("transfer"), store: store, active: active, slots: make(chan struct{}, slots)}
+	for _, option := range options {
+		option(s)
+	}
+	return s
 }
 
 // ServeManifest answers with a manifest's bytes, or says that it is missing.
-func (s *Server) ServeManifest(_ context.Context, _ figbank.ProcessID, stream *transport.Stream) {
+func (s *Server) ServeManifest(ctx context.Context, _ figbank.ProcessID, stream *transport.Stream) {
 	request := &schema.ManifestRequest{}
 	if err := stream.Receive(request); err != nil {
 		return
@@ -51,11 +75,11 @@
 		_ = stream.Send(&schema.ChunkPart{Missing: true, Last: true})
 		return
 	}
-	sendParts(stream, h.version.Content)
+	s.sendParts(ctx, stream, h.version.Content)
 }
 
 // ServeChunk answers with a chunk's bytes, or says busy or missing.
-func (s *Server) ServeChunk(_ context.Context, _ figbank.ProcessID, stream *transport.Stream) {
+func (s *Server) ServeChunk(ctx context.Context, _ figbank.ProcessID, stream *transport.Stream) {
 	request := &schema.ChunkRequest{}
 	if err := stream.Receive(request); err != nil {
 		return
@@ -63,7 +87,9 @@
 	select {
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
-	default:
+	case <-ctx.Done():
+		return
+	case <-s.common.Clock.After(slotWait):
 		_ = stream.Send(&schema.ChunkPart{Busy: true, Last: true})
 		return
 	}
@@ -78,7 +104,7 @@
 		_ = stream.Send(&schema.ChunkPart{Missing: true, Last: true})
 		return
 	}
-	sendParts(stream, content)
+	s.sendParts(ctx, stream, content)
 }
 
 // ServeHave tells a peer which chunks of a version this host holds, and then of
@@ -145,9 +171,16 @@
 	return h.partial.Has(index)
 }
 
-func sendParts(stream *transport.Stream, content []byte) {
+func (s *Server) sendParts(ctx context.Context, stream *transport.Stream, content []byte) {
+	size := partSize
+	if s.limiter != nil {
+		size = pacedPartSize
+	}
 	for {
-		n := min(partSize, len(content))
+		n := min(size, len(content))
+		if s.limiter != nil && s.limiter.WaitN(ctx, n) != nil {
+			return
+		}
 		part := &schema.ChunkPart{Data: content[:n], Last: n == len(content)}
 		if err := stream.Send(part); err != nil || part.GetLast() {
 			return
