Switch versions in thirds, draining while the last pieces arrive

Cause: half of a failure domain left at once, and an engine that had switched was still announced as draining until three seconds after its drain began. Change: waves of a third, drain from half of the pieces on, and a switched engine serves at once.

--- a/app/platformagent.go
+++ b/app/platformagent.go
@@ -83,7 +83,7 @@
 		Member: member, Service: figbank.ServiceName(s.GetNode().GetService()),
 		VersionTime: s.GetBounds().GetVersionTime().AsDuration(),
 	}, platform.NewEngine(connections, figbank.Address(s.GetNode().GetUpstream())), platform.NewOrigin(connections),
-		view, feeds, store, open)
+		view, feeds, store, active, open)
 	ctx, cancel := context.WithCancel(context.Background())
 	go stager.Run(ctx)
 	common.Log.Info("agent: started", zap.String("engine", member.GetUpstream()), zap.String("service", member.GetService()))
--- a/rollout/wave.go
+++ b/rollout/wave.go
@@ -2,9 +2,13 @@
 
 import "time"
 
-// lastCall is how long before the bound every upstream may switch, whatever the
-// others do.
-const lastCall = 2500 * time.Millisecond
+const (
+	// lastCall is how long before the bound every upstream may switch, whatever the
+	// others do.
+	lastCall = 1700 * time.Millisecond
+	// waves is in how many parts a failure domain switches.
+	waves = 3
+)
 
 // Switching is the state of one upstream of a failure domain, during a change of
 // version.
@@ -18,10 +22,10 @@
 }
 
 // MaySwitch tells whether an upstream may leave service to switch version now,
-// so that capacity stays: at most half of a failure domain is out at once, in
-// the order of the list, which is the same for all that ask. It answers a
-// version change at saturation, where a switch of all at once would refuse
-// every request for as long as the longest running one lasts.
+// so that capacity stays: at most a third of a failure domain, rounded up, is
+// out at once, in the order of the list, which is the same for all that ask. It
+// answers a version change at saturation, where a switch of all at once would
+// refuse every request for as long as the longest running one lasts.
 func MaySwitch(upstreams []Switching, sinceNamed, bound time.Duration) bool {
 	if sinceNamed >= bound-lastCall {
 		return true
@@ -38,5 +42,5 @@
 			before++
 		}
 	}
-	return out+before < max(1, len(upstreams)/2)
+	return out+before < (len(upstreams)+waves-1)/waves
 }
--- a/rollout/wave_test.go
+++ b/rollout/wave_test.go
@@ -15,8 +15,9 @@
 		want      bool
 	}{
 		{name: "first in line", upstreams: []Switching{self, old, old, old}, want: true},
-		{name: "half is before it", upstreams: []Switching{old, old, self, old}},
-		{name: "half is out", upstreams: []Switching{self, old, out, out}},
+		{name: "a third, rounded up, is before it", upstreams: []Switching{old, old, self, old}},
+		{name: "a third, rounded up, is out", upstreams: []Switching{self, old, out, out}},
+		{name: "a third of five is two", upstreams: []Switching{old, self, old, old, old}, want: true},
 		{name: "those before it are done", upstreams: []Switching{done, done, self, old}, want: true},
 		{name: "alone", upstreams: []Switching{self}, want: true},
 		{name: "time is nearly over", upstreams: []Switching{out, out, self, old}, since: bound - lastCall, want: true},
--- a/staging/decide.go
+++ b/staging/decide.go
@@ -8,10 +8,16 @@
 	Collect
 	// Seed keeps the pieces that the engine already has, for other hosts.
 	Seed
+	// Drain lets running requests end while the last pieces arrive.
+	Drain
 	// Switch stages the wanted version and orders the engine to start it.
 	Switch
 )
 
+// drainShare is how much of a version is here when the engine begins to drain:
+// the rest takes about as long to arrive as running requests take to end.
+const drainShare = 0.5
+
 type (
 	// Action is a decision.
 	Action int
@@ -27,6 +33,8 @@
 		Layers, AllLayers int64
 		// Busy engines are carrying out an order.
 		Busy bool
+		// HeldShare is the part of the wanted version that this host holds, 0 to 1.
+		HeldShare float64
 		// Held is set when this host holds the whole wanted version.
 		Held bool
 		// MaySwitch is set when the others leave enough capacity.
@@ -45,6 +53,8 @@
 		return Seed
 	case serving:
 		return Wait
+	case !s.Held && s.Loaded > 0 && s.MaySwitch && s.HeldShare >= drainShare:
+		return Drain
 	case !s.Held:
 		return Collect
 	case s.Busy:
--- a/staging/stager.go
+++ b/staging/stager.go
@@ -25,6 +25,9 @@
 	lookInterval = 100 * time.Millisecond
 	// noticeTime is how long gateways have to hear that an engine is switching.
 	noticeTime = 40 * time.Millisecond
+	// drainTime is how long an engine may be out of service before its weights are
+	// whole here.
+	drainTime = 3 * time.Second
 	// switchTime bounds one switch: running requests end first.
 	switchTime = 15 * time.Second
 	// stageTries is how often a piece that reads back wrong is staged again.
@@ -59,10 +62,14 @@
 		view     *feed.View
 		feeds    *feed.Subscriber
 		store    *weights.Store
+		active   *transfer.Active
 		fetcher  *transfer.Fetcher
 
 		state     *schema.EngineState
 		collected collection
+		// drainedAt is when the engine was taken out of service for the version under
+		// way, once a version.
+		drainedAt time.Time
 		// rules are those in force, unpacked.
 		rules *schema.Traffic
 
@@ -88,10 +95,10 @@
 
 // New returns a stager.
 func New(common figbank.Common, settings Settings, engine Engine, origin Origin, view *feed.View, feeds *feed.Subscriber,
-	store *weights.Store, open func(transfer.Origin, func() ([]swarm.Peer, <-chan struct{})) *transfer.Fetcher,
+	store *weights.Store, active *transfer.Active, open func(transfer.Origin, func() ([]swarm.Peer, <-chan struct{})) *transfer.Fetcher,
 ) *Stager {
 	s := &Stager{
-		common: common.For("staging"), settings: settings, engine: engine, origin: origin, view: view, feeds: feeds, store: store,
+		common: common.For("staging"), settings: settings, engine: engine, origin: origin, view: view, feeds: feeds, store: store, active: active,
 		state: &schema.EngineState{
 			Address: settings.Member.GetUpstream(), AgentStartUnixNano: common.Clock.Now().UnixNano(),
 		},
@@ -113,7 +120,7 @@
 			s.common.Log.Info("engine reachable", zap.Bool("reachable", reachable), zap.String("engine", s.settings.Member.GetUpstream()))
 		}
 		if err == nil {
-			s.publish(report, false)
+			s.publish(report, s.draining(report))
 			s.step(ctx, report)
 		}
 		select {
@@ -134,12 +141,15 @@
 		Known: known, Loaded: report.Loaded.GetVersion(), Wanted: wanted.source.Version,
 		Layers: report.Loaded.GetLayers(), AllLayers: wanted.layers, Busy: report.Busy, Held: held != nil,
 	}
-	if known && held != nil && situation.Loaded != situation.Wanted {
+	situation.HeldShare = s.heldShare()
+	if known && situation.Loaded != situation.Wanted {
 		situation.MaySwitch = s.maySwitch(wanted)
 	}
 	switch Decide(situation) {
 	case Collect, Seed:
 		s.collect(ctx, wanted.source)
+	case Drain:
+		s.drain(report)
 	case Switch:
 		s.switchTo(ctx, wanted, held, situation.Loaded > 0)
 	case Wait:
@@ -193,6 +203,32 @@
 		record.GetState() == schema.InstanceState_INSTANCE_STATE_READY && upstream.Loaded.GetVersion() > 0
 }
 
+// heldShare is how much of the version under way is here.
+func (s *Stager) heldShare() float64 {
+	held, total := s.active.Progress()
+	if total == 0 {
+		return 0
+	}
+	return float64(held) / float64(total)
+}
+
+// drain takes the engine out of service before its weights are whole here.
+func (s *Stager) drain(report Report) {
+	if !s.drainedAt.IsZero() {
+		return
+	}
+	s.drainedAt = s.common.Clock.Now()
+	s.common.Log.Info("engine drains", zap.Float64("heldShare", s.heldShare()), zap.Int64("running", report.Running))
+	s.publish(report, true)
+}
+
+// draining tells whether the engine is still out of service for the weights
+// under way. When they do not come, it serves again.
+func (s *Stager) draining(report Report) bool {
+	waits := report.Loaded.GetVersion() > 0 && report.Loaded.GetVersion() < s.collected.source.Version
+	return waits && !s.drainedAt.IsZero() && s.common.Clock.Now().Sub(s.drainedAt) < drainTime
+}
+
 // collect brings a version to this host in the background.
 func (s *Stager) collect(ctx context.Context, source Source) {
 	if s.collected.cancel != nil {
@@ -216,6 +252,7 @@
 }
 
 func (s *Stager) abandon() {
+	s.drainedAt = time.Time{}
 	if s.collected.cancel != nil {
 		s.collected.cancel()
 	}
@@ -305,7 +342,7 @@
 	if err != nil || report.Busy {
 		return
 	}
-	if serving {
+	if serving && !s.state.GetSwitching() {
 		s.publish(report, true)
 		<-s.common.Clock.After(noticeTime)
 	}
