Share loads inside a failure domain, keep each version's bound

Cause: gateways saw only their own requests and late counts, so upstreams queued for seconds; a version named soon after another reset the bound of the first; a transfer waited for one slow host's last chunk. Change: gateways of a failure domain tell each other their loads ten times a second; the ledger keeps the last eight named versions, each with its bound; a host with nothing left to fetch takes the turn of a slow one.

--- a/app/platformgateway.go
+++ b/app/platformgateway.go
@@ -8,9 +8,11 @@
 	"figbank"
 	"figbank/dispatch"
 	"figbank/feed"
+	"figbank/loadshare"
 	"figbank/platform"
 	"figbank/schema"
 	"figbank/settings"
+	"figbank/timeline"
 	"figbank/transport"
 	"figbank/upstream"
 
@@ -31,7 +33,7 @@
 		platformBase(s, schema.MemberRole_MEMBER_ROLE_GATEWAY),
 		fx.Supply(file, &stopFlag{}),
 		fx.Provide(newUpstreamPool, newDispatcher),
-		fx.Invoke(watchSettings, serveReadiness, servePlatformCallers),
+		fx.Invoke(watchSettings, shareLoad, serveReadiness, servePlatformCallers),
 		fx.Options(options...),
 	)
 }
@@ -59,6 +61,28 @@
 	return dispatcher
 }
 
+// shareLoad tells the other gateways of the failure domain what this one holds.
+func shareLoad(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, d *dispatch.Dispatcher,
+	view *feed.View, pool *transport.Pool, recorder *timeline.Recorder,
+) error {
+	listener, err := listen(s.GetProcess().GetListenProcesses())
+	if err != nil {
+		return err
+	}
+	share := loadshare.New(common, d, view, pool, memberOf(s, schema.MemberRole_MEMBER_ROLE_GATEWAY))
+	server := transport.NewServer(common, listener, transport.Handlers{
+		schema.StreamKind_STREAM_KIND_LOAD:    share.Serve,
+		schema.StreamKind_STREAM_KIND_INSPECT: recorder.Serve,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go share.Run(ctx)
+	lifecycle.Append(fx.StopHook(func() {
+		cancel()
+		server.Close()
+	}))
+	return nil
+}
+
 func serveReadiness(lifecycle fx.Lifecycle, s *schema.PlatformSettings, d *dispatch.Dispatcher, stopping *stopFlag) error {
 	ready := func() bool { return d.Table() != nil && !stopping.Load() }
 	return serveHTTP(lifecycle, s.GetNode().GetListenReadiness(), platform.ReadinessHandler(ready))
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -49,8 +49,8 @@
 		stop      context.CancelFunc
 		group     sync.WaitGroup
 
-		named   map[string]time.Time
-		numbers map[string]int64
+		// named is when each version was first heard of.
+		named map[Version]time.Time
 	}
 
 	// run is one request on its way.
@@ -80,7 +80,7 @@
 		common: common.For("dispatch"), settings: settings, transport: transport, view: view,
 		budget:  retry.NewBudget(int64(retryShare * float64(settings.RetryPercent))),
 		rebuild: make(chan struct{}, 1), stop: stop,
-		named: map[string]time.Time{}, numbers: map[string]int64{},
+		named: map[Version]time.Time{},
 	}
 	view.Watch(func() {
 		select {
@@ -140,7 +140,7 @@
 	}))
 	if previous == nil || previous.Index != figbank.CommitIndex(fleet.GetCommitIndex()) {
 		d.common.Log.Info("fleet in force", zap.Uint64("commit", fleet.GetCommitIndex()), zap.Int64("rules", rules.Number()),
-			zap.Strings("evacuated", fleet.GetEvacuated()), zap.Any("versions", d.numbers))
+			zap.Strings("evacuated", fleet.GetEvacuated()))
 	}
 }
 
@@ -156,12 +156,13 @@
 	return traffic.NewTable(rules), nil
 }
 
-// noteNamed remembers when each model's version was first heard of.
+// noteNamed remembers when each version was first heard of.
 func (d *Dispatcher) noteNamed(fleet *schema.Fleet, now time.Time) {
-	for _, version := range fleet.GetVersions() {
-		if d.numbers[version.GetModel()] != version.GetVersion() {
-			d.numbers[version.GetModel()] = version.GetVersion()
-			d.named[version.GetModel()] = now
+	for _, named := range fleet.GetVersions() {
+		version := Version{Model: named.GetModel(), Number: named.GetVersion()}
+		if _, found := d.named[version]; !found {
+			d.named[version] = now
+			d.common.Log.Info("version named", zap.String("model", version.Model), zap.Int64("version", version.Number))
 		}
 	}
 }
@@ -245,9 +246,13 @@
 		if target.Near {
 			delay = delayNear
 		}
+		outstanding := target.Load.Outstanding(now)
+		if target.Engine != nil && target.old(now.Add(target.Engine.First(outstanding, r.request.PromptTokens))) {
+			continue
+		}
 		targets = append(targets, target)
 		candidates = append(candidates, placement.Candidate{
-			Outstanding: target.Load.Outstanding(now), Slots: target.Slots, Engine: target.Engine,
+			Outstanding: outstanding, Slots: target.Slots, Engine: target.Engine,
 			Near: target.Near, Delay: delay + target.Load.Penalty(), Full: !target.bears(now),
 		})
 	}
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -64,6 +64,12 @@
 		Load        *Load
 	}
 
+	// Version is a version of a model's weights.
+	Version struct {
+		Model  string
+		Number int64
+	}
+
 	loadKey struct {
 		id   figbank.UpstreamID
 		born int64
@@ -74,8 +80,8 @@
 		Fleet     *schema.Fleet
 		Traffic   *traffic.Table
 		Upstreams []registry.Upstream
-		// Named is when this process heard of each model's version.
-		Named map[string]time.Time
+		// Named is when this process heard of each named version.
+		Named map[Version]time.Time
 		// Gateways is how many gateways share the upstreams.
 		Gateways int
 		Now      time.Time
@@ -162,28 +168,32 @@
 	return target
 }
 
-// oldAfter is when the target's weights become older than a named version allows.
+// oldAfter is when the target's weights become older than the first named
+// version that it lacks allows.
 func oldAfter(place Place, sources Sources, target *Target) time.Time {
+	var earliest time.Time
 	for _, named := range sources.Fleet.GetVersions() {
 		if named.GetModel() != target.Model || named.GetVersion() <= target.Version {
 			continue
 		}
-		bound := place.VersionTime - versionMargin
-		heard := sources.Named[named.GetModel()].Add(bound)
-		// Who hears late, for instance after a restart, goes by the time of day.
-		told := time.Unix(0, named.GetNamedUnixNano()).Add(bound)
-		if told.Before(heard) {
-			return told
+		// Who heard late, for instance after a restart, goes by the time of day.
+		since := time.Unix(0, named.GetNamedUnixNano())
+		heard := sources.Named[Version{Model: named.GetModel(), Number: named.GetVersion()}]
+		if heard.Before(since) {
+			since = heard
+		}
+		bound := since.Add(place.VersionTime - versionMargin)
+		if earliest.IsZero() || bound.Before(earliest) {
+			earliest = bound
 		}
-		return heard
 	}
-	return time.Time{}
+	return earliest
 }
 
 // ready tells whether the target may get a request now.
 func (t *Target) ready(now time.Time) bool {
 	switch {
-	case !t.OldAfter.IsZero() && now.After(t.OldAfter):
+	case t.old(now):
 		return false
 	case t.Silent && !t.Load.succeededWithin(now, silentTrust):
 		return false
@@ -193,6 +203,11 @@
 	return !t.Load.Paused(now)
 }
 
+// old tells whether a request that begins then would find weights that are too old.
+func (t *Target) old(then time.Time) bool {
+	return !t.OldAfter.IsZero() && then.After(t.OldAfter)
+}
+
 // bears tells whether a cold target bears one more request.
 func (t *Target) bears(now time.Time) bool {
 	return !now.Before(t.ColdUntil) || t.Load.cold.open(now, t.ColdPerSecond)
--- a/ledger/fleet.go
+++ b/ledger/fleet.go
@@ -1,12 +1,17 @@
 package ledger
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
+	"figbank/rollout"
 	"figbank/schema"
 )
 
+// versionsNamed is how many named versions of a model are remembered.
+const versionsNamed = 8
+
 // publishTraffic puts traffic rules in force unless rules with as high a number
 // already are. Either way the offer is accepted, since offers may be sent again.
 func (s *State) publishTraffic(offer *schema.PublishTraffic) *schema.Result {
@@ -38,25 +43,38 @@
 	return &schema.Result{CommitIndex: s.applied}
 }
 
-// nameVersion names newer weights of a model; an older or equal version changes nothing.
+// nameVersion names newer weights of a model; an older or equal version changes
+// nothing. The versions before stay, since each has its own bound for the
+// requests that begin on older ones.
 func (s *State) nameVersion(named *schema.NameVersion) *schema.Result {
 	next := s.nextFleet()
 	version := &schema.NamedVersion{Model: named.GetModel(), Version: named.GetVersion(), NamedUnixNano: s.now.UnixNano()}
-	i, found := slices.BinarySearchFunc(next.Versions, version, func(a, b *schema.NamedVersion) int {
-		return strings.Compare(a.GetModel(), b.GetModel())
+	i, _ := slices.BinarySearchFunc(next.Versions, version, func(a, b *schema.NamedVersion) int {
+		return cmp.Or(strings.Compare(a.GetModel(), b.GetModel()), cmp.Compare(a.GetVersion(), b.GetVersion()))
 	})
-	switch {
-	case found && next.Versions[i].GetVersion() >= named.GetVersion():
+	newest := rollout.Newest(next.Versions, named.GetModel())
+	if newest.GetVersion() >= named.GetVersion() {
 		return &schema.Result{CommitIndex: s.fleet.GetCommitIndex()}
-	case found:
-		next.Versions[i] = version
-	default:
-		next.Versions = slices.Insert(next.Versions, i, version)
 	}
+	next.Versions = dropOldest(slices.Insert(next.Versions, i, version), named.GetModel())
 	s.fleet = next
 	return &schema.Result{CommitIndex: s.applied}
 }
 
+// dropOldest keeps the newest versions of a model.
+func dropOldest(versions []*schema.NamedVersion, model string) []*schema.NamedVersion {
+	kept := 0
+	for i := len(versions) - 1; i >= 0; i-- {
+		if versions[i].GetModel() != model {
+			continue
+		}
+		if kept++; kept > versionsNamed {
+			versions = slices.Delete(versions, i, i+1)
+		}
+	}
+	return versions
+}
+
 // readTraffic answers with the document in force at this place of the log.
 func (s *State) readTraffic() *schema.Result {
 	return &schema.Result{CommitIndex: s.applied, PackedDocument: s.document}
--- a/staging/stager.go
+++ b/staging/stager.go
@@ -173,11 +173,9 @@
 		}
 	}
 	wanted.source.Version = firstVersion
-	for _, named := range fleet.GetVersions() {
-		if named.GetModel() == wanted.source.Model {
-			wanted.source.Version = named.GetVersion()
-			wanted.named = time.Unix(0, named.GetNamedUnixNano())
-		}
+	if named := rollout.Newest(fleet.GetVersions(), wanted.source.Model); named != nil {
+		wanted.source.Version = named.GetVersion()
+		wanted.named = time.Unix(0, named.GetNamedUnixNano())
 	}
 	return wanted, wanted.source.Address != "" && wanted.source.Model != ""
 }
--- a/swarm/plan.go
+++ b/swarm/plan.go
@@ -28,6 +28,9 @@
 	busyDelay = 100 * time.Millisecond
 	lostDelay = 2 * time.Second
 	badDelay  = time.Minute
+	// idleTurn is how long a host that has nothing else to fetch waits for each
+	// place before it in line: those may be slow although the region progresses.
+	idleTurn = 250 * time.Millisecond
 	// originDelay is how long the origin is left alone after a failure.
 	originDelay = time.Second
 )
@@ -95,6 +98,8 @@
 		copies []int
 		// progress is when the region last got a chunk that it did not have.
 		progress time.Time
+		// idleSince is when this host last had nothing to fetch, zero while it has.
+		idleSince time.Time
 		// line is this host's place in the line to the origin, regionLine in the line
 		// of its region to other regions, for each chunk.
 		line        []int
@@ -239,8 +244,10 @@
 		fetch, found = p.nextFromPeers(now)
 	}
 	if !found {
+		p.noteIdle(now)
 		return Fetch{}, false
 	}
+	p.idleSince = time.Time{}
 	p.inFlight[fetch.Chunk] = fetch
 	if fetch.Peer == "" {
 		p.atOrigin++
@@ -250,13 +257,29 @@
 	return fetch, true
 }
 
+// noteIdle remembers since when nothing could be fetched or was on its way.
+func (p *Plan) noteIdle(now time.Time) {
+	if len(p.inFlight) == 0 && p.idleSince.IsZero() {
+		p.idleSince = now
+	}
+}
+
+// turns is how many places before this host in line have had their time.
+func (p *Plan) turns(now time.Time) int {
+	turns := int(now.Sub(p.progress) / p.settings.StallTime)
+	if p.settings.OneCopy && !p.idleSince.IsZero() {
+		turns = max(turns, int(now.Sub(p.idleSince)/idleTurn))
+	}
+	return turns
+}
+
 // nextFromOrigin picks a chunk that no peer holds and for which it is this
 // host's turn.
 func (p *Plan) nextFromOrigin(now time.Time) (Fetch, bool) {
 	if p.atOrigin >= max(1, p.settings.InFlight/originShare) || now.Before(p.originUntil) {
 		return Fetch{}, false
 	}
-	turns := int(now.Sub(p.progress) / p.settings.StallTime)
+	turns := p.turns(now)
 	for chunk, place := range p.line {
 		index := figbank.ChunkIndex(chunk)
 		if place <= turns && p.wants(index) && !p.heldNear(index) && !(p.settings.OneCopy && p.copies[chunk] > 0) {
@@ -306,7 +329,7 @@
 // this host's turn to bring from another.
 func (p *Plan) nextFromFar(now time.Time) (Fetch, bool) {
 	ready := p.readyPeers(now, elsewhere)
-	turns := int(now.Sub(p.progress) / p.settings.StallTime)
+	turns := p.turns(now)
 	for chunk, place := range p.regionLine {
 		index := figbank.ChunkIndex(chunk)
 		if place > turns || p.copies[chunk] == 0 || !p.wants(index) || p.heldNear(index) || !held(ready, chunk) {
