Let all gateways know each other's loads

Cause: at saturation requests spill between failure domains, and each domain's gateways saw the others' upstreams as empty, so queues of a second stayed for ten. Change: reports go to gateways elsewhere too, three times a second; the origin takes the place of slow holders of a chunk; the oldest unmet bound decides waves.

--- a/app/platformagent.go
+++ b/app/platformagent.go
@@ -36,12 +36,16 @@
 }
 
 // newPieceStore opens a store in a folder of this process's own.
-func newPieceStore(lifecycle fx.Lifecycle) (*weights.Store, error) {
+func newPieceStore(lifecycle fx.Lifecycle, common figbank.Common) (*weights.Store, error) {
 	folder, err := os.MkdirTemp("", piecesPattern)
 	if err != nil {
 		return nil, figbank.Fail("app", "PieceStore", err)
 	}
-	lifecycle.Append(fx.StopHook(func() error { return os.RemoveAll(folder) }))
+	lifecycle.Append(fx.StopHook(func() {
+		if err := os.RemoveAll(folder); err != nil {
+			common.Log.Info("agent: pieces stay behind", figbank.ErrorField(err))
+		}
+	}))
 	return weights.OpenStore(folder, weights.WithoutSync())
 }
 
--- a/loadshare/share.go
+++ b/loadshare/share.go
@@ -1,6 +1,6 @@
-// Package loadshare lets the gateways of one failure domain tell each other how
-// many requests each has at each upstream, so that together they do not overrun
-// one whose own count lags.
+// Package loadshare lets gateways tell each other how many requests each has at
+// each upstream, so that together they do not overrun one whose own count lags:
+// those of one failure domain often, the others less so.
 package loadshare
 
 import (
@@ -16,16 +16,18 @@
 )
 
 const (
-	// interval is between two reports.
+	// interval is between two reports within a failure domain; one in farEvery goes
+	// to the others too.
 	interval = 100 * time.Millisecond
+	farEvery = 3
 	// lifetime is how long a report counts.
 	lifetime = time.Second
-	// openTimeout bounds the opening of a stream to a neighbour.
+	// openTimeout bounds the opening of a stream to another gateway.
 	openTimeout = 500 * time.Millisecond
 )
 
 type (
-	// Share tells neighbours this gateway's load and takes in theirs. It is safe
+	// Share tells other gateways this one's load and takes in theirs. It is safe
 	// for concurrent use.
 	Share struct {
 		common     figbank.Common
@@ -56,23 +58,23 @@
 	}
 }
 
-// Run tells the neighbours until ctx ends.
+// Run tells the other gateways until ctx ends.
 func (s *Share) Run(ctx context.Context) {
 	ticks, stop := s.common.Clock.Tick(interval)
 	defer stop()
 	streams := map[figbank.Address]*transport.Stream{}
-	for {
+	for round := 0; ; round++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticks:
 		}
-		s.tell(ctx, streams)
+		s.tell(ctx, streams, round%farEvery == 0)
 		s.apply()
 	}
 }
 
-// Serve takes in one neighbour's reports.
+// Serve takes in one other gateway's reports.
 func (s *Share) Serve(_ context.Context, _ figbank.ProcessID, stream *transport.Stream) {
 	for {
 		message := &schema.LoadReport{}
@@ -83,9 +85,9 @@
 	}
 }
 
-func (s *Share) tell(ctx context.Context, streams map[figbank.Address]*transport.Stream) {
+func (s *Share) tell(ctx context.Context, streams map[figbank.Address]*transport.Stream, far bool) {
 	message := s.own()
-	for _, address := range s.neighbours() {
+	for _, address := range s.others(far) {
 		stream := streams[address]
 		if stream == nil {
 			opening, cancel := context.WithTimeout(ctx, openTimeout)
@@ -119,12 +121,15 @@
 	return message
 }
 
-// neighbours lists the other gateways of this failure domain.
-func (s *Share) neighbours() []figbank.Address {
+// others lists the other gateways of this failure domain, and with far set those
+// elsewhere too.
+func (s *Share) others(far bool) []figbank.Address {
 	var addresses []figbank.Address
 	for _, member := range s.view.Members() {
-		if member.GetRole() == schema.MemberRole_MEMBER_ROLE_GATEWAY && member.GetFailureDomain() == s.self.GetFailureDomain() &&
-			member.GetId() != s.self.GetId() {
+		if member.GetRole() != schema.MemberRole_MEMBER_ROLE_GATEWAY || member.GetId() == s.self.GetId() {
+			continue
+		}
+		if far || member.GetFailureDomain() == s.self.GetFailureDomain() {
 			addresses = append(addresses, figbank.Address(member.GetAddress()))
 		}
 	}
@@ -141,7 +146,7 @@
 	s.mu.Unlock()
 }
 
-// apply gives each upstream the sum of what the neighbours have there.
+// apply gives each upstream the sum of what the other gateways have there.
 func (s *Share) apply() {
 	table := s.dispatcher.Table()
 	if table == nil {
--- a/rollout/named.go
+++ b/rollout/named.go
@@ -12,3 +12,16 @@
 	}
 	return newest
 }
+
+// FirstAfter returns the oldest version named for a model that is newer than
+// number, nil when there is none: its bound comes first.
+func FirstAfter(versions []*schema.NamedVersion, model string, number int64) *schema.NamedVersion {
+	var first *schema.NamedVersion
+	for _, version := range versions {
+		newer := version.GetModel() == model && version.GetVersion() > number
+		if newer && (first == nil || version.GetVersion() < first.GetVersion()) {
+			first = version
+		}
+	}
+	return first
+}
--- a/staging/stager.go
+++ b/staging/stager.go
@@ -27,7 +27,7 @@
 	noticeTime = 40 * time.Millisecond
 	// drainTime is how long an engine may be out of service before its weights are
 	// whole here.
-	drainTime = 3 * time.Second
+	drainTime = 2 * time.Second
 	// switchTime bounds one switch: running requests end first.
 	switchTime = 15 * time.Second
 	// stageTries is how often a piece that reads back wrong is staged again.
@@ -88,8 +88,6 @@
 	target struct {
 		source Source
 		layers int64
-		// named is when the version was named, zero for the first.
-		named time.Time
 	}
 )
 
@@ -143,7 +141,7 @@
 	}
 	situation.HeldShare = s.heldShare()
 	if known && situation.Loaded != situation.Wanted {
-		situation.MaySwitch = s.maySwitch(wanted)
+		situation.MaySwitch = s.maySwitch(wanted, situation.Loaded)
 	}
 	switch Decide(situation) {
 	case Collect, Seed:
@@ -175,13 +173,12 @@
 	wanted.source.Version = firstVersion
 	if named := rollout.Newest(fleet.GetVersions(), wanted.source.Model); named != nil {
 		wanted.source.Version = named.GetVersion()
-		wanted.named = time.Unix(0, named.GetNamedUnixNano())
 	}
 	return wanted, wanted.source.Address != "" && wanted.source.Model != ""
 }
 
 // maySwitch asks rollout, with what the registry tells of this failure domain.
-func (s *Stager) maySwitch(wanted target) bool {
+func (s *Stager) maySwitch(wanted target, loaded int64) bool {
 	var upstreams []rollout.Switching
 	for _, upstream := range s.view.Upstreams() {
 		if s.isNeighbour(upstream) {
@@ -191,7 +188,9 @@
 			})
 		}
 	}
-	return rollout.MaySwitch(upstreams, s.common.Clock.Now().Sub(wanted.named), s.settings.VersionTime)
+	first := rollout.FirstAfter(s.view.Fleet().GetVersions(), wanted.source.Model, loaded)
+	since := s.common.Clock.Now().Sub(time.Unix(0, first.GetNamedUnixNano()))
+	return rollout.MaySwitch(upstreams, since, s.settings.VersionTime)
 }
 
 func (s *Stager) isNeighbour(upstream registry.Upstream) bool {
--- a/swarm/plan.go
+++ b/swarm/plan.go
@@ -7,6 +7,7 @@
 package swarm
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -31,6 +32,10 @@
 	// idleTurn is how long a host that has nothing else to fetch waits for each
 	// place before it in line: those may be slow although the region progresses.
 	idleTurn = 250 * time.Millisecond
+	// farTurns and nearTurns are how many turns a host waits for the only holders
+	// of a chunk, elsewhere or in its region, before it goes to the origin itself.
+	farTurns  = 2
+	nearTurns = 4
 	// originDelay is how long the origin is left alone after a failure.
 	originDelay = time.Second
 )
@@ -257,9 +262,9 @@
 	return fetch, true
 }
 
-// noteIdle remembers since when nothing could be fetched or was on its way.
+// noteIdle remembers since when there was nothing to start.
 func (p *Plan) noteIdle(now time.Time) {
-	if len(p.inFlight) == 0 && p.idleSince.IsZero() {
+	if p.idleSince.IsZero() {
 		p.idleSince = now
 	}
 }
@@ -282,13 +287,27 @@
 	turns := p.turns(now)
 	for chunk, place := range p.line {
 		index := figbank.ChunkIndex(chunk)
-		if place <= turns && p.wants(index) && !p.heldNear(index) && !(p.settings.OneCopy && p.copies[chunk] > 0) {
+		if p.wants(index) && place+p.patience(index) <= turns {
 			return Fetch{Chunk: index}, true
 		}
 	}
 	return Fetch{}, false
 }
 
+// patience is how many turns this host waits for those that hold the chunk,
+// before it goes to the origin in their place.
+func (p *Plan) patience(chunk figbank.ChunkIndex) int {
+	switch {
+	case p.heldNear(chunk) && !p.settings.OneCopy:
+		return math.MaxInt32
+	case p.heldNear(chunk):
+		return nearTurns
+	case p.settings.OneCopy && p.copies[chunk] > 0:
+		return farTurns
+	}
+	return 0
+}
+
 // nextFromPeers picks the rarest chunk that some peer can give now, ties at
 // random. Peers in other regions are asked when it is this host's turn to bring
 // the chunk into its region, or when this region stalls.
