--- a/app/platformreplica.go
+++ b/app/platformreplica.go
@@ -31,14 +31,14 @@
 	)
 }
 
-// voter is a replica of the log, nil on a process that keeps none.
+// voter keeps a replica of the log running, nil on a process that has none.
 type voter struct {
-	*replica.Replica
+	*replica.Supervisor
 }
 
 // newPlatformVoter takes part in the log as the replica that the disk says. An
 // empty disk begins a new log only when the whole deployment starts.
-func newPlatformVoter(lifecycle fx.Lifecycle, shutdowner fx.Shutdowner, common figbank.Common, s *schema.PlatformSettings,
+func newPlatformVoter(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings,
 	pool *transport.Pool, fleet *configuration.FleetHolder,
 ) (voter, error) {
 	folder, err := disk.OpenFolder(s.GetProcess().GetDataFolder())
@@ -50,27 +50,35 @@
 		common.Log.Info("replica: keeps no log", zap.Bool("bootstrap", s.GetNode().GetBootstrap()))
 		return voter{}, err
 	}
+	common.Process = figbank.ProcessID(identity.GetId())
+	supervisor, err := replica.NewSupervisor(common, func(failed func(error), again bool) (*replica.Replica, error) {
+		settings := replicaSettings(s, identity)
+		settings.Rewrite = again
+		return replica.NewReplica(common, settings, folder, pool,
+			replica.WithFleet(func(f *schema.Fleet) { fleet.Offer(f) }),
+			replica.WithFailure(failed),
+		)
+	})
+	if err != nil {
+		return voter{}, err
+	}
+	lifecycle.Append(fx.StopHook(supervisor.Close))
+	return voter{Supervisor: supervisor}, nil
+}
+
+func replicaSettings(s *schema.PlatformSettings, identity *schema.ReplicaIdentity) replica.Settings {
 	voters := map[figbank.ProcessID]figbank.Address{}
 	for _, v := range identity.GetVoters() {
 		voters[figbank.ProcessID(v.GetId())] = figbank.Address(v.GetAddress())
 	}
-	common.Process = figbank.ProcessID(identity.GetId())
-	r, err := replica.NewReplica(common, replica.Settings{
+	return replica.Settings{
 		Timing: raft.Timing{
 			ElectionTimeout:   s.GetLog().GetElectionTimeout().AsDuration(),
 			HeartbeatInterval: s.GetLog().GetHeartbeatInterval().AsDuration(),
 		},
 		SnapshotEntries: int(s.GetLog().GetSnapshotEntries()),
 		Voters:          voters,
-	}, folder, pool,
-		replica.WithFleet(func(f *schema.Fleet) { fleet.Offer(f) }),
-		replica.WithFailure(func(error) { _ = shutdowner.Shutdown(fx.ExitCode(1)) }),
-	)
-	if err != nil {
-		return voter{}, err
 	}
-	lifecycle.Append(fx.StopHook(r.Close))
-	return voter{Replica: r}, nil
 }
 
 // identify returns who this replica is, nil when it is none.
@@ -116,7 +124,7 @@
 		schema.StreamKind_STREAM_KIND_FEED:    view.Serve,
 		schema.StreamKind_STREAM_KIND_INSPECT: recorder.Serve,
 	}
-	if v.Replica != nil {
+	if v.Supervisor != nil {
 		handlers[schema.StreamKind_STREAM_KIND_RAFT] = v.ServeRaft
 		handlers[schema.StreamKind_STREAM_KIND_PROPOSE] = v.ServePropose
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -69,7 +69,10 @@
 		// longestGap is the longest pause between two events.
 		longestGap  time.Duration
 		lastEventAt time.Time
-		upstream    figbank.UpstreamID
+		// began is closed, and lifted set, once the present attempt has begun to answer.
+		began    chan struct{}
+		lifted   bool
+		upstream figbank.UpstreamID
 	}
 )
 
--- a/dispatch/try.go
+++ b/dispatch/try.go
@@ -6,11 +6,17 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"figbank"
+
+	"go.uber.org/zap"
 )
 
 const (
+	// firstMargin is how long after the last request to weights that become too old
+	// those that wait there are taken back.
+	firstMargin = 400 * time.Millisecond
 	// heldMost is the largest answer that is read whole before it is passed on, so
 	// that one which breaks off can be tried again.
 	heldMost = 256 << 10
@@ -39,6 +45,8 @@
 	target.Load.begin()
 	defer target.Load.end()
 	now := r.common.Clock.Now()
+	ctx, stop := r.boundFirst(ctx, target)
+	defer stop()
 	answer, err := r.transport.Send(ctx, r.request, Hop{
 		Address: target.Address, Upstream: target.ID, Version: target.Version,
 		Left: r.request.Deadline.Sub(now), LastEvent: r.lastEvent,
@@ -63,6 +71,28 @@
 	return err
 }
 
+// boundFirst takes a request back whose upstream has not begun to answer by the
+// time at which its weights become too old to begin on. The returned function
+// ends the attempt; noteFirst lifts the bound.
+func (r *run) boundFirst(ctx context.Context, target *Target) (context.Context, context.CancelFunc) {
+	r.began, r.lifted = make(chan struct{}), false
+	bound, cancel := context.WithCancel(ctx)
+	if target.OldAfter.IsZero() {
+		return bound, cancel
+	}
+	left := target.OldAfter.Add(firstMargin).Sub(r.common.Clock.Now())
+	go func(began <-chan struct{}) {
+		select {
+		case <-began:
+		case <-bound.Done():
+		case <-r.common.Clock.After(left):
+			r.log.Info("taken back", zap.String("upstream", string(target.ID)), zap.Int64("version", target.Version))
+			cancel()
+		}
+	}(r.began)
+	return bound, cancel
+}
+
 // noteFailure keeps what a failed try tells about the upstream. What a caller
 // that left has broken off tells nothing.
 func (r *run) noteFailure(ctx context.Context, target *Target, err error) {
@@ -164,6 +194,10 @@
 }
 
 func (r *run) noteFirst() {
+	if !r.lifted {
+		r.lifted = true
+		close(r.began)
+	}
 	if r.firstAt == 0 {
 		r.firstAt = r.common.Clock.Now().Sub(r.request.ReceivedAt)
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -34,6 +34,9 @@
 	Settings struct {
 		Timing          raft.Timing
 		SnapshotEntries int
+		// Rewrite writes the log anew at the start: after a failed sync nobody knows
+		// which of its pages the disk has.
+		Rewrite bool
 		// Voters are all replicas with their process addresses.
 		Voters map[figbank.ProcessID]figbank.Address
 	}
@@ -99,6 +102,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if settings.Rewrite {
+		if err := log.Rewrite(stored.HardState, stored.Snapshot, stored.Entries); err != nil {
+			_ = log.Close()
+			return nil, err
+		}
+	}
 	state, err := ledger.Restore(stored.Snapshot)
 	if err != nil {
 		return nil, err
--- a/staging/decide.go
+++ b/staging/decide.go
@@ -45,21 +45,32 @@
 // Decide says what to do next. An empty engine switches as soon as it can; one
 // that serves waits for its turn.
 func Decide(s Situation) Action {
-	serving := s.Loaded == s.Wanted && s.Layers >= s.AllLayers
+	whole := s.Layers >= s.AllLayers
 	switch {
 	case !s.Known:
 		return Wait
-	case serving && !s.Held:
-		return Seed
-	case serving:
-		return Wait
-	case !s.Held && s.Loaded > 0 && s.MaySwitch && s.HeldShare >= drainShare:
+	case s.Loaded == s.Wanted && whole:
+		return decideServing(s)
+	case s.Held:
+		return decideHeld(s, whole)
+	case s.Loaded > 0 && s.MaySwitch && s.HeldShare >= drainShare:
 		return Drain
-	case !s.Held:
-		return Collect
-	case s.Busy:
+	}
+	return Collect
+}
+
+// decideServing keeps the pieces for others once the engine serves them.
+func decideServing(s Situation) Action {
+	if s.Held {
 		return Wait
-	case s.Loaded == 0 || s.Layers < s.AllLayers || s.MaySwitch:
+	}
+	return Seed
+}
+
+// decideHeld switches once nothing speaks against it.
+func decideHeld(s Situation, whole bool) Action {
+	empty := s.Loaded == 0 || !whole
+	if !s.Busy && (empty || s.MaySwitch) {
 		return Switch
 	}
 	return Wait
--- a/staging/stager.go
+++ b/staging/stager.go
@@ -231,7 +231,7 @@
 	if s.collected.cancel != nil {
 		return
 	}
-	ctx, cancel := context.WithCancel(ctx) //nolint:gosec // ended by abandon, or with the stager
+	ctx, cancel := context.WithCancel(ctx)
 	s.collected = collection{source: source, cancel: cancel}
 	go func() {
 		for ctx.Err() == nil {
@@ -375,27 +375,29 @@
 // loads what lies there, unchecked.
 func (s *Stager) stage(ctx context.Context, model string, version *weights.Version) error {
 	for i := range version.Manifest.GetChunks() {
-		if err := s.stagePiece(ctx, model, version, i); err != nil {
+		if err := s.stagePiece(ctx, model, version, figbank.ChunkIndex(i)); err != nil { //nolint:gosec // manifests are bounded
 			return err
 		}
 	}
 	for i := range version.Manifest.GetChunks() {
-		if !s.stagedWell(ctx, model, version, i) {
-			if err := s.stagePiece(ctx, model, version, i); err != nil {
-				return err
-			}
+		piece := figbank.ChunkIndex(i) //nolint:gosec // manifests are bounded
+		if s.stagedWell(ctx, model, version, piece) {
+			continue
+		}
+		if err := s.stagePiece(ctx, model, version, piece); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
-func (s *Stager) stagePiece(ctx context.Context, model string, version *weights.Version, piece int) error {
-	content, err := version.ReadChunk(figbank.ChunkIndex(piece))
+func (s *Stager) stagePiece(ctx context.Context, model string, version *weights.Version, piece figbank.ChunkIndex) error {
+	content, err := version.ReadChunk(piece)
 	if err != nil {
 		return err
 	}
 	for range stageTries {
-		if err = s.engine.Put(ctx, model, piece, content); err != nil {
+		if err = s.engine.Put(ctx, model, int(piece), content); err != nil {
 			return err
 		}
 		if s.stagedWell(ctx, model, version, piece) {
@@ -405,8 +407,8 @@
 	return figbank.CorruptError{Subject: "staged piece", Detail: "it reads back wrong"}
 }
 
-func (s *Stager) stagedWell(ctx context.Context, model string, version *weights.Version, piece int) bool {
-	staged, err := s.engine.Get(ctx, model, piece)
+func (s *Stager) stagedWell(ctx context.Context, model string, version *weights.Version, piece figbank.ChunkIndex) bool {
+	staged, err := s.engine.Get(ctx, model, int(piece))
 	if err != nil {
 		return false
 	}
--- a/swarm/plan.go
+++ b/swarm/plan.go
@@ -308,20 +308,31 @@
 	return 0
 }
 
-// nextFromPeers picks the rarest chunk that some peer can give now, ties at
-// random. Peers in other regions are asked when it is this host's turn to bring
-// the chunk into its region, or when this region stalls.
+// nextFromPeers picks a chunk that some peer can give now. Peers in other
+// regions are asked when it is this host's turn to bring the chunk into its
+// region, or when this region stalls.
 func (p *Plan) nextFromPeers(now time.Time) (Fetch, bool) {
 	farthest := sameRegion
 	if now.Sub(p.progress) >= p.settings.StallTime {
 		farthest = elsewhere
 	}
-	ready := p.readyPeers(now, farthest)
 	if p.settings.OneCopy && farthest == sameRegion {
 		if fetch, found := p.nextFromFar(now); found {
 			return fetch, true
 		}
 	}
+	ready := p.readyPeers(now, farthest)
+	rarest := p.rarest(ready)
+	if rarest < 0 {
+		return Fetch{}, false
+	}
+	source := p.choose(ready, rarest)
+	return Fetch{Chunk: figbank.ChunkIndex(rarest), Peer: source.ID, Address: source.Address}, true
+}
+
+// rarest returns the chunk with the fewest copies that one of the peers holds,
+// ties at random, or -1.
+func (p *Plan) rarest(ready []*peer) int {
 	best, bestCopies, ties := -1, 0, 0
 	for chunk, copies := range p.copies {
 		index := figbank.ChunkIndex(chunk)
@@ -337,11 +348,7 @@
 			best = chunk
 		}
 	}
-	if best < 0 {
-		return Fetch{}, false
-	}
-	source := p.choose(ready, best)
-	return Fetch{Chunk: figbank.ChunkIndex(best), Peer: source.ID, Address: source.Address}, true
+	return best
 }
 
 // nextFromFar picks a chunk that no peer of this region holds and that it is
--- a/traffic/table.go
+++ b/traffic/table.go
@@ -83,7 +83,7 @@
 		Gap:     time.Duration(rule.GetTargetGapMilliseconds()) * time.Millisecond,
 	}
 	for _, share := range rule.GetShares() {
-		route.totalWeight += uint64(max(0, share.GetWeight())) //nolint:gosec // never negative
+		route.totalWeight += uint64(max(0, share.GetWeight()))
 	}
 	return route
 }
@@ -139,7 +139,7 @@
 func (r *Route) Service(draw uint64) figbank.ServiceName {
 	point := draw % max(1, r.totalWeight)
 	for _, share := range r.GetShares() {
-		weight := uint64(max(0, share.GetWeight())) //nolint:gosec // never negative
+		weight := uint64(max(0, share.GetWeight()))
 		if point < weight {
 			return figbank.ServiceName(share.GetService())
 		}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -97,7 +97,7 @@
 // Read reads on; the end of the body frees the connection.
 func (b *body) Read(into []byte) (int, error) {
 	n, err := b.ReadCloser.Read(into)
-	if err == io.EOF && !b.done { //nolint:errorlint // readers return io.EOF itself
+	if err == io.EOF && !b.done {
 		b.finish()
 	}
 	return n, err
