--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,127 @@
+package feed
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"figbank"
+	"figbank/clock"
+	"figbank/configuration"
+	"figbank/schema"
+	"figbank/timeline"
+	"figbank/transport"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+)
+
+const patience = 10 * time.Second
+
+// node is a replica's feed, or a subscriber's view.
+type node struct {
+	view       *View
+	fleet      *configuration.FleetHolder
+	subscriber *Subscriber
+	server     *transport.Server
+	address    figbank.Address
+	// served counts the streams that were opened here.
+	log *zap.Logger
+}
+
+func newNode(t *testing.T, id string, role schema.MemberRole, seeds ...figbank.Address) *node {
+	t.Helper()
+	common := figbank.Common{
+		Process: figbank.ProcessID(id), Log: zap.NewNop(), Clock: clock.System{}, Scope: tally.NoopScope,
+		Recorder: timeline.NewRecorder(figbank.ProcessID(id), clock.System{}, 16),
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &node{fleet: configuration.NewFleetHolder(common.Recorder), address: figbank.Address(listener.Addr().String())}
+	n.view = NewView(common, time.Minute, n.fleet)
+	pool := transport.NewPool(common)
+	n.server = transport.NewServer(common, listener, transport.Handlers{schema.StreamKind_STREAM_KIND_FEED: n.view.Serve})
+	n.subscriber = NewSubscriber(common, n.view, pool, &schema.Member{Id: id, Role: role, Address: string(n.address)}, seeds)
+	t.Cleanup(func() {
+		n.subscriber.Close()
+		pool.Close()
+		n.server.Close()
+	})
+	return n
+}
+
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: not within %v", what, patience)
+		}
+	}
+}
+
+const (
+	replica = schema.MemberRole_MEMBER_ROLE_REPLICA
+	gateway = schema.MemberRole_MEMBER_ROLE_GATEWAY
+	agent   = schema.MemberRole_MEMBER_ROLE_AGENT
+)
+
+func announce(sequence uint64) *schema.Instance {
+	return &schema.Instance{Id: "i", Address: "u:1", BornUnixMilli: 1, Sequence: sequence, State: schema.InstanceState_INSTANCE_STATE_READY}
+}
+
+// A gateway that reaches one replica hears what another was told.
+func TestNewsPassesThroughReplicas(t *testing.T) {
+	first := newNode(t, "r1", replica)
+	second := newNode(t, "r2", replica, first.address)
+	far := newNode(t, "g1", gateway, second.address)
+	first.view.Announce(announce(1))
+	await(t, "the upstream is known", func() bool { return len(far.view.Upstreams()) == 1 })
+	first.fleet.Offer(&schema.Fleet{CommitIndex: 5})
+	await(t, "the fleet is known", func() bool { return far.view.Fleet().GetCommitIndex() == 5 })
+}
+
+func TestEngineStatesReachGateways(t *testing.T) {
+	r := newNode(t, "r1", replica)
+	g := newNode(t, "g1", gateway, r.address)
+	a := newNode(t, "a1", agent, r.address)
+	r.view.Announce(announce(1))
+	a.subscriber.SetEngine(&schema.EngineState{Address: "u:1", BornUnixMilli: 1, Sequence: 1, Switching: true})
+	await(t, "the gateway knows that the engine is switching", func() bool {
+		upstreams := g.view.Upstreams()
+		return len(upstreams) == 1 && upstreams[0].Switching
+	})
+}
+
+// Repeated announcements and unchanged lists of members wake nobody; two
+// replicas that subscribe to each other must not keep each other busy.
+func TestQuietFeedsStayQuiet(t *testing.T) {
+	first := newNode(t, "r1", replica)
+	second := newNode(t, "r2", replica, first.address)
+	first.subscriber.SetSeeds([]figbank.Address{second.address})
+	g := newNode(t, "g1", gateway, first.address, second.address)
+	await(t, "all are joined", func() bool { return len(g.view.Members()) == 3 })
+	first.view.Announce(announce(1))
+	await(t, "the upstream is known", func() bool { return len(g.view.Upstreams()) == 1 })
+	time.Sleep(300 * time.Millisecond)
+	woken := make(chan struct{}, 10_000)
+	g.view.Watch(func() { woken <- struct{}{} })
+	for sequence := range uint64(50) {
+		first.view.Announce(announce(sequence + 2))
+		time.Sleep(2 * time.Millisecond)
+	}
+	time.Sleep(300 * time.Millisecond)
+	if got := len(woken); got > 2 {
+		t.Errorf("the gateway was woken %d times by 50 repeated announcements, want at most 2", got)
+	}
+}
+
+func TestLostReplicaIsNoticedAndLeftMembersGo(t *testing.T) {
+	r := newNode(t, "r1", replica)
+	g := newNode(t, "g1", gateway, r.address)
+	await(t, "the replica is reached", g.subscriber.Reached)
+	r.server.Close()
+	await(t, "the loss is noticed", func() bool { return !g.subscriber.Reached() })
+	await(t, "the gateway is off the list", func() bool { return len(r.view.Members()) == 0 })
+}
