Split the gateway: front door, relay, claims, grants

Change: relay/ carries requests to agents, claims/ and grants/ speak to the log, gateway/ keeps the callers' HTTP. Nothing decides differently.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -10,8 +10,10 @@
 	"figbank/disk"
 	"figbank/exchange"
 	"figbank/gateway"
+	"figbank/grants"
 	"figbank/operators"
 	"figbank/raft"
+	"figbank/relay"
 	"figbank/replica"
 	"figbank/routing"
 	"figbank/schema"
@@ -104,10 +106,11 @@
 	}
 	r := s.GetRequests()
 	door.Gateway = gateway.New(common, gateway.Settings{
-		Place: place, MaxBody: figbank.Bytes(r.GetMaxBody()), MaxHeld: figbank.Bytes(r.GetMaxHeld()),
-		StreamWindow: figbank.Bytes(r.GetStreamWindow()), QueueLength: int(r.GetQueueLength()),
-		QueueAge: r.GetQueueAge().AsDuration(), Deadline: r.GetDeadline().AsDuration(),
-		RetryShare: r.GetRetryShare(), CallerKeys: callerKeys(s),
+		Relay: relay.Settings{
+			Place: place, StreamWindow: figbank.Bytes(r.GetStreamWindow()), QueueLength: int(r.GetQueueLength()),
+			QueueAge: r.GetQueueAge().AsDuration(), Deadline: r.GetDeadline().AsDuration(), RetryShare: r.GetRetryShare(),
+		},
+		MaxBody: figbank.Bytes(r.GetMaxBody()), MaxHeld: figbank.Bytes(r.GetMaxHeld()), CallerKeys: callerKeys(s),
 	}, holder, pool, proposer, func() bool { return door.exchange != nil && door.exchange.CaughtUp() })
 	lifecycle.Append(fx.StopHook(door.Close))
 	return door
@@ -124,8 +127,8 @@
 ) *exchange.Exchange {
 	e := exchange.New(common, figbank.FailureDomain(s.GetProcess().GetFailureDomain()),
 		s.GetRequests().GetUpstreamLease().AsDuration(), holder, pool, addresses(s.GetGateway().GetGateways()),
-		exchange.WithChange(door.SetUpstreams),
-		exchange.WithLoad(door.HearLoad),
+		exchange.WithChange(door.Relay().SetUpstreams),
+		exchange.WithLoad(door.Relay().HearLoad),
 	)
 	door.exchange = e
 	lifecycle.Append(fx.StopHook(e.Close))
@@ -159,7 +162,7 @@
 }
 
 func serveProcesses(lifecycle fx.Lifecycle, common figbank.Common, s *schema.GatewaySettings,
-	e *exchange.Exchange, door *frontDoor, r *replica.Replica, recorder *timeline.Recorder,
+	e *exchange.Exchange, door *frontDoor, r *replica.Replica, recorder *timeline.Recorder, proposer figbank.Proposer,
 ) error {
 	listener, err := listen(s.GetProcess().GetListenProcesses())
 	if err != nil {
@@ -168,7 +171,7 @@
 	handlers := transport.Handlers{
 		schema.StreamKind_STREAM_KIND_EXCHANGE: e.ServeExchange,
 		schema.StreamKind_STREAM_KIND_ANNOUNCE: e.ServeAnnounce,
-		schema.StreamKind_STREAM_KIND_GRANT:    door.ServeGrant,
+		schema.StreamKind_STREAM_KIND_GRANT:    grants.New(proposer, door.Relay().Warm).Serve,
 		schema.StreamKind_STREAM_KIND_INSPECT:  recorder.Serve,
 	}
 	if r != nil {
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -91,11 +91,11 @@
 	}
 	defer req.reservation.release()
 	if err := target(req); err != nil {
-		writeProblem(c.Writer, req.id, err)
+		writeProblem(c.Writer, req.ID, err)
 		return
 	}
 	if err := g.permit(req, kind); err != nil {
-		writeProblem(c.Writer, req.id, err)
+		writeProblem(c.Writer, req.ID, err)
 		return
 	}
 	g.answer(c, req)
@@ -105,21 +105,21 @@
 func (g *Gateway) answer(c *gin.Context, req *request) {
 	ctx := c.Request.Context()
 	started := g.common.Clock.Now()
-	reply := newReply(c.Writer, req.id)
+	reply := newReply(c.Writer, req.ID)
 	g.event("Received", req, "")
 	err := g.runOnce(ctx, req, reply)
-	g.traffic.count(req.service, outcomeOf(err))
-	g.common.Scope.Tagged(map[string]string{"service": string(req.service), "outcome": nameOf(outcomeOf(err))}).Counter("requests").Inc(1)
+	g.traffic.count(req.Service, outcomeOf(err))
+	g.common.Scope.Tagged(map[string]string{"service": string(req.Service), "outcome": nameOf(outcomeOf(err))}).Counter("requests").Inc(1)
 	g.common.Scope.Timer("request_time").Record(g.common.Clock.Now().Sub(started))
 	switch {
 	case err == nil:
 		g.event("Answered", req, "")
-	case reply.started():
+	case reply.Started():
 		g.event("Cut", req, err.Error())
 		// Ends the connection without the mark of a whole answer.
 		panic(http.ErrAbortHandler)
 	default:
 		g.event("Refused", req, err.Error())
-		writeProblem(c.Writer, req.id, err)
+		writeProblem(c.Writer, req.ID, err)
 	}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -219,7 +219,7 @@
 				b.declare(&schema.ServiceDeclaration{Name: "s", Kind: kindPlain, Manifest: "v9", Repeatable: true})
 				stale := b.agents[0].Record()
 				stale.Manifest = "v9"
-				b.gateway.SetUpstreams([]*schema.Upstream{stale})
+				b.gateway.Relay().SetUpstreams([]*schema.Upstream{stale})
 			},
 		},
 		{
@@ -227,7 +227,7 @@
 			prepare: func(b *bench) {
 				gone := b.agents[0].Record()
 				gone.Address = "127.0.0.1:1"
-				b.gateway.SetUpstreams([]*schema.Upstream{gone})
+				b.gateway.Relay().SetUpstreams([]*schema.Upstream{gone})
 			},
 		},
 	}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -23,6 +23,7 @@
 	"figbank/configuration"
 	"figbank/engine"
 	"figbank/fake"
+	"figbank/relay"
 	"figbank/routing"
 	"figbank/schema"
 	"figbank/timeline"
@@ -68,9 +69,11 @@
 	common := figbank.Common{Process: "g", Log: zap.NewNop(), Clock: clock.System{}, Recorder: recorder, Scope: tally.NoopScope}
 	sum := sha256.Sum256([]byte(callerKey))
 	settings := Settings{
-		Place:   routing.Place{Region: "r", FailureDomain: domain},
-		MaxBody: 1 << 20, MaxHeld: 64 << 20, StreamWindow: 32 << 10,
-		QueueLength: 16, QueueAge: 300 * time.Millisecond, Deadline: patience, RetryShare: 20,
+		Relay: relay.Settings{
+			Place: routing.Place{Region: "r", FailureDomain: domain}, StreamWindow: 32 << 10,
+			QueueLength: 16, QueueAge: 300 * time.Millisecond, Deadline: patience, RetryShare: 20,
+		},
+		MaxBody: 1 << 20, MaxHeld: 64 << 20,
 		CallerKeys: map[string]figbank.Workspace{hex.EncodeToString(sum[:]): "w"},
 	}
 	if change != nil {
@@ -149,7 +152,7 @@
 	for _, a := range b.agents {
 		b.upstreams = append(b.upstreams, a.Record())
 	}
-	b.gateway.SetUpstreams(b.upstreams)
+	b.gateway.Relay().SetUpstreams(b.upstreams)
 }
 
 func (b *bench) await(what string, done func() bool) {
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -13,7 +13,7 @@
 // TestUpstreamHoldsNoMoreThanItsLimit sends more than an upstream bears: it
 // never holds more than its limit, and everyone is answered or truly refused.
 func TestUpstreamHoldsNoMoreThanItsLimit(t *testing.T) {
-	b := newBench(t, func(s *Settings) { s.QueueAge = patience; s.QueueLength = 200 })
+	b := newBench(t, func(s *Settings) { s.Relay.QueueAge = patience; s.Relay.QueueLength = 200 })
 	b.declare(plain(true))
 	var running, peak atomic.Int64
 	_, service := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"figbank"
+	"figbank/claims"
 	"figbank/schema"
 )
 
@@ -45,12 +46,6 @@
 		most figbank.Bytes
 	}
 
-	// claimError says what is known of an earlier request under the same key.
-	claimError struct {
-		refusal schema.Refusal
-		detail  string
-	}
-
 	// alreadyRanError says that the request under a key has run, but its answer was
 	// too large to keep.
 	alreadyRanError struct {
@@ -88,14 +83,12 @@
 	return fmt.Sprintf("the request under this key ran with status %d; its answer was too large to keep, SHA-256 %x", e.status, e.digest)
 }
 
-func (e claimError) Error() string { return e.detail }
-
 // problemOf puts a failure into a caller's words.
 func problemOf(err error) problem {
 	var (
 		notRun  figbank.NotRunError
 		unknown figbank.UnknownOutcomeError
-		claim   claimError
+		claim   claims.RefusedError
 	)
 	refused := func(status int, title string) problem {
 		return problem{Title: title, Status: status, Detail: err.Error(), Outcome: nameOf(schema.Outcome_OUTCOME_NOT_RUN)}
@@ -135,9 +128,9 @@
 }
 
 // claimProblem speaks of the earlier request: this one was not run.
-func claimProblem(claim claimError) problem {
-	p := problem{Title: "Idempotency key in use", Status: http.StatusConflict, Detail: claim.detail, Outcome: nameOf(schema.Outcome_OUTCOME_NOT_RUN)}
-	switch claim.refusal {
+func claimProblem(claim claims.RefusedError) problem {
+	p := problem{Title: "Idempotency key in use", Status: http.StatusConflict, Detail: claim.Detail, Outcome: nameOf(schema.Outcome_OUTCOME_NOT_RUN)}
+	switch claim.Refusal {
 	case schema.Refusal_REFUSAL_CLAIM_UNKNOWN:
 		p.Title = "Outcome unknown"
 		p.Outcome = nameOf(schema.Outcome_OUTCOME_UNKNOWN)
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -43,17 +43,18 @@
 	r.record = &record{digest: sha256.New()}
 }
 
-// started tells whether the caller has received any part of the answer.
-func (r *reply) started() bool {
+// Started tells whether the caller has received any part of the answer.
+func (r *reply) Started() bool {
 	return r.sent
 }
 
-func (r *reply) setHead(head *schema.AnswerHead) {
+// SetHead keeps the head until the first write.
+func (r *reply) SetHead(head *schema.AnswerHead) {
 	r.head = head
 }
 
-// write passes a piece of the body on. It blocks while the caller is slow.
-func (r *reply) write(piece []byte) error {
+// Write passes a piece of the body on. It blocks while the caller is slow.
+func (r *reply) Write(piece []byte) error {
 	if r.record != nil {
 		r.record.digest.Write(piece)
 		if !r.record.passed && figbank.Bytes(r.record.body.Len()+len(piece)) <= recordedMost {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -12,6 +12,7 @@
 
 	"figbank"
 	"figbank/configuration"
+	"figbank/relay"
 	"figbank/routing"
 	"figbank/schema"
 
@@ -34,16 +35,8 @@
 type (
 	// request is one caller's request.
 	request struct {
-		id          figbank.RequestID
-		workspace   figbank.Workspace
-		service     figbank.ServiceName
-		method      string
-		path        string
-		headers     []*schema.Header
-		body        []byte
-		cost        figbank.Cost
-		affinity    uint64
-		repeatable  bool
+		relay.Request
+		// key is the caller's idempotency key, empty for none.
 		key         string
 		reservation *reservation
 	}
@@ -84,14 +77,14 @@
 // reservation must be released.
 func (g *Gateway) readRequest(r *http.Request, workspace figbank.Workspace) (*request, error) {
 	req := &request{
-		id: newRequestID(), workspace: workspace, method: r.Method, key: r.Header.Get(headerIdempotencyKey),
-		reservation: g.memory.reserve(),
+		Request: relay.Request{ID: newRequestID(), Workspace: workspace, Method: r.Method},
+		key:     r.Header.Get(headerIdempotencyKey), reservation: g.memory.reserve(),
 	}
 	if len(req.key) > maxKeyLength {
 		return nil, figbank.InvalidError{Subject: headerIdempotencyKey, Detail: "longer than 255 bytes"}
 	}
-	req.headers = forwarded(r.Header)
-	if !req.reservation.grow(int64(g.settings.StreamWindow)) {
+	req.Headers = forwarded(r.Header)
+	if !req.reservation.grow(int64(g.settings.Relay.StreamWindow)) {
 		return nil, figbank.NotRunError{Reason: figbank.ReasonMemoryFull}
 	}
 	body, err := g.readBody(r, req.reservation)
@@ -99,7 +92,7 @@
 		req.reservation.release()
 		return nil, err
 	}
-	req.body = body
+	req.Body = body
 	return req, nil
 }
 
@@ -129,47 +122,47 @@
 // asChat makes a request one to the service that its body's model names.
 func (req *request) asChat() error {
 	var chat chatBody
-	if err := json.Unmarshal(req.body, &chat); err != nil {
+	if err := json.Unmarshal(req.Body, &chat); err != nil {
 		return figbank.InvalidError{Subject: subjectBody, Detail: "not a JSON object of a chat completion"}
 	}
 	if chat.Model == "" {
 		return figbank.InvalidError{Subject: subjectBody, Detail: "model is missing"}
 	}
-	req.service = figbank.ServiceName(chat.Model)
-	req.path = chatPath
-	req.cost = routing.CostOf(figbank.Bytes(len(req.body)), chat.MaxTokens)
+	req.Service = figbank.ServiceName(chat.Model)
+	req.Path = chatPath
+	req.Cost = routing.CostOf(figbank.Bytes(len(req.Body)), chat.MaxTokens)
 	prefix := string(chat.Messages[:min(len(chat.Messages), affinityPrefix)])
-	req.affinity = routing.AffinityOf(req.workspace, prefix)
+	req.Affinity = routing.AffinityOf(req.Workspace, prefix)
 	return nil
 }
 
 // asService makes a request one to a plain service.
 func (req *request) asService(name, path, query string) {
-	req.service = figbank.ServiceName(name)
-	req.path = path
+	req.Service = figbank.ServiceName(name)
+	req.Path = path
 	if query != "" {
-		req.path += "?" + query
+		req.Path += "?" + query
 	}
-	req.cost = routing.CostOf(figbank.Bytes(len(req.body)), 0)
+	req.Cost = routing.CostOf(figbank.Bytes(len(req.Body)), 0)
 }
 
 // permit checks the request against the declarations in force.
 func (g *Gateway) permit(req *request, kind string) error {
-	declared := configuration.Declared(g.holder.Current(), req.service)
+	declared := configuration.Declared(g.holder.Current(), req.Service)
 	switch {
 	case declared == nil || declared.GetKind() != kind:
-		return unknownServiceError{service: req.service}
-	case !configuration.Allows(declared, req.workspace):
-		return forbiddenError{service: req.service, workspace: req.workspace}
+		return unknownServiceError{service: req.Service}
+	case !configuration.Allows(declared, req.Workspace):
+		return forbiddenError{service: req.Service, workspace: req.Workspace}
 	}
 	// Safe methods may be repeated whatever the service is (RFC 9110, section 9.2.1).
-	req.repeatable = declared.GetRepeatable() || req.method == http.MethodGet || req.method == http.MethodHead
+	req.Repeatable = declared.GetRepeatable() || req.Method == http.MethodGet || req.Method == http.MethodHead
 	return nil
 }
 
 func (req *request) fingerprint() []byte {
 	hash := sha256.New()
-	for _, part := range []string{req.method, req.path, string(req.body)} {
+	for _, part := range []string{req.Method, req.Path, string(req.Body)} {
 		hash.Write([]byte(part))
 		hash.Write([]byte{0})
 	}
--- a/gateway/grants.go
+++ b/grants/grants.go
@@ -1,4 +1,6 @@
-package gateway
+// Package grants asks the replicated log, for agents, whether their upstreams
+// may leave service to switch version.
+package grants
 
 import (
 	"context"
@@ -8,14 +10,30 @@
 	"figbank/transport"
 )
 
-// ServeGrant asks the log, for an agent of this failure domain, whether its
+type (
+	// Warm counts a service's routable upstreams, in one domain and in all.
+	Warm func(service figbank.ServiceName, domain figbank.FailureDomain) (inDomain, inAll int64)
+
+	// Grants is safe for concurrent use.
+	Grants struct {
+		proposer figbank.Proposer
+		warm     Warm
+	}
+)
+
+// New returns grants from the log that proposer reaches.
+func New(proposer figbank.Proposer, warm Warm) *Grants {
+	return &Grants{proposer: proposer, warm: warm}
+}
+
+// Serve asks the log, for an agent of this failure domain, whether its
 // upstream may leave service now.
-func (g *Gateway) ServeGrant(ctx context.Context, _ figbank.ProcessID, stream *transport.Stream) {
+func (g *Grants) Serve(ctx context.Context, _ figbank.ProcessID, stream *transport.Stream) {
 	request := &schema.GrantRequest{}
 	if err := stream.Receive(request); err != nil {
 		return
 	}
-	result, err := g.proposer.Propose(ctx, g.grantCommand(request))
+	result, err := g.proposer.Propose(ctx, g.command(request))
 	if err != nil {
 		_ = stream.Send(&schema.GrantAnswer{Detail: err.Error()})
 		return
@@ -24,13 +42,13 @@
 	_ = stream.Send(&schema.GrantAnswer{Granted: granted, Detail: result.GetDetail()})
 }
 
-func (g *Gateway) grantCommand(request *schema.GrantRequest) *schema.Command {
+func (g *Grants) command(request *schema.GrantRequest) *schema.Command {
 	if request.GetRelease() {
 		release := &schema.Release{Service: request.GetService(), Upstream: request.GetUpstream()}
 		return &schema.Command{Action: &schema.Command_Release{Release: release}}
 	}
 	domain := figbank.FailureDomain(request.GetFailureDomain())
-	inDomain, inAll := g.Warm(figbank.ServiceName(request.GetService()), domain)
+	inDomain, inAll := g.warm(figbank.ServiceName(request.GetService()), domain)
 	return &schema.Command{Action: &schema.Command_Grant{Grant: &schema.Grant{
 		Service: request.GetService(), FailureDomain: request.GetFailureDomain(),
 		Upstream: request.GetUpstream(), Manifest: request.GetManifest(),
--- a/measure/world.go
+++ b/measure/world.go
@@ -20,6 +20,7 @@
 	"figbank/exchange"
 	"figbank/fake"
 	"figbank/gateway"
+	"figbank/relay"
 	"figbank/routing"
 	"figbank/schema"
 	"figbank/timeline"
@@ -248,12 +249,15 @@
 	}
 	p.pool = transport.NewPool(common, transport.WithDialer(w.Network.Dialer(g.address)))
 	p.door = gateway.New(common, gateway.Settings{
-		Place:   routing.Place{Region: g.domain.Region, FailureDomain: g.domain.Name},
-		MaxBody: maxBody, MaxHeld: w.policy.MaxHeld, StreamWindow: w.policy.StreamWindow,
-		QueueLength: queueLength, QueueAge: w.policy.QueueAge, Deadline: deadline, RetryShare: retryShare, CallerKeys: w.keys,
+		Relay: relay.Settings{
+			Place:        routing.Place{Region: g.domain.Region, FailureDomain: g.domain.Name},
+			StreamWindow: w.policy.StreamWindow, QueueLength: queueLength, QueueAge: w.policy.QueueAge,
+			Deadline: deadline, RetryShare: retryShare,
+		},
+		MaxBody: maxBody, MaxHeld: w.policy.MaxHeld, CallerKeys: w.keys,
 	}, p.holder, p.pool, w.Log, func() bool { return p.exchange.CaughtUp() })
 	p.exchange = exchange.New(common, g.domain.Name, upstreamLease, p.holder, p.pool, g.peers,
-		exchange.WithChange(p.door.SetUpstreams), exchange.WithLoad(p.door.HearLoad))
+		exchange.WithChange(p.door.Relay().SetUpstreams), exchange.WithLoad(p.door.Relay().HearLoad))
 	p.server = transport.NewServer(common, w.Network.Listen(g.address), transport.Handlers{
 		schema.StreamKind_STREAM_KIND_EXCHANGE: p.exchange.ServeExchange,
 		schema.StreamKind_STREAM_KIND_ANNOUNCE: p.exchange.ServeAnnounce,
--- a/gateway/attempt.go
+++ b/relay/attempt.go
@@ -1,4 +1,4 @@
-package gateway
+package relay
 
 import (
 	"context"
@@ -19,10 +19,10 @@
 
 // attemptAt is one try of a request at one upstream.
 type attemptAt struct {
-	gateway   *Gateway
-	req       *request
+	relay     *Relay
+	request   *Request
 	candidate routing.Candidate
-	reply     *reply
+	reply     Reply
 	deadline  time.Time
 
 	stream *transport.Stream
@@ -35,9 +35,9 @@
 // run returns nil when the whole answer has gone into the reply.
 func (a *attemptAt) run(ctx context.Context) error {
 	defer a.settleLoad()
-	stream, err := a.gateway.pool.Open(ctx, a.candidate.Address, schema.StreamKind_STREAM_KIND_CALL)
+	stream, err := a.relay.pool.Open(ctx, a.candidate.Address, schema.StreamKind_STREAM_KIND_CALL)
 	if err != nil {
-		return figbank.Fail("gateway", "Unreachable", figbank.NotRunError{Reason: figbank.ReasonUnreachable}, "cause", err)
+		return figbank.Fail("relay", "Unreachable", figbank.NotRunError{Reason: figbank.ReasonUnreachable}, "cause", err)
 	}
 	a.stream = stream
 	defer stream.Close()
@@ -51,23 +51,23 @@
 // sendRequest sends head and body. The agent runs nothing before it has the
 // whole body, so only a failure of the last frame leaves the outcome open.
 func (a *attemptAt) sendRequest() error {
-	remaining := a.deadline.Sub(a.gateway.common.Clock.Now())
+	remaining := a.deadline.Sub(a.relay.common.Clock.Now())
 	head := &schema.CallHead{
-		Service: string(a.req.service), Workspace: string(a.req.workspace),
-		Method: a.req.method, Path: a.req.path, Headers: a.req.headers,
-		Manifest: a.candidate.Manifest, Cost: int64(a.req.cost), BodyLength: int64(len(a.req.body)),
-		Credit: int64(a.gateway.settings.StreamWindow), ConfigIndex: uint64(a.gateway.holder.Index()),
+		Service: string(a.request.Service), Workspace: string(a.request.Workspace),
+		Method: a.request.Method, Path: a.request.Path, Headers: a.request.Headers,
+		Manifest: a.candidate.Manifest, Cost: int64(a.request.Cost), BodyLength: int64(len(a.request.Body)),
+		Credit: int64(a.relay.settings.StreamWindow), ConfigIndex: uint64(a.relay.holder.Index()),
 		TimeoutMilliseconds: max(1, remaining.Milliseconds()),
 	}
-	frames := []*schema.CallFrame{{RequestId: string(a.req.id), Frame: &schema.CallFrame_Head{Head: head}}}
-	for body := a.req.body; len(body) > 0; body = body[min(bodyPiece, len(body)):] {
+	frames := []*schema.CallFrame{{RequestId: string(a.request.ID), Frame: &schema.CallFrame_Head{Head: head}}}
+	for body := a.request.Body; len(body) > 0; body = body[min(bodyPiece, len(body)):] {
 		piece := body[:min(bodyPiece, len(body))]
-		frames = append(frames, &schema.CallFrame{RequestId: string(a.req.id), Frame: &schema.CallFrame_Body{Body: piece}})
+		frames = append(frames, &schema.CallFrame{RequestId: string(a.request.ID), Frame: &schema.CallFrame_Body{Body: piece}})
 	}
 	for i, frame := range frames {
 		err := a.stream.Send(frame)
 		if err != nil && i < len(frames)-1 {
-			return figbank.Fail("gateway", "Unreachable", figbank.NotRunError{Reason: figbank.ReasonUnreachable}, "cause", err)
+			return figbank.Fail("relay", "Unreachable", figbank.NotRunError{Reason: figbank.ReasonUnreachable}, "cause", err)
 		}
 		if err != nil {
 			return a.lost(err)
@@ -83,9 +83,9 @@
 		if err := a.stream.Receive(frame); err != nil {
 			return a.lost(err)
 		}
-		if frame.GetRequestId() != string(a.req.id) {
+		if frame.GetRequestId() != string(a.request.ID) {
 			detail := "frame of request " + frame.GetRequestId()
-			return figbank.Fail("gateway", "CrossedAnswer", figbank.ProtocolError{Detail: detail})
+			return figbank.Fail("relay", "CrossedAnswer", figbank.ProtocolError{Detail: detail})
 		}
 		a.hearLoad(frame)
 		switch f := frame.GetFrame().(type) {
@@ -97,12 +97,12 @@
 		case *schema.AnswerFrame_Head:
 			headSeen = true
 			if f.Head.GetManifest() != a.candidate.Manifest {
-				return figbank.Fail("gateway", "WrongVersion", figbank.ProtocolError{Detail: "answer from another version"})
+				return figbank.Fail("relay", "WrongVersion", figbank.ProtocolError{Detail: "answer from another version"})
 			}
-			a.reply.setHead(f.Head)
+			a.reply.SetHead(f.Head)
 		case *schema.AnswerFrame_Body:
 			if !headSeen {
-				return figbank.Fail("gateway", "Protocol", figbank.ProtocolError{Detail: "body before head"})
+				return figbank.Fail("relay", "Protocol", figbank.ProtocolError{Detail: "body before head"})
 			}
 			if err := a.passOn(f.Body); err != nil {
 				return err
@@ -115,14 +115,14 @@
 
 // passOn writes to the caller and then lets the agent send more.
 func (a *attemptAt) passOn(piece []byte) error {
-	if err := a.reply.write(piece); err != nil {
+	if err := a.reply.Write(piece); err != nil {
 		return err
 	}
 	a.owed += int64(len(piece))
-	if a.owed < int64(a.gateway.settings.StreamWindow)/creditShare {
+	if a.owed < int64(a.relay.settings.StreamWindow)/creditShare {
 		return nil
 	}
-	credit := &schema.CallFrame{RequestId: string(a.req.id), Frame: &schema.CallFrame_Credit{Credit: a.owed}}
+	credit := &schema.CallFrame{RequestId: string(a.request.ID), Frame: &schema.CallFrame_Credit{Credit: a.owed}}
 	a.owed = 0
 	// The answer may be complete already; a lost stream shows when receiving.
 	_ = a.stream.Send(credit)
@@ -133,29 +133,29 @@
 	if end.GetComplete() && headSeen {
 		return nil
 	}
-	if a.reply.started() {
+	if a.reply.Started() {
 		return figbank.CutAnswerError{Detail: end.GetDetail()}
 	}
 	return figbank.UnknownOutcomeError{Detail: end.GetDetail()}
 }
 
 func (a *attemptAt) lost(err error) error {
-	if a.reply.started() {
-		return figbank.Fail("gateway", "Cut", figbank.CutAnswerError{Detail: "connection to the upstream was lost"}, "cause", err)
+	if a.reply.Started() {
+		return figbank.Fail("relay", "Cut", figbank.CutAnswerError{Detail: "connection to the upstream was lost"}, "cause", err)
 	}
-	return figbank.Fail("gateway", "Lost", figbank.UnknownOutcomeError{Detail: "connection to the upstream was lost"}, "cause", err)
+	return figbank.Fail("relay", "Lost", figbank.UnknownOutcomeError{Detail: "connection to the upstream was lost"}, "cause", err)
 }
 
 func (a *attemptAt) hearLoad(frame *schema.AnswerFrame) {
 	a.told = true
-	a.candidate.Load.Set(figbank.Cost(frame.GetFree()), a.gateway.common.Clock.Now())
+	a.candidate.Load.Set(figbank.Cost(frame.GetFree()), a.relay.common.Clock.Now())
 }
 
 // settleLoad gives back the capacity that was taken when no frame told better,
 // and lets those that wait look again.
 func (a *attemptAt) settleLoad() {
 	if !a.told {
-		a.candidate.Load.Return(a.req.cost)
+		a.candidate.Load.Return(a.request.Cost)
 	}
-	a.gateway.waiting.wake(a.req.service)
+	a.relay.waiting.wake(a.request.Service)
 }
--- a/gateway/waiting.go
+++ b/relay/waiting.go
@@ -1,4 +1,4 @@
-package gateway
+package relay
 
 import (
 	"context"
