Replace voters that are gone by a joint change

Cause: a replica that lost its disk, or a new one at another address, never voted again, so the next loss stopped the log.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -57,7 +57,7 @@
 	for id, address := range settings.Replicas(s) {
 		endpoints = append(endpoints, replica.Endpoint{ID: id, Address: address})
 	}
-	return replica.NewClient(common, pool, endpoints)
+	return replica.NewClient(common, pool, func() []replica.Endpoint { return endpoints })
 }
 
 // newReplica returns nil on a gateway that keeps no log.
--- a/feed/server.go
+++ b/feed/server.go
@@ -39,10 +39,10 @@
 	}
 	s := &subscription{view: v, stream: stream, member: opening.GetMember(), index: opening.GetCommitIndex()}
 	v.hearEngine(opening.GetEngine())
-	v.join(s.member)
+	v.join(s.member, stream)
 	v.common.Log.Info("subscriber joined", zap.String("subscriber", s.member.GetId()))
 	defer func() {
-		v.part(s.member)
+		v.part(s.member.GetId(), stream)
 		v.common.Log.Info("subscriber lost", zap.String("subscriber", s.member.GetId()))
 	}()
 	ctx, cancel := context.WithCancel(ctx)
@@ -63,6 +63,7 @@
 			return
 		}
 		s.view.hearEngine(refresh.GetEngine())
+		s.view.renew(refresh.GetMember())
 		signal(heard)
 	}
 }
@@ -100,8 +101,8 @@
 	if s.joins != v.joins {
 		s.joins = v.joins
 		update.HasMembers = true
-		for _, member := range v.direct {
-			update.Members = append(update.Members, member)
+		for _, subscriber := range v.direct {
+			update.Members = append(update.Members, subscriber.member)
 		}
 		slices.SortFunc(update.Members, func(a, b *schema.Member) int { return cmp.Compare(a.GetId(), b.GetId()) })
 	}
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -22,7 +22,7 @@
 	common figbank.Common
 	view   *View
 	pool   *transport.Pool
-	self   *schema.Member
+	self   atomic.Pointer[schema.Member]
 	engine atomic.Pointer[schema.EngineState]
 	urgent chan struct{}
 
@@ -40,10 +40,11 @@
 func NewSubscriber(common figbank.Common, view *View, pool *transport.Pool, self *schema.Member, seeds []figbank.Address) *Subscriber {
 	ctx, stop := context.WithCancel(context.Background())
 	s := &Subscriber{
-		common: common.For("feed"), view: view, pool: pool, self: self, seeds: seeds, ctx: ctx, stop: stop,
+		common: common.For("feed"), view: view, pool: pool, seeds: seeds, ctx: ctx, stop: stop,
 		running: map[figbank.Address]context.CancelFunc{}, reached: map[figbank.Address]bool{},
 		urgent: make(chan struct{}),
 	}
+	s.self.Store(self)
 	s.update()
 	view.Watch(s.update)
 	return s
@@ -66,6 +67,16 @@
 // SetEngine tells the replicas at once what has changed about the engine.
 func (s *Subscriber) SetEngine(state *schema.EngineState) {
 	s.engine.Store(state)
+	s.hurry()
+}
+
+// SetMember tells the replicas at once what has changed about this process.
+func (s *Subscriber) SetMember(member *schema.Member) {
+	s.self.Store(member)
+	s.hurry()
+}
+
+func (s *Subscriber) hurry() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	close(s.urgent)
@@ -105,7 +116,7 @@
 			addresses = append(addresses, figbank.Address(member.GetAddress()))
 		}
 	}
-	return slices.DeleteFunc(addresses, func(a figbank.Address) bool { return a == figbank.Address(s.self.GetAddress()) })
+	return slices.DeleteFunc(addresses, func(a figbank.Address) bool { return a == figbank.Address(s.self.Load().GetAddress()) })
 }
 
 // follow keeps one feed open as long as its replica is named or reached.
@@ -165,7 +176,7 @@
 		urgent := s.urgent
 		s.mu.Unlock()
 		message := &schema.Subscribe{
-			Member: s.self, CommitIndex: s.view.Fleet().GetCommitIndex(), Engine: s.engine.Load(),
+			Member: s.self.Load(), CommitIndex: s.view.Fleet().GetCommitIndex(), Engine: s.engine.Load(),
 		}
 		if err := stream.Send(message); err != nil {
 			return
--- a/feed/view.go
+++ b/feed/view.go
@@ -14,6 +14,7 @@
 	"figbank/configuration"
 	"figbank/registry"
 	"figbank/schema"
+	"figbank/transport"
 )
 
 // expireInterval is how often leases are looked at.
@@ -28,7 +29,7 @@
 		mu       sync.Mutex
 		registry *registry.Registry
 		// direct are the processes subscribed here, listed those that replicas name.
-		direct map[figbank.ProcessID]*schema.Member
+		direct map[figbank.ProcessID]*joined
 		listed map[figbank.Address][]*schema.Member
 		// joins counts the changes of direct.
 		joins uint64
@@ -40,12 +41,18 @@
 	}
 )
 
+// joined is a process that is subscribed here, by its newest stream.
+type joined struct {
+	member *schema.Member
+	stream *transport.Stream
+}
+
 // NewView returns a view that knows nothing yet. Upstreams that announce
 // themselves here are silent after lease.
 func NewView(common figbank.Common, lease time.Duration, fleet *configuration.FleetHolder) *View {
 	v := &View{
 		common: common.For("feed"), fleet: fleet, registry: registry.New(lease),
-		direct:    map[figbank.ProcessID]*schema.Member{},
+		direct:    map[figbank.ProcessID]*joined{},
 		listed:    map[figbank.Address][]*schema.Member{},
 		changed:   make(chan struct{}),
 		announced: make(chan struct{}),
@@ -83,8 +90,8 @@
 			all[member.GetId()] = member
 		}
 	}
-	for _, member := range v.direct {
-		all[member.GetId()] = member
+	for id, subscriber := range v.direct {
+		all[string(id)] = subscriber.member
 	}
 	members := make([]*schema.Member, 0, len(all))
 	for _, member := range all {
@@ -154,29 +161,45 @@
 	v.tellOf(material, moved)
 }
 
-// join and leave keep the list of processes that are subscribed here.
-func (v *View) join(member *schema.Member) {
+// join and part keep the list of processes that are subscribed here.
+func (v *View) join(member *schema.Member, stream *transport.Stream) {
 	v.mu.Lock()
-	v.direct[figbank.ProcessID(member.GetId())] = member
+	v.direct[figbank.ProcessID(member.GetId())] = &joined{member: member, stream: stream}
 	v.joins++
 	v.mu.Unlock()
 	v.tell()
 }
 
-func (v *View) part(member *schema.Member) {
+func (v *View) part(id string, stream *transport.Stream) {
 	v.mu.Lock()
-	id := figbank.ProcessID(member.GetId())
+	subscriber, found := v.direct[figbank.ProcessID(id)]
 	// A process that has already subscribed again stays.
-	if v.direct[id] == member {
-		delete(v.direct, id)
+	if found && subscriber.stream == stream {
+		delete(v.direct, figbank.ProcessID(id))
 		v.joins++
 	}
 	v.mu.Unlock()
 	v.tell()
 }
 
+// renew takes in what a subscriber says of itself now.
+func (v *View) renew(member *schema.Member) {
+	v.mu.Lock()
+	subscriber, found := v.direct[figbank.ProcessID(member.GetId())]
+	changed := found && !sameMember(subscriber.member, member)
+	if changed {
+		subscriber.member = member
+		v.joins++
+	}
+	v.mu.Unlock()
+	if changed {
+		v.tell()
+	}
+}
+
 func sameMember(a, b *schema.Member) bool {
-	return a.GetId() == b.GetId() && a.GetRole() == b.GetRole() && a.GetAddress() == b.GetAddress()
+	return a.GetId() == b.GetId() && a.GetRole() == b.GetRole() && a.GetAddress() == b.GetAddress() &&
+		a.GetReplicaId() == b.GetReplicaId() && a.GetLeaving() == b.GetLeaving()
 }
 
 // tellOf wakes those to whom the change matters.
--- a/raft/election.go
+++ b/raft/election.go
@@ -24,7 +24,7 @@
 	n.leader = ""
 	n.resetElection()
 	n.votes = map[figbank.ProcessID]bool{n.id: true}
-	if len(n.votes) >= n.quorum() {
+	if n.agree(n.voted) {
 		n.startElection()
 		return
 	}
@@ -38,7 +38,7 @@
 	n.saveHardState()
 	n.resetElection()
 	n.votes = map[figbank.ProcessID]bool{n.id: true}
-	if len(n.votes) >= n.quorum() {
+	if n.agree(n.voted) {
 		n.becomeLeader()
 		return
 	}
@@ -48,7 +48,7 @@
 func (n *Node) askVotes(kind schema.RaftKind, term uint64) {
 	last := n.log.last()
 	lastTerm, _ := n.log.termAt(last)
-	n.eachPeer(func(peer figbank.ProcessID) {
+	n.eachVoter(func(peer figbank.ProcessID) {
 		n.send(peer, &schema.RaftMessage{Kind: kind, Term: term, LogIndex: last, LogTerm: lastTerm})
 	})
 }
@@ -75,7 +75,7 @@
 		return
 	}
 	n.votes[figbank.ProcessID(m.GetFrom())] = true
-	if len(n.votes) >= n.quorum() {
+	if n.agree(n.voted) {
 		n.startElection()
 	}
 }
@@ -97,7 +97,7 @@
 		return
 	}
 	n.votes[figbank.ProcessID(m.GetFrom())] = true
-	if len(n.votes) >= n.quorum() {
+	if n.agree(n.voted) {
 		n.becomeLeader()
 	}
 }
@@ -106,9 +106,6 @@
 	n.role = Leader
 	n.leader = n.id
 	n.progress = map[figbank.ProcessID]*progress{}
-	n.eachPeer(func(peer figbank.ProcessID) {
-		n.progress[peer] = &progress{next: n.log.last() + 1, heard: n.now}
-	})
 	// An entry of its own term lets a new leader commit those of earlier terms.
 	n.appendOwn(&schema.Entry{Index: n.log.last() + 1, Term: n.term})
 	n.broadcastAppend()
@@ -124,13 +121,15 @@
 }
 
 func (n *Node) heardQuorum() bool {
-	heard := 1
-	for _, p := range n.progress {
-		if n.now.Sub(p.heard) < n.timing.ElectionTimeout {
-			heard++
-		}
-	}
-	return heard >= n.quorum()
+	return n.agree(func(id figbank.ProcessID) bool {
+		p := n.progress[id]
+		return id == n.id || p != nil && n.now.Sub(p.heard) < n.timing.ElectionTimeout
+	})
+}
+
+// voted tells who has granted this candidate a vote.
+func (n *Node) voted(id figbank.ProcessID) bool {
+	return n.votes[id]
 }
 
 func (n *Node) upToDate(m *schema.RaftMessage) bool {
--- a/raft/entry_log.go
+++ b/raft/entry_log.go
@@ -13,10 +13,41 @@
 type entryLog struct {
 	snapshot *schema.Snapshot
 	entries  []*schema.Entry
+	// first are the members before any entry or snapshot that tells.
+	first *schema.Membership
+	// members is the newest membership in the log, from membersIndex on.
+	members      *schema.Membership
+	membersIndex uint64
 }
 
-func newEntryLog(snapshot *schema.Snapshot, entries []*schema.Entry) entryLog {
-	return entryLog{snapshot: snapshot, entries: entries}
+func newEntryLog(first *schema.Membership, snapshot *schema.Snapshot, entries []*schema.Entry) entryLog {
+	l := entryLog{first: first, snapshot: snapshot, entries: entries}
+	l.findMembers()
+	return l
+}
+
+// findMembers looks for the newest membership.
+func (l *entryLog) findMembers() {
+	l.members, l.membersIndex = l.membershipBefore(l.last() + 1)
+}
+
+// membershipAt returns the membership in force at an index.
+func (l *entryLog) membershipAt(index uint64) *schema.Membership {
+	members, _ := l.membershipBefore(index + 1)
+	return members
+}
+
+func (l *entryLog) membershipBefore(index uint64) (*schema.Membership, uint64) {
+	for i := len(l.entries) - 1; i >= 0; i-- {
+		entry := l.entries[i]
+		if entry.GetIndex() < index && entry.GetMembership() != nil {
+			return entry.GetMembership(), entry.GetIndex()
+		}
+	}
+	if l.snapshot.GetMembership() != nil {
+		return l.snapshot.GetMembership(), l.snapshot.GetIndex()
+	}
+	return l.first, 0
 }
 
 func (l *entryLog) last() uint64 {
@@ -58,6 +89,11 @@
 
 func (l *entryLog) append(entries ...*schema.Entry) {
 	l.entries = append(l.entries, entries...)
+	for _, entry := range entries {
+		if entry.GetMembership() != nil {
+			l.members, l.membersIndex = entry.GetMembership(), entry.GetIndex()
+		}
+	}
 }
 
 // truncate removes the entry at index and all after it.
@@ -65,6 +101,7 @@
 	base := l.snapshot.GetIndex()
 	if index <= l.last() {
 		l.entries = slices.Clone(l.entries[:index-base-1])
+		l.findMembers()
 	}
 }
 
@@ -74,9 +111,11 @@
 	}
 	l.entries = slices.Clone(l.entries[snapshot.GetIndex()-l.snapshot.GetIndex():])
 	l.snapshot = snapshot
+	l.findMembers()
 }
 
 func (l *entryLog) reset(snapshot *schema.Snapshot) {
 	l.entries = nil
 	l.snapshot = snapshot
+	l.findMembers()
 }
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -55,7 +55,6 @@
 	// Node is one replica. It is not safe for concurrent use.
 	Node struct {
 		id     figbank.ProcessID
-		voters []figbank.ProcessID
 		timing Timing
 		random *rand.Rand
 
@@ -91,12 +90,13 @@
 	return [...]string{"Follower", "PreCandidate", "Candidate", "Leader"}[r]
 }
 
-// NewNode returns a follower with the state found on disk. Voters must contain id.
-func NewNode(id figbank.ProcessID, voters []figbank.ProcessID, timing Timing, random *rand.Rand, stored Stored, now time.Time) *Node {
-	n := &Node{id: id, voters: voters, timing: timing, random: random, now: now}
+// NewNode returns a follower with the state found on disk. First are the members
+// before any entry that changes them; nil for a replica that is yet to be added.
+func NewNode(id figbank.ProcessID, first *schema.Membership, timing Timing, random *rand.Rand, stored Stored, now time.Time) *Node {
+	n := &Node{id: id, timing: timing, random: random, now: now}
 	n.term = stored.HardState.GetTerm()
 	n.votedFor = figbank.ProcessID(stored.HardState.GetVotedFor())
-	n.log = newEntryLog(stored.Snapshot, stored.Entries)
+	n.log = newEntryLog(first, stored.Snapshot, stored.Entries)
 	n.commit = stored.Snapshot.GetIndex()
 	n.handed = n.commit
 	n.stable = n.log.last()
@@ -176,7 +176,7 @@
 		n.tickLeader()
 		return
 	}
-	if !now.Before(n.electionAt) {
+	if !now.Before(n.electionAt) && n.mayVote() {
 		n.startPreVote()
 	}
 }
@@ -184,7 +184,8 @@
 // Step handles one message from another replica.
 func (n *Node) Step(now time.Time, m *schema.RaftMessage) {
 	n.now = now
-	if !n.isVoter(figbank.ProcessID(m.GetFrom())) {
+	// A replica that has lost its disk is another one, though at the same address.
+	if m.GetTo() != string(n.id) {
 		return
 	}
 	switch m.GetKind() {
@@ -228,27 +229,6 @@
 	n.ready.Messages = append(n.ready.Messages, m)
 }
 
-func (n *Node) eachPeer(act func(figbank.ProcessID)) {
-	for _, voter := range n.voters {
-		if voter != n.id {
-			act(voter)
-		}
-	}
-}
-
-func (n *Node) isVoter(id figbank.ProcessID) bool {
-	for _, voter := range n.voters {
-		if voter == id {
-			return true
-		}
-	}
-	return false
-}
-
-func (n *Node) quorum() int {
-	return len(n.voters)/2 + 1
-}
-
 func (n *Node) resetElection() {
 	spread := time.Duration(n.random.Int64N(int64(n.timing.ElectionTimeout)))
 	n.electionAt = n.now.Add(n.timing.ElectionTimeout + spread)
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -22,8 +22,10 @@
 type (
 	// cluster runs nodes over a network that drops what it is told to.
 	cluster struct {
-		now   time.Time
-		ids   []figbank.ProcessID
+		now time.Time
+		ids []figbank.ProcessID
+		// first are the voters that begin the log; other replicas wait to be added.
+		first *schema.Membership
 		hosts map[figbank.ProcessID]*host
 		wire  []*schema.RaftMessage
 		cut   map[[2]figbank.ProcessID]bool
@@ -50,6 +52,7 @@
 	for i := range size {
 		c.ids = append(c.ids, figbank.ProcessID(fmt.Sprintf("r%d", i)))
 	}
+	c.first = MembersOf(c.ids...)
 	for _, id := range c.ids {
 		c.hosts[id] = &host{}
 		c.start(id)
@@ -63,7 +66,11 @@
 	h.applied = h.stored.Snapshot.GetIndex()
 	c.seed++
 	stored := Stored{HardState: h.stored.HardState, Snapshot: h.stored.Snapshot, Entries: slices.Clone(h.stored.Entries)}
-	h.node = NewNode(id, c.ids, timing, rand.New(rand.NewPCG(c.seed, 1)), stored, c.now)
+	var first *schema.Membership
+	if holds(c.first.GetVoters(), id) {
+		first = c.first
+	}
+	h.node = NewNode(id, first, timing, rand.New(rand.NewPCG(c.seed, 1)), stored, c.now)
 }
 
 // work does what each node asks, as a driver does.
@@ -103,7 +110,7 @@
 	}
 	h.applied = entry.GetIndex()
 	known, found := c.chosen[entry.GetIndex()]
-	content := fmt.Appendf(nil, "%d:%s", entry.GetTerm(), entry.GetData())
+	content := fmt.Appendf(nil, "%d:%s:%s", entry.GetTerm(), entry.GetData(), idsOf(entry.GetMembership().GetVoters()))
 	if found && !bytes.Equal(known, content) {
 		c.fail("index %d applied as %s and as %s", entry.GetIndex(), known, content)
 	}
@@ -299,7 +306,7 @@
 			"compact": func(t *rapid.T) {
 				h := c.hosts[pick(t)]
 				if term, found := h.node.TermAt(h.applied); found && !h.down && h.applied > 0 {
-					snapshot := &schema.Snapshot{Index: h.applied, Term: term}
+					snapshot := &schema.Snapshot{Index: h.applied, Term: term, Membership: h.node.MembershipAt(h.applied)}
 					h.stored.Entries, h.stored.Snapshot = slices.Clone(h.node.Compact(snapshot)), snapshot
 				}
 			},
--- a/raft/replication.go
+++ b/raft/replication.go
@@ -32,6 +32,10 @@
 // It counts on delivery; a follower that missed some answers where to resume.
 func (n *Node) sendAppend(peer figbank.ProcessID) {
 	p := n.progress[peer]
+	if p == nil {
+		p = &progress{next: n.log.last() + 1, heard: n.now}
+		n.progress[peer] = p
+	}
 	before, found := n.log.termAt(p.next - 1)
 	if !found {
 		n.sendSnapshot(peer, p)
@@ -123,6 +127,9 @@
 	}
 	peer := figbank.ProcessID(m.GetFrom())
 	p := n.progress[peer]
+	if p == nil {
+		return
+	}
 	p.heard = n.now
 	if !m.GetGranted() {
 		p.next = max(p.match, min(m.GetMatch(), n.log.last())) + 1
@@ -156,19 +163,41 @@
 	n.answerAppend(from, true, n.commit)
 }
 
-// advanceCommit commits the highest entry of the present term that a quorum has
-// synced; earlier terms' entries are committed with it (Raft, section 5.4.2).
+// advanceCommit commits the highest entry of the present term that majorities
+// have synced; earlier terms' entries are committed with it (Raft, section 5.4.2).
 func (n *Node) advanceCommit() {
-	synced := []uint64{n.stable}
-	for _, p := range n.progress {
-		synced = append(synced, p.match)
-	}
-	slices.Sort(synced)
-	agreed := synced[len(synced)-n.quorum()]
+	agreed := n.agreedIndex()
 	term, found := n.log.termAt(agreed)
-	if agreed > n.commit && found && term == n.term {
-		n.commit = agreed
-		// Followers learn of the commit at once, not with the next heartbeat.
-		n.broadcastAppend()
+	if agreed <= n.commit || !found || term != n.term {
+		return
 	}
+	n.commit = agreed
+	// Followers learn of the commit at once, not with the next heartbeat.
+	n.broadcastAppend()
+	n.settleMembership()
+}
+
+// agreedIndex is the highest index that majorities of all sets of voters have synced.
+func (n *Node) agreedIndex() uint64 {
+	agreed := n.syncedByMajority(n.log.members.GetVoters())
+	if outgoing := n.log.members.GetOutgoing(); len(outgoing) > 0 {
+		agreed = min(agreed, n.syncedByMajority(outgoing))
+	}
+	return agreed
+}
+
+func (n *Node) syncedByMajority(voters []*schema.Voter) uint64 {
+	synced := make([]uint64, 0, len(voters))
+	for _, voter := range voters {
+		if voter.GetId() == string(n.id) {
+			synced = append(synced, n.stable)
+			continue
+		}
+		synced = append(synced, n.Match(figbank.ProcessID(voter.GetId())))
+	}
+	if len(synced) == 0 {
+		return 0
+	}
+	slices.Sort(synced)
+	return synced[(len(synced)-1)/2]
 }
--- a/replica/client.go
+++ b/replica/client.go
@@ -26,7 +26,7 @@
 	Client struct {
 		common   figbank.Common
 		pool     *transport.Pool
-		replicas []Endpoint
+		replicas func() []Endpoint
 		leader   atomic.Value
 	}
 
@@ -39,8 +39,8 @@
 
 var _ figbank.Proposer = (*Client)(nil)
 
-// NewClient returns a client of the given replicas.
-func NewClient(common figbank.Common, pool *transport.Pool, replicas []Endpoint) *Client {
+// NewClient returns a client of the replicas that replicas lists, which may change.
+func NewClient(common figbank.Common, pool *transport.Pool, replicas func() []Endpoint) *Client {
 	c := &Client{common: common.For("replica"), pool: pool, replicas: replicas}
 	c.leader.Store(figbank.ProcessID(""))
 	return c
@@ -90,7 +90,7 @@
 // inOrder lists the replicas, the presumed leader first.
 func (c *Client) inOrder() []Endpoint {
 	leader, _ := c.leader.Load().(figbank.ProcessID)
-	ordered := slices.Clone(c.replicas)
+	ordered := slices.Clone(c.replicas())
 	slices.SortStableFunc(ordered, func(a, b Endpoint) int {
 		switch {
 		case a.ID == leader && b.ID != leader:
--- /dev/null
+++ b/replica/members.go
@@ -0,0 +1,106 @@
+package replica
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"figbank"
+	"figbank/raft"
+	"figbank/schema"
+	"figbank/voters"
+
+	"go.uber.org/zap"
+)
+
+// reviewInterval is how often a leader looks whether a voter needs replacing.
+const reviewInterval = 200 * time.Millisecond
+
+// firstMembers are the voters of a new log, nil on a replica that is yet to be added.
+func firstMembers(settings Settings) *schema.Membership {
+	if len(settings.Voters) == 0 {
+		return nil
+	}
+	members := &schema.Membership{}
+	for id, address := range settings.Voters {
+		members.Voters = append(members.Voters, &schema.Voter{Id: string(id), Address: string(address)})
+	}
+	slices.SortFunc(members.Voters, func(a, b *schema.Voter) int { return strings.Compare(a.GetId(), b.GetId()) })
+	return members
+}
+
+// send hands a message to the sender for its receiver, if it is known where
+// that one is; raft repeats what matters.
+func (r *Replica) send(ctx context.Context, message *schema.RaftMessage) {
+	id := figbank.ProcessID(message.GetTo())
+	address := r.addressOf(id)
+	if address == "" {
+		return
+	}
+	message.FromAddress = string(r.settings.Address)
+	s := r.senders[id]
+	if s == nil || s.address != address {
+		if s != nil {
+			s.stop()
+		}
+		s = newSender(ctx, r.pool, address)
+		r.senders[id] = s
+		r.group.Go(s.run)
+	}
+	s.offer(message)
+}
+
+func (r *Replica) addressOf(id figbank.ProcessID) figbank.Address {
+	members := r.node.Membership()
+	for _, set := range [][]*schema.Voter{members.GetVoters(), members.GetOutgoing(), members.GetLearners()} {
+		for _, voter := range set {
+			if voter.GetId() == string(id) {
+				return figbank.Address(voter.GetAddress())
+			}
+		}
+	}
+	return r.addresses[id]
+}
+
+// reviewMembers lets a leader replace a voter that is gone.
+func (r *Replica) reviewMembers() {
+	now := r.common.Clock.Now()
+	if r.known == nil || r.node.Role() != raft.Leader || !r.node.MembershipSettled() || now.Before(r.reviewAt) {
+		return
+	}
+	r.reviewAt = now.Add(reviewInterval)
+	next := voters.Decide(r.situation(now))
+	if next == nil {
+		return
+	}
+	err := r.node.ProposeMembership(next)
+	r.common.Log.Info("members change", zap.Strings("voters", idsOf(next.GetVoters())), zap.Strings("learners", idsOf(next.GetLearners())),
+		zap.Strings("before", idsOf(r.node.Membership().GetOutgoing())), zap.Bool("proposed", err == nil))
+}
+
+func (r *Replica) situation(now time.Time) voters.Situation {
+	members := r.node.Membership()
+	s := voters.Situation{
+		Members: members, Known: r.known(),
+		Heard: map[figbank.ProcessID]time.Duration{}, Lag: map[figbank.ProcessID]uint64{},
+	}
+	for _, set := range [][]*schema.Voter{members.GetVoters(), members.GetLearners()} {
+		for _, voter := range set {
+			id := figbank.ProcessID(voter.GetId())
+			if id != r.common.Process {
+				s.Heard[id] = now.Sub(r.node.Heard(id))
+				s.Lag[id] = uint64(r.node.Commit()) - min(r.node.Match(id), uint64(r.node.Commit()))
+			}
+		}
+	}
+	return s
+}
+
+func idsOf(list []*schema.Voter) []string {
+	ids := make([]string, len(list))
+	for i, voter := range list {
+		ids[i] = voter.GetId()
+	}
+	return ids
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -14,6 +14,7 @@
 	"figbank/raft"
 	"figbank/schema"
 	"figbank/transport"
+	"figbank/voters"
 	"figbank/wal"
 
 	"go.uber.org/zap"
@@ -37,8 +38,11 @@
 		// Rewrite writes the log anew at the start: after a failed sync nobody knows
 		// which of its pages the disk has.
 		Rewrite bool
-		// Voters are all replicas with their process addresses.
+		// Voters are the first replicas with their process addresses; empty on one that
+		// is yet to be added.
 		Voters map[figbank.ProcessID]figbank.Address
+		// Address is where other replicas reach this one.
+		Address figbank.Address
 	}
 
 	// Replica is one voter of the log. It is safe for concurrent use.
@@ -48,20 +52,26 @@
 		node     *raft.Node
 		log      *wal.Log
 		state    *ledger.State
+		pool     *transport.Pool
 		senders  map[figbank.ProcessID]*sender
-		inbox    chan input
-		waiting  map[uint64]proposal
+		// addresses are those that other replicas have told.
+		addresses map[figbank.ProcessID]figbank.Address
+		inbox     chan input
+		waiting   map[uint64]proposal
 		// sinceSnapshot counts entries applied since the last snapshot.
 		sinceSnapshot int
 
+		known           func() []voters.Replica
+		reviewAt        time.Time
 		onConfiguration func(*schema.Configuration)
 		onFleet         func(*schema.Fleet)
 		onFailure       func(error)
 
-		status atomic.Pointer[schema.ReplicaStatus]
-		cancel context.CancelFunc
-		group  sync.WaitGroup
-		ended  chan struct{}
+		status  atomic.Pointer[schema.ReplicaStatus]
+		members atomic.Pointer[schema.Membership]
+		cancel  context.CancelFunc
+		group   sync.WaitGroup
+		ended   chan struct{}
 	}
 
 	// Option changes a Replica under construction.
@@ -85,6 +95,12 @@
 	return func(r *Replica) { r.onConfiguration = act }
 }
 
+// WithReplicas lets the leader replace voters that are gone by others that known
+// lists.
+func WithReplicas(known func() []voters.Replica) Option {
+	return func(r *Replica) { r.known = known }
+}
+
 // WithFleet calls act with each fleet that becomes committed.
 func WithFleet(act func(*schema.Fleet)) Option {
 	return func(r *Replica) { r.onFleet = act }
@@ -112,15 +128,13 @@
 	if err != nil {
 		return nil, err
 	}
-	voters := make([]figbank.ProcessID, 0, len(settings.Voters))
-	for id := range settings.Voters {
-		voters = append(voters, id)
-	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // spreads elections, no secret
 	r := &Replica{
 		common: common, settings: settings, log: log, state: state,
-		node:            raft.NewNode(common.Process, voters, settings.Timing, random, stored, common.Clock.Now()),
+		node:            raft.NewNode(common.Process, firstMembers(settings), settings.Timing, random, stored, common.Clock.Now()),
+		pool:            pool,
 		senders:         map[figbank.ProcessID]*sender{},
+		addresses:       map[figbank.ProcessID]figbank.Address{},
 		inbox:           make(chan input, inboxLength),
 		waiting:         map[uint64]proposal{},
 		onConfiguration: func(*schema.Configuration) {},
@@ -131,7 +145,7 @@
 	for _, option := range options {
 		option(r)
 	}
-	r.start(pool)
+	r.start()
 	return r, nil
 }
 
@@ -191,17 +205,9 @@
 	return &schema.ProposeAnswer{Unknown: true}
 }
 
-func (r *Replica) start(pool *transport.Pool) {
+func (r *Replica) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
-	for id, address := range r.settings.Voters {
-		if id == r.common.Process {
-			continue
-		}
-		s := newSender(pool, address)
-		r.senders[id] = s
-		r.group.Go(func() { s.run(ctx) })
-	}
 	r.publishStatus()
 	r.onConfiguration(r.state.Configuration())
 	r.onFleet(r.state.Fleet())
@@ -218,10 +224,11 @@
 			return
 		case <-ticks:
 			r.node.Tick(r.common.Clock.Now())
+			r.reviewMembers()
 		case first := <-r.inbox:
 			r.takeBatch(first)
 		}
-		if err := r.work(); err != nil {
+		if err := r.work(ctx); err != nil {
 			r.common.Log.Error("disk failed, replica stopped", figbank.ErrorField(err))
 			r.onFailure(err)
 			return
@@ -259,6 +266,9 @@
 
 func (r *Replica) take(now time.Time, in input) {
 	if in.message != nil {
+		if address := in.message.GetFromAddress(); address != "" {
+			r.addresses[figbank.ProcessID(in.message.GetFrom())] = figbank.Address(address)
+		}
 		r.node.Step(now, in.message)
 		return
 	}
@@ -278,7 +288,7 @@
 }
 
 // work does what raft asks until nothing is left.
-func (r *Replica) work() error {
+func (r *Replica) work(ctx context.Context) error {
 	for {
 		ready := r.node.Ready()
 		if ready.Empty() {
@@ -288,7 +298,7 @@
 			return err
 		}
 		for _, message := range ready.Messages {
-			r.senders[figbank.ProcessID(message.GetTo())].offer(message)
+			r.send(ctx, message)
 		}
 		for _, entry := range ready.Committed {
 			r.apply(entry)
@@ -362,12 +372,14 @@
 	if err != nil {
 		return err
 	}
+	snapshot.Membership = r.node.MembershipAt(snapshot.GetIndex())
 	remaining := r.node.Compact(snapshot)
 	r.sinceSnapshot = 0
 	return r.log.Rewrite(r.node.HardState(), snapshot, remaining)
 }
 
 func (r *Replica) publishStatus() {
+	r.members.Store(r.node.Membership())
 	last := r.status.Load()
 	next := &schema.ReplicaStatus{
 		Role: r.node.Role().String(), Leader: string(r.node.Leader()), Term: uint64(r.node.Term()),
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -70,7 +70,7 @@
 		g.start(m)
 	}
 	pool := transport.NewPool(common("client"))
-	g.client = NewClient(common("client"), pool, endpoints)
+	g.client = NewClient(common("client"), pool, func() []Endpoint { return endpoints })
 	t.Cleanup(func() {
 		pool.Close()
 		for _, m := range g.members {
--- a/replica/sender.go
+++ b/replica/sender.go
@@ -14,10 +14,13 @@
 	pool    *transport.Pool
 	address figbank.Address
 	queue   chan *schema.RaftMessage
+	ctx     context.Context //nolint:containedctx // the life of the sender
+	stop    context.CancelFunc
 }
 
-func newSender(pool *transport.Pool, address figbank.Address) *sender {
-	return &sender{pool: pool, address: address, queue: make(chan *schema.RaftMessage, inboxLength)}
+func newSender(ctx context.Context, pool *transport.Pool, address figbank.Address) *sender {
+	ctx, stop := context.WithCancel(ctx)
+	return &sender{pool: pool, address: address, queue: make(chan *schema.RaftMessage, inboxLength), ctx: ctx, stop: stop}
 }
 
 func (s *sender) offer(message *schema.RaftMessage) {
@@ -27,7 +30,8 @@
 	}
 }
 
-func (s *sender) run(ctx context.Context) {
+func (s *sender) run() {
+	ctx := s.ctx
 	var stream *transport.Stream
 	for {
 		select {
--- a/replica/supervisor.go
+++ b/replica/supervisor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,7 @@
 	"figbank"
 	"figbank/schema"
 	"figbank/transport"
+	"figbank/voters"
 
 	"go.uber.org/zap"
 )
@@ -105,3 +107,18 @@
 		}
 	}
 }
+
+// NeedsSuccessor tells whether this replica votes while one of the known
+// replicas, which does not, could take its place.
+func (s *Supervisor) NeedsSuccessor(known []voters.Replica) bool {
+	r := s.current.Load()
+	if r == nil {
+		return false
+	}
+	members := r.members.Load()
+	votes := func(id figbank.ProcessID) bool {
+		return slices.ContainsFunc(members.GetVoters(), func(v *schema.Voter) bool { return v.GetId() == string(id) })
+	}
+	spare := slices.ContainsFunc(known, func(k voters.Replica) bool { return !k.Leaving && !votes(k.ID) })
+	return spare && votes(r.common.Process)
+}
--- /dev/null
+++ b/voters/voters.go
@@ -0,0 +1,126 @@
+// Package voters decides who votes in the replicated log: a replica that is gone
+// is replaced by one that has caught up, with the number of voters unchanged. It
+// answers the loss of a host for good, a host that comes back with an empty
+// disk, a planned replacement, and a second loss right after a first.
+package voters
+
+import (
+	"slices"
+	"time"
+
+	"figbank"
+	"figbank/schema"
+)
+
+const (
+	// silence is how long a voter may be unheard before a spare takes its place.
+	silence = 3 * time.Second
+	// closeEnough is how many entries a learner may be behind when it takes over.
+	closeEnough = 16
+)
+
+type (
+	// Replica is a process that has a disk for the log.
+	Replica struct {
+		ID      figbank.ProcessID
+		Address figbank.Address
+		// Leaving replicas are about to stop.
+		Leaving bool
+	}
+
+	// Situation is what the leader of the log knows.
+	Situation struct {
+		// Members is the newest membership, settled.
+		Members *schema.Membership
+		// Known are the replicas that are in touch, by whatever way.
+		Known []Replica
+		// Heard is how long ago the leader has heard each voter and learner.
+		Heard map[figbank.ProcessID]time.Duration
+		// Lag is how many entries each learner has yet to get.
+		Lag map[figbank.ProcessID]uint64
+	}
+)
+
+// Decide returns the membership to change to, or nil for none.
+func Decide(s Situation) *schema.Membership {
+	gone := s.replaceable()
+	if learners := s.Members.GetLearners(); len(learners) > 0 {
+		return s.decideLearner(learners[0], gone)
+	}
+	if gone == nil {
+		return nil
+	}
+	spare := s.spareFor(gone)
+	if spare == nil {
+		return nil
+	}
+	return &schema.Membership{Voters: s.Members.GetVoters(), Learners: []*schema.Voter{spare}}
+}
+
+// decideLearner swaps a learner in that has caught up, or gives it up.
+func (s Situation) decideLearner(learner, gone *schema.Voter) *schema.Membership {
+	id := figbank.ProcessID(learner.GetId())
+	switch {
+	case gone == nil, s.Heard[id] > silence:
+		return &schema.Membership{Voters: s.Members.GetVoters()}
+	case s.Lag[id] > closeEnough:
+		return nil
+	}
+	next := slices.Clone(s.Members.GetVoters())
+	for i, voter := range next {
+		if voter.GetId() == gone.GetId() {
+			next[i] = learner
+		}
+	}
+	return &schema.Membership{Voters: next}
+}
+
+// replaceable returns the voter that should go first: one whose host is back
+// with an empty disk, then one that is silent, then one that is leaving.
+func (s Situation) replaceable() *schema.Voter {
+	rules := []func(*schema.Voter) bool{s.reborn, s.silent, s.leaving}
+	for _, rule := range rules {
+		if i := slices.IndexFunc(s.Members.GetVoters(), rule); i >= 0 {
+			return s.Members.GetVoters()[i]
+		}
+	}
+	return nil
+}
+
+// reborn tells whether another replica stands at the voter's address.
+func (s Situation) reborn(voter *schema.Voter) bool {
+	return slices.ContainsFunc(s.Known, func(r Replica) bool {
+		return string(r.Address) == voter.GetAddress() && string(r.ID) != voter.GetId()
+	})
+}
+
+func (s Situation) silent(voter *schema.Voter) bool {
+	return s.Heard[figbank.ProcessID(voter.GetId())] > silence
+}
+
+func (s Situation) leaving(voter *schema.Voter) bool {
+	return slices.ContainsFunc(s.Known, func(r Replica) bool { return string(r.ID) == voter.GetId() && r.Leaving })
+}
+
+// spareFor returns a replica that can take a voter's place: the one at its own
+// address if there is one.
+func (s Situation) spareFor(voter *schema.Voter) *schema.Voter {
+	var spare *schema.Voter
+	for _, known := range s.Known {
+		if known.Leaving || s.votes(known.ID) {
+			continue
+		}
+		candidate := &schema.Voter{Id: string(known.ID), Address: string(known.Address)}
+		if candidate.GetAddress() == voter.GetAddress() {
+			return candidate
+		}
+		if spare == nil || candidate.GetId() < spare.GetId() {
+			spare = candidate
+		}
+	}
+	return spare
+}
+
+func (s Situation) votes(id figbank.ProcessID) bool {
+	return slices.ContainsFunc(s.Members.GetVoters(), func(v *schema.Voter) bool { return v.GetId() == string(id) })
+}
