--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -25,8 +25,6 @@
 	subscriber *Subscriber
 	server     *transport.Server
 	address    figbank.Address
-	// served counts the streams that were opened here.
-	log *zap.Logger
 }
 
 func newNode(t *testing.T, id string, role schema.MemberRole, seeds ...figbank.Address) *node {
--- a/raft/membership_test.go
+++ b/raft/membership_test.go
@@ -116,7 +116,7 @@
 		pick := func(t *rapid.T) figbank.ProcessID { return rapid.SampledFrom(c.ids).Draw(t, "replica") }
 		t.Repeat(map[string]func(*rapid.T){
 			"steps": func(t *rapid.T) { c.steps(rapid.IntRange(1, 25).Draw(t, "count")) },
-			"propose": func(t *rapid.T) {
+			"propose": func(*rapid.T) {
 				if leader, found := c.leader(); found {
 					proposed++
 					_ = c.propose(leader, fmt.Sprint(proposed))
@@ -147,7 +147,7 @@
 					c.add(figbank.ProcessID(fmt.Sprintf("n%d", names)))
 				}
 			},
-			"repair": func(t *rapid.T) {
+			"repair": func(*rapid.T) {
 				c.repair(wounded)
 				if wounded != "" && c.replaced(wounded) {
 					wounded = ""
--- /dev/null
+++ b/staging/switch.go
@@ -0,0 +1,103 @@
+package staging
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+
+	"go.uber.org/zap"
+
+	"figbank"
+	"figbank/weights"
+)
+
+// switchTo stages a version, orders the engine to start it, and waits until it
+// serves it.
+func (s *Stager) switchTo(ctx context.Context, wanted target, version *weights.Version, serving bool) {
+	ctx, cancel := context.WithTimeout(ctx, switchTime)
+	defer cancel()
+	began := s.common.Clock.Now()
+	if err := s.stage(ctx, wanted.source.Model, version); err != nil {
+		s.common.Log.Warn("staging failed", zap.Int64("version", wanted.source.Version), figbank.ErrorField(err))
+		return
+	}
+	report, err := s.engine.Report(ctx)
+	if err != nil || report.Busy {
+		return
+	}
+	if serving && !s.state.GetSwitching() {
+		s.publish(report, true)
+		<-s.common.Clock.After(noticeTime)
+	}
+	err = s.engine.Start(ctx, wanted.source.Model, wanted.source.Version, report.Orders)
+	s.common.Log.Info("engine ordered to start", zap.Int64("version", wanted.source.Version), zap.Int64("from", report.Loaded.GetVersion()),
+		zap.Int64("running", report.Running), zap.Duration("staging", s.common.Clock.Now().Sub(began)), zap.Bool("accepted", err == nil))
+	if err != nil {
+		// The order may have been taken all the same; the next report tells.
+		s.common.Log.Warn("order failed", figbank.ErrorField(err))
+		<-s.common.Clock.After(retryDelay)
+		return
+	}
+	s.awaitSwitch(ctx, wanted.source.Version, report)
+}
+
+func (s *Stager) awaitSwitch(ctx context.Context, version int64, before Report) {
+	for ctx.Err() == nil {
+		<-s.common.Clock.After(lookInterval / 2)
+		report, err := s.engine.Report(ctx)
+		if err != nil {
+			continue
+		}
+		restarted := report.BornUnixMilli != before.BornUnixMilli
+		if report.Loaded.GetVersion() == version && !report.Busy || restarted || report.Orders > before.Orders && !report.Busy {
+			s.publish(report, false)
+			s.common.Log.Info("engine serves", zap.Int64("version", report.Loaded.GetVersion()), zap.Int64("layers", report.Loaded.GetLayers()))
+			return
+		}
+	}
+}
+
+// stage puts all pieces and reads them back, right before the order: the engine
+// loads what lies there, unchecked.
+func (s *Stager) stage(ctx context.Context, model string, version *weights.Version) error {
+	for i := range version.Manifest.GetChunks() {
+		if err := s.stagePiece(ctx, model, version, figbank.ChunkIndex(i)); err != nil {
+			return err
+		}
+	}
+	for i := range version.Manifest.GetChunks() {
+		piece := figbank.ChunkIndex(i)
+		if s.stagedWell(ctx, model, version, piece) {
+			continue
+		}
+		if err := s.stagePiece(ctx, model, version, piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Stager) stagePiece(ctx context.Context, model string, version *weights.Version, piece figbank.ChunkIndex) error {
+	content, err := version.ReadChunk(piece)
+	if err != nil {
+		return err
+	}
+	for range stageTries {
+		if err = s.engine.Put(ctx, model, int(piece), content); err != nil {
+			return err
+		}
+		if s.stagedWell(ctx, model, version, piece) {
+			return nil
+		}
+	}
+	return figbank.CorruptError{Subject: "staged piece", Detail: "it reads back wrong"}
+}
+
+func (s *Stager) stagedWell(ctx context.Context, model string, version *weights.Version, piece figbank.ChunkIndex) bool {
+	staged, err := s.engine.Get(ctx, model, int(piece))
+	if err != nil {
+		return false
+	}
+	sum := sha256.Sum256(staged)
+	return bytes.Equal(sum[:], version.Manifest.GetChunks()[piece].GetDigest())
+}
--- a/swarm/plan.go
+++ b/swarm/plan.go
@@ -7,15 +7,11 @@
 package swarm
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"time"
 
 	"figbank"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -262,22 +258,6 @@
 	return fetch, true
 }
 
-// noteIdle remembers since when there was nothing to start.
-func (p *Plan) noteIdle(now time.Time) {
-	if p.idleSince.IsZero() {
-		p.idleSince = now
-	}
-}
-
-// turns is how many places before this host in line have had their time.
-func (p *Plan) turns(now time.Time) int {
-	turns := int(now.Sub(p.progress) / p.settings.StallTime)
-	if p.settings.OneCopy && !p.idleSince.IsZero() {
-		turns = max(turns, int(now.Sub(p.idleSince)/idleTurn))
-	}
-	return turns
-}
-
 // nextFromOrigin picks a chunk that no peer holds and for which it is this
 // host's turn.
 func (p *Plan) nextFromOrigin(now time.Time) (Fetch, bool) {
@@ -294,20 +274,6 @@
 	return Fetch{}, false
 }
 
-// patience is how many turns this host waits for those that hold the chunk,
-// before it goes to the origin in their place.
-func (p *Plan) patience(chunk figbank.ChunkIndex) int {
-	switch {
-	case p.heldNear(chunk) && !p.settings.OneCopy:
-		return math.MaxInt32
-	case p.heldNear(chunk):
-		return nearTurns
-	case p.settings.OneCopy && p.copies[chunk] > 0:
-		return farTurns
-	}
-	return 0
-}
-
 // nextFromPeers picks a chunk that some peer can give now. Peers in other
 // regions are asked when it is this host's turn to bring the chunk into its
 // region, or when this region stalls.
@@ -327,7 +293,8 @@
 		return Fetch{}, false
 	}
 	source := p.choose(ready, rarest)
-	return Fetch{Chunk: figbank.ChunkIndex(rarest), Peer: source.ID, Address: source.Address}, true
+	chunk := figbank.ChunkIndex(rarest) //nolint:gosec // an index of the manifest
+	return Fetch{Chunk: chunk, Peer: source.ID, Address: source.Address}, true
 }
 
 // rarest returns the chunk with the fewest copies that one of the peers holds,
@@ -444,26 +411,6 @@
 	}
 }
 
-// rankLine computes, for each chunk, this host's places in line, by rendezvous
-// hashing.
-func (p *Plan) rankLine() {
-	p.line = make([]int, p.settings.Chunks)
-	p.regionLine = make([]int, p.settings.Chunks)
-	for chunk := range p.line {
-		own := rank(p.settings.Self.ID, chunk)
-		for _, other := range p.peers {
-			near := other.Region == p.settings.Self.Region
-			if !near && !p.settings.OneCopy || rank(other.ID, chunk) <= own {
-				continue
-			}
-			p.line[chunk]++
-			if near {
-				p.regionLine[chunk]++
-			}
-		}
-	}
-}
-
 func (p *Plan) distance(other Peer) int {
 	switch {
 	case other.FailureDomain == p.settings.Self.FailureDomain:
@@ -474,7 +421,3 @@
 		return elsewhere
 	}
 }
-
-func rank(id figbank.ProcessID, chunk int) uint64 {
-	return xxhash.Sum64String(string(id) + "/" + strconv.Itoa(chunk))
-}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -58,7 +58,7 @@
 		c.close()
 		return nil, lost("Send", err, call)
 	}
-	response, err := c.receiveHead(call.Method)
+	response, err := c.receiveHead(call.Method) //nolint:bodyclose // becomes the answer's body
 	if err != nil {
 		stop()
 		c.close()
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -45,7 +45,7 @@
 }
 
 func (s *server) serve(conn net.Conn, answers []string) {
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for _, answer := range answers {
 		request, err := http.ReadRequest(reader)
