--- a/app/common.go
+++ b/app/common.go
@@ -69,7 +69,9 @@
 }
 
 func newMetrics(lifecycle fx.Lifecycle) metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: prom.NewRegistry()})
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: prom.NewRegistry(), DefaultTimerType: prometheus.HistogramTimerType,
+	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "figbank", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
--- /dev/null
+++ b/app/platform_test.go
@@ -0,0 +1,73 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"figbank/settings"
+)
+
+// freePort returns a port of loopback that was free a moment ago.
+func freePort(t *testing.T) int {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	address, _ := listener.Addr().(*net.TCPAddr)
+	return address.Port
+}
+
+func TestReplicaServesMetricsAndTakesNoCallBeforeItCanAnswer(t *testing.T) {
+	metrics, control := freePort(t), freePort(t)
+	text := fmt.Sprintf(`[Process]
+Id = core
+Region = r
+FailureDomain = z
+ListenProcesses = 127.0.0.1:%d
+DataFolder = %s
+LogLevel = Error
+[Node]
+Seeds = 127.0.0.1:%d
+Regions = z=r
+ListenControl = 127.0.0.1:%d
+ListenMetrics = 127.0.0.1:%d
+`, freePort(t), t.TempDir(), control, control, metrics)
+	s, err := settings.ParsePlatform("core", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	process := NewPlatformReplica(s, "none")
+	if err := process.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = process.Stop(context.Background()) })
+	get := func(port int, path string) (int, string) {
+		client := http.Client{Timeout: 10 * time.Second}
+		response, err := client.Get(fmt.Sprintf("http://127.0.0.1:%d%s", port, path))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = response.Body.Close() }()
+		body, err := io.ReadAll(response.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return response.StatusCode, string(body)
+	}
+	if status, body := get(metrics, "/metrics"); status != http.StatusOK || strings.Contains(body, "error") {
+		t.Errorf("metrics = %d %q, want 200", status, body)
+	}
+	// An empty disk without Bootstrap begins no log: it must not say that there is
+	// no configuration, since it does not know.
+	if status, _ := get(control, "/v1/config"); status != http.StatusServiceUnavailable {
+		t.Errorf("read on a replica that knows no log = %d, want 503", status)
+	}
+}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -206,3 +206,15 @@
 		t.Errorf("concede() after a try that may have run = %v, want no NotRunError", err)
 	}
 }
+
+func TestAgeIsThatOfTheNewestCount(t *testing.T) {
+	load := &Load{}
+	if got := load.Age(now); got != 0 {
+		t.Errorf("Age() before any count = %v, want 0", got)
+	}
+	load.hear(now.Add(-time.Second), &ReportedLoad{Running: 1})
+	load.HearPeers(now.Add(-100*time.Millisecond), 2)
+	if got := load.Age(now); got != 100*time.Millisecond {
+		t.Errorf("Age() = %v, want 100ms", got)
+	}
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -228,7 +228,8 @@
 	target := targets[decision.Index]
 	target.takeCold(now)
 	r.log.Info("placed", zap.String("upstream", string(target.ID)), zap.Int("attempt", attempt),
-		zap.Int("prompt", r.request.PromptTokens), zap.Int("outstanding", candidates[decision.Index].Outstanding), zap.Duration("predicted", decision.Predicted),
+		zap.Int("prompt", r.request.PromptTokens), zap.Int("outstanding", candidates[decision.Index].Outstanding),
+		zap.Duration("loadAge", target.Load.Age(now)), zap.Duration("predicted", decision.Predicted),
 		zap.Int64("version", target.Version), zap.Int("candidates", len(candidates)), zap.Uint64("table", uint64(table.Index)))
 	return target, nil
 }
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -49,6 +49,15 @@
 	return int(l.own.Load() + others)
 }
 
+// Age is how old the newest count from elsewhere is, 0 when there is none.
+func (l *Load) Age(now time.Time) time.Duration {
+	newest := max(l.othersAt.Load(), l.peersAt.Load())
+	if newest == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, newest))
+}
+
 // Own is how many of this gateway's requests the upstream holds.
 func (l *Load) Own() int64 {
 	return l.own.Load()
