One caller for the demo and the measures

Cause: both wrote requests and read outcomes of answers, each in its own way. Change: caller/ writes requests and reads answers for both.

--- a/demo/callers.go
+++ b/demo/callers.go
@@ -1,7 +1,6 @@
 package demo
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -16,6 +15,7 @@
 	"time"
 
 	"figbank"
+	"figbank/caller"
 	"figbank/deployment"
 	"figbank/fake"
 
@@ -35,7 +35,6 @@
 	moreTokens  = 24
 	// replayEvery resends every nth booking under its key.
 	replayEvery = 5
-	doneLine    = "data: [DONE]"
 )
 
 type (
@@ -50,17 +49,6 @@
 		manifests  func() map[string]bool
 		stopping   atomic.Bool
 	}
-
-	// answer is one HTTP answer, read to its end.
-	answer struct {
-		status  int
-		outcome string
-		reason  string
-		header  http.Header
-		body    []byte
-		// cut is set when the answer did not end as it should.
-		cut bool
-	}
 )
 
 func newCallers(d *deployment.Deployment, b *balancer, clock figbank.Clock, book *fake.Book, manifests func() map[string]bool) *callers {
@@ -98,12 +86,12 @@
 		"model": string(c.deployment.ModelService().Name), "stream": true, "max_tokens": tokens,
 		"messages": []map[string]string{{"role": "user", "content": prompt}},
 	})
-	a, ok := c.untilAnswered("/v1/chat/completions", "", body)
+	a, ok := c.untilAnswered(caller.ChatPath, "", body)
 	if !ok {
 		return
 	}
-	manifest := a.header.Get("X-Manifest")
-	text, whole := streamedText(a.body)
+	manifest := a.Header.Get("X-Manifest")
+	text, whole := caller.StreamedText(a.Body)
 	c.outcomes.add(func(o *Outcomes) {
 		switch {
 		case !whole:
@@ -125,13 +113,13 @@
 func (c *callers) booking() {
 	id := uuid.NewString()
 	body := fmt.Appendf(nil, `{"id":%q}`, id)
-	path := "/services/" + string(c.deployment.BookingService().Name) + "/bookings"
+	path := caller.ServicePath(c.deployment.BookingService().Name, "bookings")
 	a, ok := c.untilAnswered(path, id, body)
 	if !ok {
 		return
 	}
 	c.outcomes.add(func(o *Outcomes) {
-		if !strings.Contains(string(a.body), id) {
+		if !strings.Contains(string(a.Body), id) {
 			o.WrongText++
 			o.note("booking answered for another booking")
 			return
@@ -143,13 +131,13 @@
 	}
 }
 
-func (c *callers) replay(path, key string, body []byte, first answer) {
+func (c *callers) replay(path, key string, body []byte, first caller.Answer) {
 	again, ok := c.untilAnswered(path, key, body)
 	if !ok {
 		return
 	}
 	c.outcomes.add(func(o *Outcomes) {
-		if !bytes.Equal(first.body, again.body) {
+		if !bytes.Equal(first.Body, again.Body) {
 			o.WrongText++
 			o.note("booking's answer changed when asked for again")
 			return
@@ -160,19 +148,19 @@
 
 // untilAnswered sends a request again, under the same key, as long as it is
 // refused as not run.
-func (c *callers) untilAnswered(path, key string, body []byte) (answer, bool) {
+func (c *callers) untilAnswered(path, key string, body []byte) (caller.Answer, bool) {
 	for tries := 0; tries < maxTries; {
 		if c.stopping.Load() {
 			tries++
 		}
 		started := c.clock.Now()
 		a, err := c.send(path, key, body)
-		if err == nil && a.status == http.StatusOK && !a.cut {
+		if err == nil && a.Status == http.StatusOK && !a.Cut {
 			c.outcomes.add(func(o *Outcomes) { o.Latencies = append(o.Latencies, c.clock.Now().Sub(started)) })
 			return a, true
 		}
 		if !c.mayTryAgain(a, err, key) {
-			return answer{}, false
+			return caller.Answer{}, false
 		}
 		<-c.clock.After(triesDelay)
 	}
@@ -180,11 +168,11 @@
 		o.Lost++
 		o.note("request got no answer in all its tries")
 	})
-	return answer{}, false
+	return caller.Answer{}, false
 }
 
 // mayTryAgain counts a failed try, and checks that "not run" is true.
-func (c *callers) mayTryAgain(a answer, err error, key string) bool {
+func (c *callers) mayTryAgain(a caller.Answer, err error, key string) bool {
 	again := false
 	c.outcomes.add(func(o *Outcomes) {
 		switch {
@@ -194,19 +182,19 @@
 		case err != nil:
 			o.Unknown++
 			o.note("request failed: " + err.Error())
-		case a.outcome == "NotRun" && a.status == http.StatusServiceUnavailable, a.status == http.StatusNotFound:
-			o.Refused[a.reason]++
+		case a.Outcome == caller.NotRun && a.Status == http.StatusServiceUnavailable, a.Status == http.StatusNotFound:
+			o.Refused[a.Reason]++
 			again = true
 			if key != "" && c.book.Runs(key) > 0 {
 				o.FalseNotRun++
 				o.note("booking was refused as not run but ran")
 			}
-		case a.cut:
+		case a.Cut:
 			o.Cut++
 			o.note("answer was cut")
 		default:
 			o.Unknown++
-			o.note(fmt.Sprintf("answered %d, outcome %s: %s", a.status, a.outcome, a.body))
+			o.note(fmt.Sprintf("answered %d, outcome %s: %s", a.Status, a.Outcome, a.Body))
 		}
 	})
 	return again
@@ -218,68 +206,24 @@
 // Error says so.
 func (noGatewayError) Error() string { return "no gateway is ready" }
 
-func (c *callers) send(path, key string, body []byte) (answer, error) {
+func (c *callers) send(path, key string, body []byte) (caller.Answer, error) {
 	gateway, found := c.balancer.pick()
 	if !found {
-		return answer{}, noGatewayError{}
-	}
-	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+gateway+path, bytes.NewReader(body))
-	if err != nil {
-		return answer{}, figbank.Fail("demo", "Request", err)
+		return caller.Answer{}, noGatewayError{}
 	}
 	workspace := c.deployment.Workspaces[rand.IntN(len(c.deployment.Workspaces))] //nolint:gosec // spreads load, no secret
 	if key != "" {
 		workspace = c.deployment.Workspaces[int(key[0])%len(c.deployment.Workspaces)]
-		request.Header.Set("Idempotency-Key", key)
 	}
-	request.Header.Set("Authorization", "Bearer "+deployment.CallerKey(workspace))
-	request.Header.Set("Content-Type", "application/json")
+	request, err := caller.NewRequest(context.Background(), "http://"+gateway, path, workspace, key, body)
+	if err != nil {
+		return caller.Answer{}, err
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return answer{}, figbank.Fail("demo", "Send", err)
+		return caller.Answer{}, figbank.Fail("demo", "Send", err)
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(response.Body)
-	return answer{
-		status: response.StatusCode, outcome: response.Header.Get("Figbank-Outcome"), reason: reasonOf(content),
-		header: response.Header, body: content, cut: err != nil,
-	}, nil
-}
-
-func reasonOf(body []byte) string {
-	var problem struct{ Title, Reason string }
-	if json.Unmarshal(body, &problem) != nil {
-		return "Other"
-	}
-	if problem.Reason == "" {
-		return problem.Title
-	}
-	return problem.Reason
-}
-
-// streamedText joins the text of a stream of server-sent events. Whole is set
-// when the stream has its end mark.
-func streamedText(body []byte) (text string, whole bool) {
-	scanner := bufio.NewScanner(bytes.NewReader(body))
-	for scanner.Scan() {
-		line := scanner.Text()
-		if line == doneLine {
-			return text, true
-		}
-		var event struct {
-			Choices []struct {
-				Delta struct {
-					Content string `json:"content"`
-				} `json:"delta"`
-			} `json:"choices"`
-		}
-		data, found := strings.CutPrefix(line, "data: ")
-		if !found || json.Unmarshal([]byte(data), &event) != nil {
-			continue
-		}
-		for _, choice := range event.Choices {
-			text += choice.Delta.Content
-		}
-	}
-	return text, false
+	return caller.Read(response.StatusCode, response.Header, content, err != nil), nil
 }
--- a/measure/caller.go
+++ b/measure/caller.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"figbank"
+	"figbank/caller"
 	"figbank/deployment"
 )
 
@@ -28,13 +29,9 @@
 
 	// Seen is what the caller got.
 	Seen struct {
-		Status  int
-		Outcome string
-		Reason  string
-		Body    []byte
-		Read    int64
-		Cut     bool
-		Time    time.Duration
+		caller.Answer
+		Read int64
+		Time time.Duration
 	}
 
 	// callerWriter takes an answer at the caller's pace.
@@ -52,19 +49,15 @@
 // OnRead is told of each piece.
 func (g *Gateway) Send(request Request, onRead func(int)) (seen Seen) {
 	content, _ := json.Marshal(request.Body)
-	path := "/services/" + string(request.Service.Name) + "/calls"
+	path := caller.ServicePath(request.Service.Name, "calls")
 	if request.Service.Model {
-		path = "/v1/chat/completions"
+		path = caller.ChatPath
 	}
 	process := g.process.Load()
 	life := process.life
-	r, err := http.NewRequestWithContext(life, http.MethodPost, path, bytes.NewReader(content))
+	r, err := caller.NewRequest(life, "", path, request.Workspace, request.Key, content)
 	if err != nil {
-		return Seen{Cut: true}
-	}
-	r.Header.Set("Authorization", "Bearer "+deployment.CallerKey(request.Workspace))
-	if request.Key != "" {
-		r.Header.Set("Idempotency-Key", request.Key)
+		return cutAnswer()
 	}
 	w := &callerWriter{header: http.Header{}, rate: request.ReadRate, onRead: onRead}
 	started := virtual.Now()
@@ -74,21 +67,20 @@
 			seen.Cut = true
 		}
 		if life.Err() != nil {
-			seen = Seen{Cut: true}
+			seen = cutAnswer()
 			return
 		}
-		seen.Time = since(started)
-		seen.Status, seen.Outcome = w.status, w.header.Get("Figbank-Outcome")
-		seen.Body, seen.Read = w.body.Bytes(), w.read
-		var problem struct{ Reason string }
-		if json.Unmarshal(seen.Body, &problem) == nil {
-			seen.Reason = problem.Reason
-		}
+		seen.Time, seen.Read = since(started), w.read
+		seen.Answer = caller.Read(w.status, w.header, w.body.Bytes(), seen.Cut)
 	}()
 	process.door.Handler().ServeHTTP(w, r)
 	return seen
 }
 
+func cutAnswer() Seen {
+	return Seen{Answer: caller.Answer{Cut: true}}
+}
+
 // Header returns the answer's header.
 func (w *callerWriter) Header() http.Header { return w.header }
 
@@ -164,12 +156,12 @@
 // persist tries again what was refused as not run, after the time that the
 // gateway asks for.
 func (w *World) persist(first *Gateway, request Request, tries int, random *rand.Rand) Seen {
-	seen := Seen{Outcome: outcomeNotRun}
+	seen := Seen{Answer: caller.Answer{Outcome: caller.NotRun}}
 	started := virtual.Now()
 	for gateway := first; tries > 0; tries-- {
 		if gateway != nil {
 			seen = gateway.Send(request, nil)
-			if seen.Outcome != outcomeNotRun || seen.Cut {
+			if seen.Outcome != caller.NotRun || seen.Cut {
 				break
 			}
 		}
--- a/measure/claims.go
+++ b/measure/claims.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"figbank/caller"
 	"figbank/deployment"
 )
 
@@ -75,7 +76,7 @@
 		if seen.whole(id) {
 			return true, lies
 		}
-		if seen.Outcome == outcomeNotRun && seen.Reason != "" && w.Book.Runs(id) > before {
+		if seen.Outcome == caller.NotRun && seen.Reason != "" && w.Book.Runs(id) > before {
 			lies++
 		}
 		sleep(faultInterval)
--- a/measure/drain.go
+++ b/measure/drain.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"figbank/caller"
 	"figbank/deployment"
 )
 
@@ -88,7 +89,7 @@
 		switch {
 		case s.Cut:
 			c.cut++
-		case s.Outcome == outcomeNotRun:
+		case s.Outcome == caller.NotRun:
 			c.lost++
 		case s.Outcome == "Unknown":
 			c.unknown++
--- a/measure/machine.go
+++ b/measure/machine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"figbank"
+	"figbank/caller"
 	"figbank/deployment"
 )
 
@@ -159,7 +160,7 @@
 		switch {
 		case seen.Status == 200 && !seen.Cut && !seen.whole(id):
 			m.violate("booking %s answered with %q", id, seen.Body)
-		case seen.Outcome == outcomeNotRun && before == 0 && seen.Reason != "KeyOfAnotherRequest" && m.lonely(id) && w.Book.Runs(id) > 0:
+		case seen.Outcome == caller.NotRun && before == 0 && seen.Reason != "KeyOfAnotherRequest" && m.lonely(id) && w.Book.Runs(id) > 0:
 			m.violate("booking %s was refused as not run but ran", id)
 		}
 	})
--- a/measure/virtual.go
+++ b/measure/virtual.go
@@ -6,9 +6,6 @@
 	"figbank/clock"
 )
 
-// outcomeNotRun is the outcome header of a refusal.
-const outcomeNotRun = "NotRun"
-
 // virtual is the clock of the bubble that a measure runs in.
 var virtual clock.System
 
