--- a/fake/disk.go
+++ b/fake/disk.go
@@ -82,6 +82,13 @@
 	d.failSync = true
 }
 
+// HealSyncs ends FailSyncs.
+func (d *Disk) HealSyncs() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failSync = false
+}
+
 // Open opens a file, creating it if absent.
 func (d *Disk) Open(name string) (figbank.File, error) {
 	d.mu.Lock()
