Refuse what would miss its objective, not half as late again

Cause: at saturation upstreams' queues were kept half an objective too long, so most answers were late and the next callers' too. Change: the limit on the predicted first event is the objective itself.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -20,9 +20,6 @@
 	// plainTurn is the time that one request takes of a plain service's upstream
 	// when nothing better is known.
 	plainTurn = 60 * time.Millisecond
-	// lateness is how many times its latency objective a request's first byte may
-	// take before it is refused rather than sent.
-	lateness = 1.5
 	// jitter spreads choices among equals, and returns of refused callers.
 	jitter = 4 * time.Millisecond
 
@@ -71,7 +68,8 @@
 )
 
 // Decide chooses the candidate that is predicted to answer first. When even
-// that one would be far too late, the request is refused.
+// that one would miss the latency objective, the request is refused: sent all
+// the same, it would earn little and make those behind it late too.
 func Decide(demand Demand, candidates []Candidate, random *rand.Rand) Decision {
 	best, bestCost, bestPredicted := -1, time.Duration(0), time.Duration(0)
 	for i, candidate := range candidates {
@@ -90,7 +88,7 @@
 	if best < 0 {
 		return refuse(figbank.ReasonNoUpstream, emptyReturn, random)
 	}
-	limit := min(time.Duration(lateness*float64(demand.Target)), demand.Left)
+	limit := min(demand.Target, demand.Left)
 	if excess := demand.Waited + bestPredicted - limit; excess > 0 {
 		return refuse(figbank.ReasonQueueFull, excess, random)
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -48,8 +48,7 @@
 	}
 }
 
-// A step to twice the capacity: what is accepted stays within the lateness
-// allowed, what is not is refused at once, and refused callers don't return together.
+// A step to twice the capacity: what is accepted meets its objective, what is not is refused at once, and refused callers don't return together.
 func TestStepToSaturation(t *testing.T) {
 	random := rand.New(rand.NewPCG(3, 4))
 	candidates := []Candidate{model(0, true), model(0, true), model(0, false)}
@@ -63,8 +62,8 @@
 			returns[got.RetryAfter.Round(50*time.Millisecond)]++
 			continue
 		}
-		if got.Predicted > 600*time.Millisecond {
-			t.Errorf("accepted with a predicted first event after %v, want at most 600 ms", got.Predicted)
+		if got.Predicted > demand.Target {
+			t.Errorf("accepted with a predicted first event after %v, want at most %v", got.Predicted, demand.Target)
 		}
 		candidates[got.Index].Outstanding++
 	}
