Hold the bound on old weights whatever the clocks do; failures only set back

Change: the bound holds by the steady clock and by the time of day, whichever comes first; the setback ranks upstreams and refuses nothing. Tests of both.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -164,6 +164,30 @@
 	}
 }
 
+// The time of day jumps back on this host, or the host was suspended: the bound
+// holds all the same.
+func TestOldWeightsEndWhateverTheClocksDo(t *testing.T) {
+	scenarios := []struct {
+		name string
+		// steady and wall are when the version was named, by the two clocks of this host.
+		steady, wall time.Time
+	}{
+		{name: "the time of day has jumped back", steady: now, wall: now.Add(5 * time.Second)},
+		{name: "the host was suspended", steady: now.Add(5 * time.Second), wall: now},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			table := NewTable(nil, place, sources(func(src *Sources, _ *registry.Upstream) {
+				src.Fleet.Versions = []*schema.NamedVersion{{Model: "m", Version: 2, NamedUnixNano: s.wall.UnixNano()}}
+				src.Named = map[Version]time.Time{{Model: "m", Number: 2}: s.steady}
+			}))
+			if table.Targets("model")[0].ready(now.Add(8 * time.Second)) {
+				t.Error("ready after the bound of version 2")
+			}
+		})
+	}
+}
+
 func TestColdUpstreamGetsItsShareOnly(t *testing.T) {
 	table := NewTable(nil, place, sources(func(_ *Sources, u *registry.Upstream) { u.Record.ColdMilliseconds = 3000 }))
 	target := table.Targets("model")[0]
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -49,7 +49,7 @@
 		stop      context.CancelFunc
 		group     sync.WaitGroup
 
-		// named is when each version was first heard of.
+		// named is when each version was named, by this process's steady clock.
 		named map[Version]time.Time
 	}
 
@@ -159,13 +159,16 @@
 	return traffic.NewTable(rules), nil
 }
 
-// noteNamed remembers when each version was first heard of.
+// noteNamed remembers when each version was named. Who hears late, for instance
+// after a restart, goes by the time of day for once.
 func (d *Dispatcher) noteNamed(fleet *schema.Fleet, now time.Time) {
 	for _, named := range fleet.GetVersions() {
 		version := Version{Model: named.GetModel(), Number: named.GetVersion()}
 		if _, found := d.named[version]; !found {
-			d.named[version] = now
-			d.common.Log.Info("version named", zap.String("model", version.Model), zap.Int64("version", version.Number))
+			age := max(0, now.Round(0).Sub(time.Unix(0, named.GetNamedUnixNano())))
+			d.named[version] = now.Add(-age)
+			d.common.Log.Info("version named", zap.String("model", version.Model), zap.Int64("version", version.Number),
+				zap.Duration("age", age))
 		}
 	}
 }
@@ -257,7 +260,7 @@
 		targets = append(targets, target)
 		candidates = append(candidates, placement.Candidate{
 			Outstanding: outstanding, Slots: target.Slots, Engine: target.Engine,
-			Near: target.Near, Delay: delay + target.Load.Penalty(), Full: !target.bears(now),
+			Near: target.Near, Delay: delay, Setback: target.Load.Penalty(), Full: !target.bears(now),
 		})
 	}
 	return targets, candidates
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -7,6 +7,7 @@
 	"figbank"
 	"figbank/pace"
 	"figbank/registry"
+	"figbank/rollout"
 	"figbank/schema"
 	"figbank/traffic"
 )
@@ -53,8 +54,9 @@
 		Version int64
 		// Silent targets no longer announce themselves.
 		Silent bool
-		// OldAfter is when its weights become too old to begin requests on; zero for never.
-		OldAfter time.Time
+		// OldAfter is when its weights become too old to begin requests on, by the steady
+		// clock; zero for never. OldAfterWall is the same by the time of day.
+		OldAfter, OldAfterWall time.Time
 		// ColdUntil is until when it bears only ColdPerSecond requests of this gateway.
 		ColdUntil     time.Time
 		ColdPerSecond float64
@@ -80,7 +82,7 @@
 		Fleet     *schema.Fleet
 		Traffic   *traffic.Table
 		Upstreams []registry.Upstream
-		// Named is when this process heard of each named version.
+		// Named is when each version was named, by this process's steady clock.
 		Named map[Version]time.Time
 		// Gateways is how many gateways share the upstreams.
 		Gateways int
@@ -164,30 +166,21 @@
 		target.ColdUntil = sources.Now.Add(time.Duration(cold) * time.Millisecond)
 		target.ColdPerSecond = service.GetColdRequestsPerSecond() / float64(t.gateways)
 	}
-	target.OldAfter = oldAfter(place, sources, target)
+	target.OldAfter, target.OldAfterWall = oldAfter(place, sources, target)
 	return target
 }
 
 // oldAfter is when the target's weights become older than the first named
-// version that it lacks allows.
-func oldAfter(place Place, sources Sources, target *Target) time.Time {
-	var earliest time.Time
-	for _, named := range sources.Fleet.GetVersions() {
-		if named.GetModel() != target.Model || named.GetVersion() <= target.Version {
-			continue
-		}
-		// Who heard late, for instance after a restart, goes by the time of day.
-		since := time.Unix(0, named.GetNamedUnixNano())
-		heard := sources.Named[Version{Model: named.GetModel(), Number: named.GetVersion()}]
-		if heard.Before(since) {
-			since = heard
-		}
-		bound := since.Add(place.VersionTime - versionMargin)
-		if earliest.IsZero() || bound.Before(earliest) {
-			earliest = bound
-		}
-	}
-	return earliest
+// version that it lacks allows, by this process's steady clock and by the time
+// of day: the one stands still while the host is suspended, the other may jump.
+func oldAfter(place Place, sources Sources, target *Target) (steady, wall time.Time) {
+	first := rollout.FirstAfter(sources.Fleet.GetVersions(), target.Model, target.Version)
+	if first == nil {
+		return time.Time{}, time.Time{}
+	}
+	bound := place.VersionTime - versionMargin
+	named := sources.Named[Version{Model: first.GetModel(), Number: first.GetVersion()}]
+	return named.Add(bound), time.Unix(0, first.GetNamedUnixNano()).Add(bound)
 }
 
 // ready tells whether the target may get a request now.
@@ -205,7 +198,7 @@
 
 // old tells whether a request that begins then would find weights that are too old.
 func (t *Target) old(then time.Time) bool {
-	return !t.OldAfter.IsZero() && then.After(t.OldAfter)
+	return !t.OldAfter.IsZero() && (then.After(t.OldAfter) || then.Round(0).After(t.OldAfterWall))
 }
 
 // bears tells whether a cold target bears one more request.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -40,6 +40,8 @@
 		Near bool
 		// Delay is the time to it and back.
 		Delay time.Duration
+		// Setback makes it the later choice for having failed, whatever its speed.
+		Setback time.Duration
 		// Full upstreams refused or have no connection left; they get nothing now.
 		Full bool
 	}
@@ -77,7 +79,7 @@
 			continue
 		}
 		predicted := predict(demand, candidate)
-		cost := predicted + time.Duration(random.Int64N(int64(jitter)))
+		cost := predicted + candidate.Setback + time.Duration(random.Int64N(int64(jitter)))
 		if !candidate.Near {
 			cost += spillCost
 		}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -24,6 +24,8 @@
 func TestDecide(t *testing.T) {
 	full := model(0, true)
 	full.Full = true
+	failing := model(0, true)
+	failing.Setback = time.Second
 	demand := Demand{Prompt: 900, Target: 400 * time.Millisecond, Left: 6 * time.Second}
 	scenarios := []struct {
 		name       string
@@ -35,6 +37,8 @@
 		{name: "near rather than slightly emptier", candidates: []Candidate{model(3, false), model(5, true)}, want: 1},
 		{name: "spills when the near one queues", candidates: []Candidate{model(19, true), model(3, false)}, want: 1},
 		{name: "a full one gets nothing however empty it looks", candidates: []Candidate{full, model(15, true)}, want: 1},
+		{name: "one that fails often is the later choice", candidates: []Candidate{failing, model(3, false)}, want: 1},
+		{name: "but not refused for that: it may still answer", candidates: []Candidate{failing}, want: 0},
 		{name: "refuses at saturation", candidates: []Candidate{model(40, true), model(40, false)}, want: -1, reason: figbank.ReasonQueueFull},
 		{name: "refuses when there is none", want: -1, reason: figbank.ReasonNoUpstream},
 	}
