--- /dev/null
+++ b/ledger/fleet_test.go
@@ -0,0 +1,134 @@
+package ledger
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"figbank/schema"
+
+	"google.golang.org/protobuf/proto"
+)
+
+func (m *machine) publishTraffic(number int64, document string) *schema.Result {
+	return m.apply(&schema.Command{Action: &schema.Command_PublishTraffic{PublishTraffic: &schema.PublishTraffic{
+		Number: number, PackedTraffic: []byte("rules of " + document), PackedDocument: []byte(document),
+	}}})
+}
+
+func (m *machine) evacuate(domain string, withdraw bool) {
+	m.apply(&schema.Command{Action: &schema.Command_Evacuate{Evacuate: &schema.Evacuate{FailureDomain: domain, Withdraw: withdraw}}})
+}
+
+func (m *machine) nameVersion(model string, version int64) {
+	m.now = m.now.Add(time.Second)
+	m.apply(&schema.Command{Action: &schema.Command_NameVersion{NameVersion: &schema.NameVersion{Model: model, Version: version}}})
+}
+
+func (m *machine) document() string {
+	return string(m.apply(&schema.Command{Action: &schema.Command_ReadTraffic{ReadTraffic: &schema.ReadTraffic{}}}).GetPackedDocument())
+}
+
+// Two operators race, orders come late and twice: the highest number holds, and
+// its content is the one that was accepted first under it.
+func TestHighestNumberOfTrafficRulesHolds(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		numbers []int64
+		want    string
+	}{
+		{name: "in order", numbers: []int64{1, 5, 9}, want: "2"},
+		{name: "an older one comes late", numbers: []int64{5, 9, 7}, want: "1"},
+		{name: "the same number with other content", numbers: []int64{9, 9}, want: "0"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			m := newMachine(t)
+			for i, number := range s.numbers {
+				if result := m.publishTraffic(number, string(rune('0'+i))); result.GetRefusal() != schema.Refusal_REFUSAL_NONE {
+					t.Errorf("publish of %d = %v, want it accepted", number, result.GetRefusal())
+				}
+			}
+			if got := m.document(); got != s.want {
+				t.Errorf("document in force = %q, want %q", got, s.want)
+			}
+			if got := string(m.state.Fleet().GetPackedTraffic()); got != "rules of "+s.want {
+				t.Errorf("rules in force = %q, want those of %q", got, s.want)
+			}
+		})
+	}
+}
+
+func TestEvacuationsAndVersions(t *testing.T) {
+	m := newMachine(t)
+	m.evacuate("b", false)
+	m.evacuate("a", false)
+	m.evacuate("a", false)
+	m.evacuate("c", true)
+	if got, want := m.state.Fleet().GetEvacuated(), []string{"a", "b"}; !slices.Equal(got, want) {
+		t.Errorf("evacuated = %v, want %v", got, want)
+	}
+	m.evacuate("b", true)
+	if got, want := m.state.Fleet().GetEvacuated(), []string{"a"}; !slices.Equal(got, want) {
+		t.Errorf("evacuated after a withdrawal = %v, want %v", got, want)
+	}
+	for _, version := range []int64{2, 3, 2, 3} {
+		m.nameVersion("m", version)
+	}
+	m.nameVersion("k", 7)
+	var got []int64
+	for _, named := range m.state.Fleet().GetVersions() {
+		got = append(got, named.GetVersion())
+	}
+	if want := []int64{7, 2, 3}; !slices.Equal(got, want) {
+		t.Errorf("versions named = %v, want %v: each has a bound of its own", got, want)
+	}
+}
+
+func TestOnlyTheNewestNamedVersionsStay(t *testing.T) {
+	m := newMachine(t)
+	for version := range int64(3 * versionsNamed) {
+		m.nameVersion("m", version+1)
+	}
+	versions := m.state.Fleet().GetVersions()
+	if len(versions) != versionsNamed || versions[len(versions)-1].GetVersion() != 3*versionsNamed {
+		t.Errorf("versions kept = %v, want the newest %d", versions, versionsNamed)
+	}
+}
+
+func TestFleetLastsThroughSnapshots(t *testing.T) {
+	m := newMachine(t)
+	m.publishTraffic(4, "document")
+	m.evacuate("a", false)
+	m.nameVersion("m", 2)
+	snapshot, err := m.state.Snapshot(1)
+	if err != nil {
+		t.Fatalf("Snapshot() = %v", err)
+	}
+	restored, err := Restore(snapshot)
+	if err != nil {
+		t.Fatalf("Restore() = %v", err)
+	}
+	if !proto.Equal(restored.Fleet(), m.state.Fleet()) {
+		t.Errorf("restored fleet = %v, want %v", restored.Fleet(), m.state.Fleet())
+	}
+	m.state = restored
+	if got := m.document(); got != "document" {
+		t.Errorf("restored document = %q, want %q", got, "document")
+	}
+}
+
+// Fleets that were handed out do not change under their readers.
+func TestFleetsHandedOutAreImmutable(t *testing.T) {
+	m := newMachine(t)
+	m.evacuate("b", false)
+	m.nameVersion("m", 2)
+	before := m.state.Fleet()
+	kept := proto.CloneOf(before)
+	m.evacuate("a", false)
+	m.evacuate("b", true)
+	m.nameVersion("m", 3)
+	if !proto.Equal(before, kept) {
+		t.Errorf("fleet handed out = %v, want it unchanged %v", before, kept)
+	}
+}
