Spread choices among upstreams whose counts lag

Cause: at saturation all gateways saw the same counts, up to 300 ms old, and sent to the upstream that looked emptiest, which then queued for a second (placed at 15 of 16 with 0.13 s predicted, first event after 0.85 s).

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -1,6 +1,7 @@
 // Package placement decides where a request goes, or that it is refused at once
 // with a time to come back. It answers these load patterns: a step to
-// saturation, in which every upstream fills within a second; one failure domain
+// saturation, in which every upstream fills within a second and counts of load
+// lag behind; one failure domain
 // that is fuller than the others; and an upstream whose queue hides behind fast
 // refusals.
 package placement
@@ -20,8 +21,9 @@
 	// plainTurn is the time that one request takes of a plain service's upstream
 	// when nothing better is known.
 	plainTurn = 60 * time.Millisecond
-	// jitter spreads choices among equals, and returns of refused callers.
-	jitter = 4 * time.Millisecond
+	// spread is up to how much an upstream's cost is raised at random: counts of
+	// load lag, and gateways that all chose the emptiest would fill it together.
+	spread = 100 * time.Millisecond
 
 	leastReturn = 300 * time.Millisecond
 	mostReturn  = 1500 * time.Millisecond
@@ -79,7 +81,7 @@
 			continue
 		}
 		predicted := predict(demand, candidate)
-		cost := predicted + candidate.Setback + time.Duration(random.Int64N(int64(jitter)))
+		cost := predicted + candidate.Setback + time.Duration(random.Int64N(int64(spread)))
 		if !candidate.Near {
 			cost += spillCost
 		}
