Stop using old weights early enough for a link that delivers late

Change: the margin before the bound is 1.3 s, was 0.7 s; by then the last wave has begun to switch anyway.

--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -16,8 +16,9 @@
 	// silentTrust is how long an upstream that no longer announces itself is still
 	// used after it has answered well.
 	silentTrust = 3 * time.Second
-	// versionMargin is how long before the bound older weights stop being used.
-	versionMargin = 700 * time.Millisecond
+	// versionMargin is how long before the bound older weights stop being used: a
+	// narrow link may deliver a request a second late, also one that was taken back.
+	versionMargin = 1300 * time.Millisecond
 )
 
 type (
