Reset requests that are given up, a retry budget for each service, weights sooner

(2) Failures of a small service were retried out of the large one's budget: 0.15 of all requests against a bound of 0.2 of its own and 104. (3) Weights took 3.9 to 4.6 s of 2.5 that the link needs: a busy peer cost as much of the rate as a chunk, and 100 ms.

--- a/app/platformgateway.go
+++ b/app/platformgateway.go
@@ -10,6 +10,7 @@
 	"figbank/feed"
 	"figbank/loadshare"
 	"figbank/platform"
+	"figbank/retry"
 	"figbank/schema"
 	"figbank/settings"
 	"figbank/timeline"
@@ -55,7 +56,7 @@
 			Regions:       settings.RegionsOf(s),
 			VersionTime:   s.GetBounds().GetVersionTime().AsDuration(),
 		},
-		RetryPercent: s.GetBounds().GetRetryPercent(),
+		Retries: retry.Allowance{Percent: s.GetBounds().GetRetryPercent(), Slack: s.GetBounds().GetRetrySlack()},
 	}, platform.NewTransport(pool), view)
 	lifecycle.Append(fx.StopHook(dispatcher.Close))
 	return dispatcher
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -25,16 +25,14 @@
 	// delayNear and delayFar are there and back, within and between failure domains.
 	delayNear = time.Millisecond
 	delayFar  = 6 * time.Millisecond
-	// retryShare of the allowed retries is used, for those that cross on their way.
-	retryShare = 0.75
 )
 
 type (
 	// Settings of a dispatcher.
 	Settings struct {
 		Place Place
-		// RetryPercent is how many retries are allowed per hundred requests.
-		RetryPercent int64
+		// Retries is what all gateways together may retry.
+		Retries retry.Allowance
 	}
 
 	// Dispatcher sends requests to upstreams. It is safe for concurrent use.
@@ -44,7 +42,7 @@
 		transport Transport
 		view      *feed.View
 		table     atomic.Pointer[Table]
-		budget    *retry.Budget
+		budgets   *retry.Budgets
 		rebuild   chan struct{}
 		stop      context.CancelFunc
 		group     sync.WaitGroup
@@ -81,7 +79,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	d := &Dispatcher{
 		common: common.For("dispatch"), settings: settings, transport: transport, view: view,
-		budget:  retry.NewBudget(int64(retryShare * float64(settings.RetryPercent))),
+		budgets: retry.NewBudgets(settings.Retries),
 		rebuild: make(chan struct{}, 1), stop: stop,
 		named: map[Version]time.Time{},
 	}
@@ -138,6 +136,7 @@
 			gateways++
 		}
 	}
+	d.budgets.Share(gateways)
 	d.table.Store(NewTable(previous, d.settings.Place, Sources{
 		Fleet: fleet, Traffic: rules, Upstreams: d.view.Upstreams(), Named: d.named, Gateways: gateways, Now: now,
 	}))
@@ -179,7 +178,7 @@
 func (d *Dispatcher) Serve(ctx context.Context, request *Request, reply Reply) error {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	d.budget.Deposit()
+	d.budgets.For(request.Service).Deposit()
 	r := &run{
 		Dispatcher: d, request: request, reply: reply, tried: map[figbank.UpstreamID]bool{}, lastEvent: request.LastEvent,
 		log: d.common.Log.With(zap.String("request", string(request.ID))),
@@ -278,7 +277,7 @@
 	resumable := r.request.Route.Streamed() && r.request.Route.GetResumable()
 	action := retry.Decide(retry.Failed{
 		Err: err, Repeatable: r.request.Route.Repeatable(), Passed: r.reply.Started() && !resumable,
-	}, r.budget)
+	}, r.budgets.For(r.request.Service))
 	again := action != retry.GiveUp
 	r.log.Info("attempt failed", zap.String("upstream", string(target.ID)), zap.Int("attempt", attempt),
 		zap.Bool("again", again), figbank.ErrorField(err))
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// burst is how many retries may be saved up.
-	burst = 10.0
+	// defaultSaved is how many retries may be saved up.
+	defaultSaved = 10.0
 	// firstDelay and lastDelay bound the exponential backoff.
 	firstDelay = 10 * time.Millisecond
 	lastDelay  = 500 * time.Millisecond
@@ -20,19 +20,24 @@
 type Budget struct {
 	mu     sync.Mutex
 	share  float64
+	saved  float64
 	tokens float64
 }
 
-// NewBudget allows percent retries per hundred first tries.
+// NewBudget allows percent retries per hundred first tries, and ten at once.
 func NewBudget(percent int64) *Budget {
-	return &Budget{share: float64(percent) / 100, tokens: burst}
+	return newBudget(float64(percent)/100, defaultSaved)
+}
+
+func newBudget(share, saved float64) *Budget {
+	return &Budget{share: share, saved: saved, tokens: saved}
 }
 
 // Deposit counts a first try.
 func (b *Budget) Deposit() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(burst, b.tokens+b.share)
+	b.tokens = min(b.saved, b.tokens+b.share)
 }
 
 // Withdraw takes one retry from the budget, or returns false.
@@ -46,6 +51,14 @@
 	return true
 }
 
+// setSaved bounds what may be saved up.
+func (b *Budget) setSaved(saved float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.saved = saved
+	b.tokens = min(b.tokens, saved)
+}
+
 // Delay is the backoff before the retry after attempt, counted from 1: an
 // exponential delay with full jitter. Unit random is in [0,1).
 func Delay(attempt int, random *rand.Rand) time.Duration {
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -67,7 +67,7 @@
 		return budget.Withdraw()
 	})
 	always := tries(func() bool { return true })
-	if want := requests + requests/5 + int(burst); got > want {
+	if want := requests + requests/5 + int(defaultSaved); got > want {
 		t.Errorf("tries = %d, want at most %d; retrying always takes %d", got, want, always)
 	}
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"figbank"
 	"figbank/keyfile"
 )
 
@@ -94,6 +95,64 @@
 	}
 }
 
+const platformFile = `[Process]
+Id = n1
+Region = north
+FailureDomain = a
+ListenProcesses = 127.0.0.1:1
+
+[Node]
+Seeds = 127.0.0.1:2, 127.0.0.1:3
+Regions = a=north, b=south
+
+[Bounds]
+VersionTime = 8s
+RetrySlack = 104
+`
+
+func TestBrokenPlatformSettings(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		content string
+		want    string
+	}{
+		{name: "no seeds", content: strings.Replace(platformFile, "Seeds = 127.0.0.1:2, 127.0.0.1:3\n", "", 1), want: "p.ini:7: [Node] Seeds: key is missing"},
+		{name: "a seed without a port", content: strings.Replace(platformFile, "127.0.0.1:3", "127.0.0.1", 1), want: "p.ini:8: [Node] Seeds: "},
+		{name: "a failure domain without a region", content: strings.Replace(platformFile, "b=south", "b", 1), want: "p.ini:9: [Node] Regions: "},
+		{name: "a bound of nothing", content: strings.Replace(platformFile, "8s", "0s", 1), want: "p.ini:12: [Bounds] VersionTime: 0s is out of range"},
+		{name: "a bound without a unit", content: strings.Replace(platformFile, "8s", "8", 1), want: "p.ini:12: [Bounds] VersionTime: "},
+		{name: "a key that is no longer known", content: platformFile + "DrainTime = 2s\n", want: "p.ini:14: [Bounds] DrainTime: unknown key; allowed: AnnounceInterval"},
+		{name: "more retries than requests", content: platformFile + "RetryPercent = 101\n", want: "p.ini:14: [Bounds] RetryPercent: "},
+		{name: "heartbeat too slow", content: platformFile + "[Log]\nElectionTimeout = 200ms\nHeartbeatInterval = 100ms\n", want: "p.ini:16: [Log] HeartbeatInterval: must be at most a third"},
+		{name: "a placeholder that nobody filled in", content: strings.Replace(platformFile, "8s", "{{bounds.version_ms}}ms", 1), want: "p.ini:12: [Bounds] VersionTime: "},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			_, err := ParsePlatform("p.ini", []byte(s.content))
+			var problems keyfile.ProblemsError
+			if !errors.As(err, &problems) {
+				t.Fatalf("error = %v, want ProblemsError", err)
+			}
+			if got := problems.Problems[0].String(); !strings.HasPrefix(got, s.want) {
+				t.Errorf("first problem = %q, want %q", got, s.want)
+			}
+		})
+	}
+}
+
+func TestPlatformSettingsInUnits(t *testing.T) {
+	s, err := ParsePlatform("p.ini", []byte(platformFile+"\n[Weights]\nLinkRate = 10\nLinkShare = 80\n"))
+	if err != nil {
+		t.Fatalf("ParsePlatform() = %v", err)
+	}
+	if got, want := LinkBytes(s.GetWeights()), figbank.Bytes(1_000_000); got != want {
+		t.Errorf("bytes a second of weights: got %d, want %d", got, want)
+	}
+	if got, want := RegionsOf(s)["b"], figbank.Region("south"); got != want {
+		t.Errorf("region of b: got %q, want %q", got, want)
+	}
+}
+
 func TestWrittenSettingsReadBack(t *testing.T) {
 	s, err := ParseGateway("g.ini", []byte(gatewayFile))
 	if err != nil {
--- a/swarm/plan.go
+++ b/swarm/plan.go
@@ -21,7 +21,7 @@
 	perPeer = 2
 	// busyDelay, lostDelay and badDelay are how long a peer is left alone after it
 	// was busy, did not answer, or sent bytes that failed their check.
-	busyDelay = 100 * time.Millisecond
+	busyDelay = 40 * time.Millisecond
 	lostDelay = 2 * time.Second
 	badDelay  = time.Minute
 	// idleTurn is how long a host that has nothing else to fetch waits for each
--- a/swarm/plan_test.go
+++ b/swarm/plan_test.go
@@ -56,6 +56,13 @@
 	return h
 }
 
+func (h *hosts) setOneCopy(oneCopy bool) {
+	for _, plan := range h.plans {
+		plan.settings.OneCopy = oneCopy
+		plan.SetPeers(h.peers)
+	}
+}
+
 func (h *hosts) run(t *testing.T) {
 	t.Helper()
 	end := h.now.Add(5 * time.Minute)
@@ -127,17 +134,20 @@
 		name       string
 		hosts      int
 		regions    int
+		oneCopy    bool
 		prepare    func(*hosts)
 		wantCopies float64
 	}{
 		{name: "one host takes one copy", hosts: 1, regions: 1, wantCopies: 1},
 		{name: "one copy a region", hosts: 30, regions: 3, wantCopies: 3},
+		{name: "one copy in all", hosts: 30, regions: 3, oneCopy: true, wantCopies: 1.1},
 		{name: "a dead host's chunks go to the next in line", hosts: 12, regions: 3, prepare: func(h *hosts) { h.dead["h00"] = true }, wantCopies: 3.15},
 		{name: "a peer that sends bad chunks is avoided", hosts: 12, regions: 3, prepare: func(h *hosts) { h.bad["h01"] = true }, wantCopies: 4},
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			h := newHosts(s.hosts, s.regions)
+			h.setOneCopy(s.oneCopy)
 			if s.prepare != nil {
 				s.prepare(h)
 			}
@@ -199,3 +209,45 @@
 		})
 	}
 }
+
+// A host on a slow link is first in line for a chunk and does not come for it,
+// while everything else arrives: the region does not stall, yet the chunk must
+// not wait for the slow host.
+func TestSlowHostLosesItsTurn(t *testing.T) {
+	tests := []struct {
+		name    string
+		oneCopy bool
+		want    time.Duration
+	}{
+		{"one copy in all: after a turn with nothing else to do", true, idleTurn},
+		{"one copy a region: once the region stalls", false, stallTime},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			self, slow := lineOfTwo()
+			plan := NewPlan(Settings{Self: self, Chunks: 1, InFlight: 1, StallTime: stallTime, OneCopy: test.oneCopy}, rand.New(rand.NewPCG(1, 1)), now)
+			plan.SetPeers([]Peer{self, slow})
+			if got, found := plan.Next(now); found {
+				t.Fatalf("Next() at once: got %v, want none", got)
+			}
+			if got, found := plan.Next(now.Add(test.want - time.Millisecond)); found {
+				t.Errorf("Next() before the slow host's time is over: got %v, want none", got)
+			}
+			got, found := plan.Next(now.Add(test.want))
+			if want := (Fetch{Chunk: 0}); !found || got != want {
+				t.Errorf("Next() after it: got %v, %t, want %v from the origin", got, found, want)
+			}
+		})
+	}
+}
+
+// lineOfTwo returns two hosts of one region, the second first in line for chunk 0.
+func lineOfTwo() (self, first Peer) {
+	a := Peer{ID: "a", Region: "r", FailureDomain: "d"}
+	b := Peer{ID: "b", Region: "r", FailureDomain: "d"}
+	if rank(a.ID, 0) < rank(b.ID, 0) {
+		return a, b
+	}
+	return b, a
+}
--- a/transfer/fetcher.go
+++ b/transfer/fetcher.go
@@ -17,7 +17,6 @@
 	"figbank/weights"
 
 	"go.uber.org/zap"
-	"golang.org/x/time/rate"
 )
 
 const (
@@ -63,7 +62,7 @@
 		active   *Active
 		pool     *transport.Pool
 		origin   Origin
-		limiter  *rate.Limiter
+		pacer    *pacer
 		peers    func() ([]swarm.Peer, <-chan struct{})
 		random   *rand.Rand
 	}
@@ -84,15 +83,11 @@
 func NewFetcher(common figbank.Common, settings Settings, store *weights.Store, active *Active,
 	pool *transport.Pool, client Origin, peers func() ([]swarm.Peer, <-chan struct{}),
 ) *Fetcher {
-	limit := rate.Inf
-	if settings.Rate > 0 {
-		limit = rate.Limit(settings.Rate)
-	}
 	return &Fetcher{
 		common: common.For("transfer"), settings: settings, store: store, active: active, pool: pool, origin: client,
-		limiter: rate.NewLimiter(limit, int(weights.ChunkSize)),
-		peers:   peers,
-		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // spreads load, no secret
+		pacer:  newPacer(settings.Rate),
+		peers:  peers,
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // spreads load, no secret
 	}
 }
 
@@ -168,7 +163,7 @@
 	for _, index := range partial.Held() {
 		plan.Have(index, now)
 	}
-	f.limiter.SetBurst(largestChunk(partial))
+	f.pacer.setBurst(largestChunk(partial))
 	inbox := make(chan news, newsLength)
 	watched := map[figbank.Address]context.CancelFunc{}
 	changed := f.updatePeers(ctx, plan, partial, watched, inbox)
@@ -189,12 +184,12 @@
 
 // largestChunk is the burst that the rate has to allow; a larger one would fill
 // the link's queue, where live answers wait too.
-func largestChunk(partial *weights.Partial) int {
+func largestChunk(partial *weights.Partial) figbank.Bytes {
 	largest := int64(1)
 	for _, chunk := range partial.Version().Manifest.GetChunks() {
 		largest = max(largest, weights.ChunkLength(chunk))
 	}
-	return int(largest)
+	return figbank.Bytes(largest)
 }
 
 func (f *Fetcher) updatePeers(ctx context.Context, plan *swarm.Plan, partial *weights.Partial, watched map[figbank.Address]context.CancelFunc, inbox chan<- news) <-chan struct{} {
@@ -263,12 +258,15 @@
 func (f *Fetcher) fetch(ctx context.Context, fetch swarm.Fetch, partial *weights.Partial) error {
 	ctx, cancel := context.WithTimeout(ctx, f.settings.StallTime)
 	defer cancel()
-	length := int(weights.ChunkLength(partial.Version().Manifest.GetChunks()[fetch.Chunk]))
-	if err := f.limiter.WaitN(ctx, length); err != nil {
-		return figbank.Fail("transfer", "RateLimit", err)
+	length := figbank.Bytes(weights.ChunkLength(partial.Version().Manifest.GetChunks()[fetch.Chunk]))
+	if err := f.pacer.wait(ctx, length); err != nil {
+		return err
 	}
 	content, err := f.bring(ctx, fetch, partial, length)
 	if err != nil {
+		if failure, _ := classify(err); failure == swarm.Busy {
+			f.pacer.giveBack(length)
+		}
 		return err
 	}
 	if err := partial.Put(fetch.Chunk, content); err != nil {
@@ -280,13 +278,13 @@
 	return nil
 }
 
-func (f *Fetcher) bring(ctx context.Context, fetch swarm.Fetch, partial *weights.Partial, length int) ([]byte, error) {
+func (f *Fetcher) bring(ctx context.Context, fetch swarm.Fetch, partial *weights.Partial, length figbank.Bytes) ([]byte, error) {
 	if fetch.Peer == "" {
 		f.common.Scope.Counter("origin_bytes").Inc(int64(length))
 		return f.origin.Chunk(ctx, partial.Version(), fetch.Chunk)
 	}
 	request := &schema.ChunkRequest{Manifest: string(partial.Version().Digest), Chunk: uint32(fetch.Chunk)}
-	return f.receiveParts(ctx, fetch.Address, schema.StreamKind_STREAM_KIND_CHUNK, request, figbank.Bytes(length))
+	return f.receiveParts(ctx, fetch.Address, schema.StreamKind_STREAM_KIND_CHUNK, request, length)
 }
 
 func (f *Fetcher) event(name, chunk, detail string) {
--- /dev/null
+++ b/transfer/pacer_test.go
@@ -0,0 +1,57 @@
+package transfer
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"figbank"
+)
+
+// A peer that is busy sends nothing, so it must not slow what others send.
+func TestPacerChargesOnlyWhatArrives(t *testing.T) {
+	const chunk, perSecond figbank.Bytes = 1000, 10_000
+	tests := []struct {
+		name string
+		busy int
+		want time.Duration
+	}{
+		{"none busy", 0, 900 * time.Millisecond},
+		{"every chunk refused once", 10, 900 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				pacer := newPacer(perSecond)
+				pacer.setBurst(chunk)
+				began := time.Now()
+				for i := range 10 {
+					if err := pacer.wait(context.Background(), chunk); err != nil {
+						t.Fatalf("wait: got %v, want none", err)
+					}
+					if i >= test.busy {
+						continue
+					}
+					pacer.giveBack(chunk)
+					if err := pacer.wait(context.Background(), chunk); err != nil {
+						t.Fatalf("wait again: got %v, want none", err)
+					}
+				}
+				if got := time.Since(began); got != test.want {
+					t.Errorf("ten chunks took: got %v, want %v", got, test.want)
+				}
+			})
+		})
+	}
+}
+
+func TestPacerSavesAtMostOneChunk(t *testing.T) {
+	pacer := newPacer(10_000)
+	pacer.setBurst(1000)
+	pacer.giveBack(1000)
+	pacer.giveBack(1000)
+	if got, want := pacer.takeUnused(5000), figbank.Bytes(1000); got != want {
+		t.Errorf("unused: got %d, want %d", got, want)
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -36,6 +36,16 @@
 	_ = c.raw.Close()
 }
 
+// reset gives up a request that is under way. Bytes that the network still holds
+// up must not arrive later: a plain close would have them sent again and again,
+// and the request would run long after it was taken back.
+func (c *conn) reset() {
+	if tcp, isTCP := c.raw.(*net.TCPConn); isTCP {
+		_ = tcp.SetLinger(0)
+	}
+	c.close()
+}
+
 // release keeps the connection for another request, unless bytes are waiting
 // that belong to none.
 func (c *conn) release() {
@@ -83,7 +93,7 @@
 }
 
 // body is an answer's body. At its end the connection is kept for reuse;
-// closing it earlier closes the connection.
+// closing it earlier resets the connection.
 type body struct {
 	io.ReadCloser
 	conn  *conn
@@ -110,7 +120,7 @@
 	}
 	b.done = true
 	b.stop()
-	b.conn.close()
+	b.conn.reset()
 	return nil
 }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -45,23 +45,23 @@
 
 // Exchange sends a request and returns once the head of its answer is there. An
 // error of type NotRunError proves that no byte of the request was sent; any
-// other leaves open whether it ran. When ctx ends, the connection is closed.
+// other leaves open whether it ran. When ctx ends, the connection is reset.
 func (p *Pool) Exchange(ctx context.Context, call *Call) (*Answer, error) {
 	c, err := p.get(ctx, call.Address)
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, c.close)
+	stop := context.AfterFunc(ctx, c.reset)
 	written := make(chan error, 1)
 	if err := c.send(call, written); err != nil {
 		stop()
-		c.close()
+		c.reset()
 		return nil, lost("Send", err, call)
 	}
 	response, err := c.receiveHead(call.Method) //nolint:bodyclose // becomes the answer's body
 	if err != nil {
 		stop()
-		c.close()
+		c.reset()
 		return nil, lost("Receive", err, call)
 	}
 	c.hearKeepAlive(response.Header.Get("Keep-Alive"))
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -147,3 +149,41 @@
 		}
 	}
 }
+
+// A host is cut off while a request to it is on its way; the gateway takes the
+// request back, and the cut ends a second later. Only a reset makes the network
+// forget what it holds, so that the request does not run after all.
+func TestGivenUpRequestIsResetNotClosed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	accepted, ended := make(chan struct{}), make(chan error, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		close(accepted)
+		_, err = io.Copy(io.Discard, conn)
+		ended <- err
+	}()
+	pool := NewPool(clock.System{})
+	defer pool.Close()
+	ctx, giveUp := context.WithCancel(context.Background())
+	go func() {
+		<-accepted
+		giveUp()
+	}()
+	call := &Call{Address: figbank.Address(listener.Addr().String()), Method: http.MethodGet, Target: "/", Host: "h"}
+	if answer, err := pool.Exchange(ctx, call); err == nil {
+		_ = answer.Body.Close()
+		t.Fatal("Exchange() = none, want an error")
+	}
+	if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("end of the connection: got %v, want %v", err, syscall.ECONNRESET)
+	}
+}
