--- a/app/platformagent.go
+++ b/app/platformagent.go
@@ -29,12 +29,16 @@
 	return fx.New(
 		platformBase(s, schema.MemberRole_MEMBER_ROLE_AGENT),
 		fx.Supply(file, &transfer.Active{}),
-		fx.Provide(newUpstreamPool, newPieceStore),
+		fx.Provide(newUpstreamPool, newPieceStore, newLink),
 		fx.Invoke(watchSettings, servePieces, runStager),
 		fx.Options(options...),
 	)
 }
 
+func newLink(common figbank.Common, s *schema.PlatformSettings) *transfer.Link {
+	return transfer.NewLink(common.Clock, settings.LinkBytes(s.GetWeights()))
+}
+
 // newPieceStore opens a store in a folder of this process's own.
 func newPieceStore(lifecycle fx.Lifecycle, common figbank.Common) (*weights.Store, error) {
 	folder, err := os.MkdirTemp("", piecesPattern)
@@ -50,14 +54,14 @@
 }
 
 func servePieces(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, store *weights.Store,
-	active *transfer.Active, recorder *timeline.Recorder,
+	active *transfer.Active, link *transfer.Link, recorder *timeline.Recorder,
 ) error {
 	listener, err := listen(s.GetProcess().GetListenProcesses())
 	if err != nil {
 		return err
 	}
 	pieces := transfer.NewServer(common, store, active, int(s.GetWeights().GetChunksServed()),
-		transfer.WithSendRate(settings.LinkBytes(s.GetWeights())))
+		transfer.WithSendRate(settings.LinkBytes(s.GetWeights())), transfer.WithLink(link))
 	server := transport.NewServer(common, listener, transport.Handlers{
 		schema.StreamKind_STREAM_KIND_HAVE:     pieces.ServeHave,
 		schema.StreamKind_STREAM_KIND_CHUNK:    pieces.ServeChunk,
@@ -69,7 +73,7 @@
 }
 
 func runStager(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, view *feed.View,
-	feeds *feed.Subscriber, pool *transport.Pool, connections *upstream.Pool, store *weights.Store, active *transfer.Active,
+	feeds *feed.Subscriber, pool *transport.Pool, connections *upstream.Pool, store *weights.Store, active *transfer.Active, link *transfer.Link,
 ) {
 	member := memberOf(s, schema.MemberRole_MEMBER_ROLE_AGENT)
 	w := s.GetWeights()
@@ -80,7 +84,7 @@
 				Region: figbank.Region(member.GetRegion()), FailureDomain: figbank.FailureDomain(member.GetFailureDomain()),
 			},
 			InFlight: int(w.GetChunksInFlight()), StallTime: w.GetStallTime().AsDuration(),
-			OriginDelay: w.GetOriginDelay().AsDuration(), OneCopy: w.GetOneCopy(), Rate: settings.LinkBytes(w),
+			OriginDelay: w.GetOriginDelay().AsDuration(), OneCopy: w.GetOneCopy(), Rate: settings.LinkBytes(w), Link: link,
 		}, store, active, pool, origin, peers)
 	}
 	stager := staging.New(common, staging.Settings{
--- a/staging/decide.go
+++ b/staging/decide.go
@@ -16,7 +16,7 @@
 
 // drainShare is how much of a version is here when the engine begins to drain:
 // the rest takes about as long to arrive as running requests take to end.
-const drainShare = 0.5
+const drainShare = 0.6
 
 type (
 	// Action is a decision.
--- a/swarm/plan.go
+++ b/swarm/plan.go
@@ -132,6 +132,11 @@
 	return p
 }
 
+// SetInFlight changes how many fetches may run at once.
+func (p *Plan) SetInFlight(most int) {
+	p.settings.InFlight = most
+}
+
 // SetPeers replaces the list of peers; what is known of those that stay is kept.
 func (p *Plan) SetPeers(peers []Peer) {
 	known := p.peers
--- a/transfer/fetcher.go
+++ b/transfer/fetcher.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"figbank"
@@ -27,6 +28,9 @@
 	// maxManifest bounds a manifest from a peer.
 	maxManifest figbank.Bytes = 64 << 20
 	newsLength                = 256
+	// narrowShare is the part of a narrowed link that weights may use, in percent.
+	narrowShare = 60
+	percent     = 100
 	// maxNeighbours bounds the peers whose chunks a host follows.
 	maxNeighbours = 24
 )
@@ -44,6 +48,8 @@
 		OneCopy bool
 		// Rate bounds the bytes received a second; 0 for no bound.
 		Rate figbank.Bytes
+		// Link tells when this host's link is narrowed; nil when it is not watched.
+		Link *Link
 	}
 
 	// Origin is a store of weights that has every version.
@@ -63,6 +69,8 @@
 		pool     *transport.Pool
 		origin   Origin
 		pacer    *pacer
+		// running counts the chunks on their way.
+		running atomic.Int64
 		peers    func() ([]swarm.Peer, <-chan struct{})
 		random   *rand.Rand
 	}
@@ -83,6 +91,9 @@
 func NewFetcher(common figbank.Common, settings Settings, store *weights.Store, active *Active,
 	pool *transport.Pool, client Origin, peers func() ([]swarm.Peer, <-chan struct{}),
 ) *Fetcher {
+	if settings.Link == nil {
+		settings.Link = NewLink(common.Clock, 0)
+	}
 	return &Fetcher{
 		common: common.For("transfer"), settings: settings, store: store, active: active, pool: pool, origin: client,
 		pacer:  newPacer(settings.Rate),
@@ -226,6 +237,7 @@
 }
 
 func (f *Fetcher) startFetches(ctx context.Context, plan *swarm.Plan, partial *weights.Partial, inbox chan<- news) {
+	plan.SetInFlight(f.giveWay())
 	for {
 		fetch, found := plan.Next(f.common.Clock.Now())
 		if !found {
@@ -238,6 +250,16 @@
 	}
 }
 
+// giveWay returns how many chunks may be on their way, and sets the pace.
+func (f *Fetcher) giveWay() int {
+	if rate, narrow := f.settings.Link.Narrow(); narrow {
+		f.pacer.setRate(rate * narrowShare / percent)
+		return 1
+	}
+	f.pacer.setRate(f.settings.Rate)
+	return f.settings.InFlight
+}
+
 func (f *Fetcher) take(plan *swarm.Plan, n news) {
 	now := f.common.Clock.Now()
 	switch {
@@ -262,7 +284,7 @@
 	if err := f.pacer.wait(ctx, length); err != nil {
 		return err
 	}
-	content, err := f.bring(ctx, fetch, partial, length)
+	content, err := f.timed(ctx, fetch, partial, length)
 	if err != nil {
 		if failure, _ := classify(err); failure == swarm.Busy {
 			f.pacer.giveBack(length)
@@ -278,6 +300,19 @@
 	return nil
 }
 
+// timed brings a chunk and lets the link's estimate know how long it took.
+func (f *Fetcher) timed(ctx context.Context, fetch swarm.Fetch, partial *weights.Partial, length figbank.Bytes) ([]byte, error) {
+	began := f.common.Clock.Now()
+	together := f.running.Add(1)
+	content, err := f.bring(ctx, fetch, partial, length)
+	together = max(together, f.running.Add(-1)+1)
+	// What comes from the origin is bound by the origin's link.
+	if err == nil && fetch.Peer != "" {
+		f.settings.Link.observe(length, f.common.Clock.Now().Sub(began), int(together))
+	}
+	return content, err
+}
+
 func (f *Fetcher) bring(ctx context.Context, fetch swarm.Fetch, partial *weights.Partial, length figbank.Bytes) ([]byte, error) {
 	if fetch.Peer == "" {
 		f.common.Scope.Counter("origin_bytes").Inc(int64(length))
--- a/transfer/pacer.go
+++ b/transfer/pacer.go
@@ -22,11 +22,21 @@
 
 // newPacer returns a pacer; a rate of 0 is no bound.
 func newPacer(bytesPerSecond figbank.Bytes) *pacer {
-	limit := rate.Inf
+	return &pacer{limiter: rate.NewLimiter(limitOf(bytesPerSecond), int(weights.ChunkSize))}
+}
+
+func limitOf(bytesPerSecond figbank.Bytes) rate.Limit {
 	if bytesPerSecond > 0 {
-		limit = rate.Limit(bytesPerSecond)
+		return rate.Limit(bytesPerSecond)
+	}
+	return rate.Inf
+}
+
+// setRate changes the bytes a second; 0 is no bound.
+func (p *pacer) setRate(bytesPerSecond figbank.Bytes) {
+	if limit := limitOf(bytesPerSecond); limit != p.limiter.Limit() {
+		p.limiter.SetLimit(limit)
 	}
-	return &pacer{limiter: rate.NewLimiter(limit, int(weights.ChunkSize))}
 }
 
 // setBurst bounds the bytes that may arrive at once.
--- a/transfer/server.go
+++ b/transfer/server.go
@@ -34,6 +34,7 @@
 		slots  chan struct{}
 		// limiter paces what is sent, so that it does not fill the link's queue.
 		limiter *rate.Limiter
+		link    *Link
 	}
 
 	// Option changes a Server under construction.
@@ -55,9 +56,14 @@
 	}
 }
 
+// WithLink lets the server give way while this host's link is narrowed.
+func WithLink(link *Link) Option {
+	return func(s *Server) { s.link = link }
+}
+
 // NewServer returns a server that gives at most slots chunks at once.
 func NewServer(common figbank.Common, store *weights.Store, active *Active, slots int, options ...Option) *Server {
-	s := &Server{common: common.For("transfer"), store: store, active: active, slots: make(chan struct{}, slots)}
+	s := &Server{common: common.For("transfer"), store: store, active: active, slots: make(chan struct{}, slots), link: NewLink(common.Clock, 0)}
 	for _, option := range options {
 		option(s)
 	}
@@ -84,6 +90,10 @@
 	if err := stream.Receive(request); err != nil {
 		return
 	}
+	if _, narrow := s.link.Narrow(); narrow && len(s.slots) > 0 {
+		_ = stream.Send(&schema.ChunkPart{Busy: true, Last: true})
+		return
+	}
 	select {
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
