Let weights give way on narrowed links, set late upstreams back

Three chunks in flight and a server whose slots ended when a chunk was written, not when it had arrived, put a second of chunks before each request. Change: transfer.Link judges the link by the chunks that arrive and are sent; an untried one gets one chunk, a narrow one one chunk at 60% of what it bears, and leaves the origin to others; a slot is held until the chunk has arrived; a chunk that peers fail to give, or stay busy with, comes from the origin.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -67,9 +67,14 @@
 		// longestGap is the longest pause between two events.
 		longestGap  time.Duration
 		lastEventAt time.Time
+		// sentAt is when the present attempt began, predicted when it should answer.
+		sentAt    time.Time
+		predicted time.Duration
 		// began is closed, and lifted set, once the present attempt has begun to answer.
-		began    chan struct{}
-		lifted   bool
+		began  chan struct{}
+		lifted bool
+		// load is that of the present attempt's upstream.
+		load     *Load
 		upstream figbank.UpstreamID
 	}
 )
@@ -195,6 +200,7 @@
 		if err != nil {
 			return r.concede(last, err)
 		}
+		r.sentAt = r.common.Clock.Now()
 		last = r.try(ctx, target)
 		if last == nil {
 			return nil
@@ -229,9 +235,11 @@
 	}
 	target := targets[decision.Index]
 	target.takeCold(now)
+	r.predicted = decision.Predicted
 	r.log.Info("placed", zap.String("upstream", string(target.ID)), zap.Int("attempt", attempt),
 		zap.Int("prompt", r.request.PromptTokens), zap.Int("outstanding", candidates[decision.Index].Outstanding),
 		zap.Duration("loadAge", target.Load.Age(now)), zap.Duration("predicted", decision.Predicted),
+		zap.Duration("late", target.Load.late.present(now)),
 		zap.Int64("version", target.Version), zap.Int("candidates", len(candidates)), zap.Uint64("table", uint64(table.Index)))
 	return target, nil
 }
@@ -253,13 +261,14 @@
 			delay = delayNear
 		}
 		outstanding := target.Load.Outstanding(now)
-		if target.Engine != nil && target.old(now.Add(target.Engine.First(outstanding, r.request.PromptTokens))) {
+		late := target.Load.late.present(now)
+		if target.Engine != nil && target.old(now.Add(target.Engine.First(outstanding, r.request.PromptTokens)+late)) {
 			continue
 		}
 		targets = append(targets, target)
 		candidates = append(candidates, placement.Candidate{
 			Outstanding: outstanding, Slots: target.Slots, Engine: target.Engine,
-			Near: target.Near, Delay: delay, Setback: target.Load.Penalty(), Full: !target.bears(now),
+			Near: target.Near, Delay: delay, Setback: target.Load.Penalty() + late, Full: !target.bears(now),
 		})
 	}
 	return targets, candidates
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -35,6 +35,7 @@
 	failuresPerMille atomic.Int64
 	succeededAt      atomic.Int64
 	cold             coldLimit
+	late             lateness
 }
 
 // Outstanding estimates the requests that the upstream holds.
--- a/dispatch/try.go
+++ b/dispatch/try.go
@@ -75,7 +75,7 @@
 // time at which its weights become too old to begin on. The returned function
 // ends the attempt; noteFirst lifts the bound.
 func (r *run) boundFirst(ctx context.Context, target *Target) (context.Context, context.CancelFunc) {
-	r.began, r.lifted = make(chan struct{}), false
+	r.began, r.lifted, r.load = make(chan struct{}), false, target.Load
 	bound, cancel := context.WithCancel(ctx)
 	if target.OldAfter.IsZero() {
 		return bound, cancel
@@ -99,6 +99,10 @@
 	now := r.common.Clock.Now()
 	var notRun figbank.NotRunError
 	proved := errors.As(err, &notRun)
+	if took := now.Sub(r.sentAt); !r.lifted && took > r.predicted && !proved {
+		// It would have begun even later.
+		target.Load.late.note(now, took, r.predicted)
+	}
 	switch {
 	case ctx.Err() != nil, errors.As(err, new(figbank.CallerGoneError)):
 	case proved && notRun.Reason == figbank.ReasonUpstreamBusy:
@@ -197,6 +201,8 @@
 	if !r.lifted {
 		r.lifted = true
 		close(r.began)
+		now := r.common.Clock.Now()
+		r.load.late.note(now, now.Sub(r.sentAt), r.predicted)
 	}
 	if r.firstAt == 0 {
 		r.firstAt = r.common.Clock.Now().Sub(r.request.ReceivedAt)
--- a/swarm/line.go
+++ b/swarm/line.go
@@ -26,6 +26,25 @@
 	return turns
 }
 
+// noteFailed notes from when on a chunk counts as one that peers fail to give;
+// the earliest time stands.
+func (p *Plan) noteFailed(chunk figbank.ChunkIndex, from time.Time) {
+	if since, failed := p.failedAt[chunk]; !failed || from.Before(since) {
+		p.failedAt[chunk] = from
+	}
+}
+
+// failedTurns is how many places in line have had their time since a peer failed
+// to give the chunk, or -1. Those that hold a chunk may all be slow, and asking
+// each in turn takes longer than the origin.
+func (p *Plan) failedTurns(chunk figbank.ChunkIndex, now time.Time) int {
+	since, failed := p.failedAt[chunk]
+	if !failed || now.Before(since) {
+		return -1
+	}
+	return int(now.Sub(since) / idleTurn)
+}
+
 // patience is how many turns this host waits for those that hold the chunk,
 // before it goes to the origin in their place.
 func (p *Plan) patience(chunk figbank.ChunkIndex) int {
--- a/swarm/plan.go
+++ b/swarm/plan.go
@@ -31,6 +31,11 @@
 	// of a chunk, elsewhere or in its region, before it goes to the origin itself.
 	farTurns  = 2
 	nearTurns = 4
+	// busyPatience is how long busy holders of a chunk are waited for before it
+	// counts as one that peers fail to give.
+	busyPatience = 500 * time.Millisecond
+	// narrowTurns is how many turns a host on a narrowed link leaves to others.
+	narrowTurns = 8
 	// originDelay is how long the origin is left alone after a failure.
 	originDelay = time.Second
 )
@@ -106,6 +111,10 @@
 		regionLine  []int
 		originUntil time.Time
 		atOrigin    int
+		// failedAt is from when on a chunk counts as one that peers fail to give.
+		failedAt map[figbank.ChunkIndex]time.Time
+		// behind is how many further turns this host leaves to others.
+		behind int
 	}
 
 	peer struct {
@@ -126,15 +135,22 @@
 		inFlight: map[figbank.ChunkIndex]Fetch{},
 		peers:    map[figbank.ProcessID]*peer{},
 		copies:   make([]int, settings.Chunks),
+		failedAt: map[figbank.ChunkIndex]time.Time{},
 		progress: now, originUntil: now.Add(settings.OriginDelay),
 	}
 	p.rankLine()
 	return p
 }
 
-// SetInFlight changes how many fetches may run at once.
-func (p *Plan) SetInFlight(most int) {
-	p.settings.InFlight = most
+// SetLink tells the plan whether this host's link is narrowed, and how many
+// fetches may run at once. Who has a narrow link leaves the origin to others:
+// what it took there, nobody could take from it.
+func (p *Plan) SetLink(narrow bool, inFlight int) {
+	p.settings.InFlight = inFlight
+	p.behind = 0
+	if narrow {
+		p.behind = narrowTurns
+	}
 }
 
 // SetPeers replaces the list of peers; what is known of those that stay is kept.
@@ -188,6 +204,7 @@
 	}
 	p.have[chunk] = true
 	p.missing--
+	delete(p.failedAt, chunk)
 	if p.copies[chunk] == 0 {
 		p.progress = now
 	}
@@ -231,8 +248,10 @@
 			p.copies[fetch.Chunk]--
 		}
 	case Busy:
+		p.noteFailed(fetch.Chunk, now.Add(busyPatience))
 		source.until = now.Add(busyDelay)
 	case Lost:
+		p.noteFailed(fetch.Chunk, now)
 		source.until = now.Add(lostDelay)
 	case Bad:
 		source.until = now.Add(badDelay)
@@ -271,7 +290,7 @@
 	turns := p.turns(now)
 	for chunk, place := range p.line {
 		index := figbank.ChunkIndex(chunk)
-		if p.wants(index) && place+p.patience(index) <= turns {
+		if p.wants(index) && (place+p.behind+p.patience(index) <= turns || place+p.behind <= p.failedTurns(index, now)) {
 			return Fetch{Chunk: index}, true
 		}
 	}
--- a/swarm/plan_test.go
+++ b/swarm/plan_test.go
@@ -251,3 +251,52 @@
 	}
 	return b, a
 }
+
+// The only holders of a chunk have narrow links, and one after the other fails to
+// give it in time. The first in line goes to the origin at once, the next a turn
+// later, and a host that is narrow itself leaves it to them.
+func TestChunkThatPeersFailToGiveComesFromTheOrigin(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, b := lineOfTwo()
+	tests := []struct {
+		name   string
+		self   Peer
+		narrow bool
+		want   time.Duration
+	}{
+		{"first in line", b, false, 0},
+		{"second in line", a, false, idleTurn},
+		{"first in line, narrow", b, true, narrowTurns * idleTurn},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			holder := Peer{ID: "holder", Region: "r", FailureDomain: "d"}
+			plan := NewPlan(Settings{Self: test.self, Chunks: 1, InFlight: 1, StallTime: stallTime, OneCopy: true}, rand.New(rand.NewPCG(1, 1)), now)
+			plan.SetPeers([]Peer{a, b, holder})
+			plan.SetLink(test.narrow, 1)
+			// Whatever the hash says, the holder stands behind the two.
+			plan.line[0] = 0
+			if test.self.ID == a.ID {
+				plan.line[0] = 1
+			}
+			plan.PeerHas(holder.ID, []figbank.ChunkIndex{0}, now)
+			fetch, found := plan.Next(now)
+			if !found || fetch.Peer != holder.ID {
+				t.Fatalf("Next() = %v, %t, want a fetch from the holder", fetch, found)
+			}
+			plan.Failed(fetch, Lost, 0, now)
+			if test.want > 0 {
+				if got, found := plan.Next(now.Add(test.want - time.Millisecond)); found && got.Peer == "" {
+					t.Errorf("Next() before its turn: got %v, want none from the origin", got)
+				}
+			}
+			for len(plan.inFlight) > 0 {
+				plan.Failed(plan.inFlight[0], Lost, 0, now)
+			}
+			got, found := plan.Next(now.Add(test.want))
+			if want := (Fetch{Chunk: 0}); !found || got != want {
+				t.Errorf("Next() at its turn: got %v, %t, want %v from the origin", got, found, want)
+			}
+		})
+	}
+}
--- a/transfer/fetcher.go
+++ b/transfer/fetcher.go
@@ -71,8 +71,10 @@
 		pacer    *pacer
 		// running counts the chunks on their way.
 		running atomic.Int64
-		peers    func() ([]swarm.Peer, <-chan struct{})
-		random   *rand.Rand
+		// link is what was known of the link when the plan was last asked.
+		link   LinkState
+		peers  func() ([]swarm.Peer, <-chan struct{})
+		random *rand.Rand
 	}
 
 	// news is what the goroutines of a transfer tell its loop.
@@ -92,7 +94,7 @@
 	pool *transport.Pool, client Origin, peers func() ([]swarm.Peer, <-chan struct{}),
 ) *Fetcher {
 	if settings.Link == nil {
-		settings.Link = NewLink(common.Clock, 0)
+		settings.Link = NewLink(common.Clock, settings.Rate)
 	}
 	return &Fetcher{
 		common: common.For("transfer"), settings: settings, store: store, active: active, pool: pool, origin: client,
@@ -237,7 +239,7 @@
 }
 
 func (f *Fetcher) startFetches(ctx context.Context, plan *swarm.Plan, partial *weights.Partial, inbox chan<- news) {
-	plan.SetInFlight(f.giveWay())
+	plan.SetLink(f.giveWay())
 	for {
 		fetch, found := plan.Next(f.common.Clock.Now())
 		if !found {
@@ -250,14 +252,23 @@
 	}
 }
 
-// giveWay returns how many chunks may be on their way, and sets the pace.
-func (f *Fetcher) giveWay() int {
-	if rate, narrow := f.settings.Link.Narrow(); narrow {
+// giveWay tells whether the link is narrowed and how many chunks may be on their
+// way, and sets the pace. A link that has not been tried lately gets one chunk first.
+func (f *Fetcher) giveWay() (narrow bool, inFlight int) {
+	state, rate := f.settings.Link.State()
+	if state != f.link {
+		f.link = state
+		f.common.Log.Info("link tried", zap.Bool("narrow", state == Narrow), zap.Int64("bytesPerSecond", int64(rate)))
+	}
+	switch state {
+	case Narrow:
 		f.pacer.setRate(rate * narrowShare / percent)
-		return 1
+		return true, 1
+	case Unknown:
+		return false, 1
 	}
 	f.pacer.setRate(f.settings.Rate)
-	return f.settings.InFlight
+	return false, f.settings.InFlight
 }
 
 func (f *Fetcher) take(plan *swarm.Plan, n news) {
@@ -306,9 +317,14 @@
 	together := f.running.Add(1)
 	content, err := f.bring(ctx, fetch, partial, length)
 	together = max(together, f.running.Add(-1)+1)
-	// What comes from the origin is bound by the origin's link.
-	if err == nil && fetch.Peer != "" {
-		f.settings.Link.observe(length, f.common.Clock.Now().Sub(began), int(together))
+	took := f.common.Clock.Now().Sub(began)
+	switch {
+	case err != nil && took < f.settings.StallTime/2:
+		// A peer that refuses says nothing about the link.
+	case fetch.Peer == "":
+		f.settings.Link.observeOrigin(length, took, int(together))
+	default:
+		f.settings.Link.observe(length, took, int(together))
 	}
 	return content, err
 }
--- a/transfer/link.go
+++ b/transfer/link.go
@@ -11,14 +11,29 @@
 	// linkSamples is how many chunks an estimate rests on. One slow peer among
 	// several says nothing about this host's own link, all of them do.
 	linkSamples = 6
+	// leastSamples is how many it takes to call the link narrow.
+	leastSamples = 3
 	// linkMemory is how long a sample counts.
-	linkMemory = 4 * time.Second
+	linkMemory = 15 * time.Second
 	// narrowRatio is how far below its nominal rate a link has to be to count as
 	// narrowed.
-	narrowRatio = 3
+	narrowRatio = 4
+)
+
+// What is known of a link.
+const (
+	// Unknown links have not been tried lately.
+	Unknown LinkState = iota
+	// Wide links bear about what they should.
+	Wide
+	// Narrow links bear far less.
+	Narrow
 )
 
 type (
+	// LinkState is what is known of a link.
+	LinkState int
+
 	// Link estimates what this host's link bears, from the chunks that arrive.
 	// Requests and answers share the link with the weights: on one that has been
 	// narrowed, a few chunks at once hold them up for a second and more. It is safe
@@ -38,34 +53,51 @@
 )
 
 // NewLink returns an estimator for a link of so many bytes a second; 0 for a
-// link that is never taken for narrow.
+// link of unknown width, which never counts as narrow.
 func NewLink(clock figbank.Clock, nominal figbank.Bytes) *Link {
 	return &Link{clock: clock, nominal: nominal}
 }
 
-// observe notes a chunk that arrived while so many were on their way, itself
+// observe notes a chunk that a peer sent while so many were on their way, itself
 // included.
 func (l *Link) observe(length figbank.Bytes, took time.Duration, together int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	rate := float64(length) * float64(together) / max(took, time.Microsecond).Seconds()
-	l.samples = append(l.samples, linkSample{at: l.clock.Now(), rate: figbank.Bytes(rate)})
-	if len(l.samples) > linkSamples {
-		l.samples = l.samples[1:]
+	l.add(rateOf(length, took, together))
+}
+
+// observeOrigin notes a chunk from the origin, whose own link bounds it too: only
+// a quick one tells something.
+func (l *Link) observeOrigin(length figbank.Bytes, took time.Duration, together int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if rate := rateOf(length, took, together); rate >= l.nominal/narrowRatio {
+		l.add(rate)
 	}
 }
 
-// Narrow returns the bytes a second that a narrowed link still bears, or false.
-func (l *Link) Narrow() (figbank.Bytes, bool) {
+// State returns what is known of the link, and the bytes a second that it bears.
+func (l *Link) State() (LinkState, figbank.Bytes) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return narrow(l.samples, l.nominal, l.clock.Now())
+	return judge(l.samples, l.nominal, l.clock.Now())
 }
 
-// narrow answers links that shrink to an eighth for some seconds under full
-// load. The best of the latest samples decides: one chunk that arrives quickly
-// proves that the link is wide again.
-func narrow(samples []linkSample, nominal figbank.Bytes, now time.Time) (figbank.Bytes, bool) {
+func (l *Link) add(rate figbank.Bytes) {
+	l.samples = append(l.samples, linkSample{at: l.clock.Now(), rate: rate})
+	if len(l.samples) > linkSamples {
+		l.samples = l.samples[1:]
+	}
+}
+
+func rateOf(length figbank.Bytes, took time.Duration, together int) figbank.Bytes {
+	return figbank.Bytes(float64(length) * float64(together) / max(took, time.Microsecond).Seconds())
+}
+
+// judge answers links that shrink to an eighth for some seconds under full load.
+// The best of the latest samples decides: one chunk that arrives quickly proves
+// that the link is wide again.
+func judge(samples []linkSample, nominal figbank.Bytes, now time.Time) (LinkState, figbank.Bytes) {
 	var best figbank.Bytes
 	fresh := 0
 	for _, sample := range samples {
@@ -75,5 +107,11 @@
 		fresh++
 		best = max(best, sample.rate)
 	}
-	return best, fresh >= linkSamples/2 && best < nominal/narrowRatio
+	switch {
+	case fresh > 0 && best >= nominal/narrowRatio:
+		return Wide, best
+	case fresh >= leastSamples:
+		return Narrow, best
+	}
+	return Unknown, best
 }
--- a/transfer/server.go
+++ b/transfer/server.go
@@ -23,6 +23,9 @@
 	haveInterval = 20 * time.Millisecond
 	// slotWait is how long a request for a chunk waits for its turn.
 	slotWait = 150 * time.Millisecond
+	// takeTime is how long a peer may take to receive a chunk before its slot goes
+	// to another.
+	takeTime = 2 * time.Second
 )
 
 type (
@@ -90,7 +93,7 @@
 	if err := stream.Receive(request); err != nil {
 		return
 	}
-	if _, narrow := s.link.Narrow(); narrow && len(s.slots) > 0 {
+	if state, _ := s.link.State(); state == Narrow && len(s.slots) > 0 {
 		_ = stream.Send(&schema.ChunkPart{Busy: true, Last: true})
 		return
 	}
@@ -114,7 +117,21 @@
 		_ = stream.Send(&schema.ChunkPart{Missing: true, Last: true})
 		return
 	}
+	began := s.common.Clock.Now()
+	together := len(s.slots)
 	s.sendParts(ctx, stream, content)
+	awaitEnd(ctx, stream)
+	s.link.observe(figbank.Bytes(len(content)), s.common.Clock.Now().Sub(began), together)
+}
+
+// awaitEnd waits until the peer has all it asked for, or has given up: a part
+// that has been written may still lie in the link's queue, and the next chunk
+// would queue behind it.
+func awaitEnd(ctx context.Context, stream *transport.Stream) {
+	ctx, cancel := context.WithTimeout(ctx, takeTime)
+	defer cancel()
+	defer stream.CloseWhenDone(ctx)()
+	_ = stream.Receive(&schema.ChunkRequest{})
 }
 
 // ServeHave tells a peer which chunks of a version this host holds, and then of
