--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -342,3 +342,37 @@
 		}
 	}
 }
+
+// The network delivers a snapshot late, after the follower has got and synced
+// the entries that follow it but before it has heard that they are committed.
+// The leader counts on them: they must stay.
+func TestLateSnapshotKeepsWhatWasPromised(t *testing.T) {
+	c := newCluster(3, 8, t.Fatalf)
+	leader := c.awaitLeader(t)
+	c.steps(3)
+	follower := c.ids[0]
+	if follower == leader {
+		follower = c.ids[1]
+	}
+	node := c.hosts[follower].node
+	base := uint64(node.Commit())
+	snapshot := &schema.Snapshot{Index: base + 1, Term: uint64(node.Term()), Membership: c.first}
+	entries := []*schema.Entry{
+		{Index: base + 1, Term: uint64(node.Term()), Data: []byte("a")},
+		{Index: base + 2, Term: uint64(node.Term()), Data: []byte("b")},
+	}
+	node.Step(c.now, &schema.RaftMessage{
+		Kind: schema.RaftKind_RAFT_KIND_APPEND, From: string(leader), To: string(follower), Term: uint64(node.Term()),
+		LogIndex: base, LogTerm: uint64(node.Term()), Entries: entries, Commit: base,
+	})
+	c.work(follower)
+	node.Step(c.now, &schema.RaftMessage{
+		Kind: schema.RaftKind_RAFT_KIND_SNAPSHOT, From: string(leader), To: string(follower), Term: uint64(node.Term()), Snapshot: snapshot,
+	})
+	if _, found := node.TermAt(base + 2); !found {
+		t.Errorf("entry %d after a late snapshot of %d: got none, want it kept", base+2, base+1)
+	}
+	if got, want := uint64(node.Commit()), base+1; got != want {
+		t.Errorf("commit: got %d, want %d", got, want)
+	}
+}
--- a/raft/replication.go
+++ b/raft/replication.go
@@ -152,7 +152,13 @@
 	}
 	n.followLeader(from)
 	snapshot := m.GetSnapshot()
-	if snapshot.GetIndex() > n.commit {
+	term, found := n.log.termAt(snapshot.GetIndex())
+	switch {
+	case snapshot.GetIndex() <= n.commit:
+	case found && term == snapshot.GetTerm():
+		// A late copy: what follows it here has been promised to the leader already.
+		n.commit = snapshot.GetIndex()
+	default:
 		n.log.reset(snapshot)
 		n.commit = snapshot.GetIndex()
 		n.handed = n.commit
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -53,7 +53,10 @@
 		log      *wal.Log
 		state    *ledger.State
 		pool     *transport.Pool
+		random   *rand.Rand
 		senders  map[figbank.ProcessID]*sender
+		// deliver hands a message to the network.
+		deliver func(context.Context, *schema.RaftMessage)
 		// addresses are those that other replicas have told.
 		addresses map[figbank.ProcessID]figbank.Address
 		inbox     chan input
@@ -111,8 +114,23 @@
 	return func(r *Replica) { r.onFailure = act }
 }
 
+// WithRandom replaces the source that spreads elections.
+func WithRandom(random *rand.Rand) Option {
+	return func(r *Replica) { r.random = random }
+}
+
 // NewReplica reads the state on disk and starts to take part in the log.
 func NewReplica(common figbank.Common, settings Settings, disk figbank.Disk, pool *transport.Pool, options ...Option) (*Replica, error) {
+	r, err := open(common, settings, disk, pool, options...)
+	if err != nil {
+		return nil, err
+	}
+	r.start()
+	return r, nil
+}
+
+// open reads the state on disk. The replica does nothing before start.
+func open(common figbank.Common, settings Settings, disk figbank.Disk, pool *transport.Pool, options ...Option) (*Replica, error) {
 	common = common.For("replica")
 	log, stored, err := wal.Open(disk)
 	if err != nil {
@@ -128,10 +146,9 @@
 	if err != nil {
 		return nil, err
 	}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // spreads elections, no secret
 	r := &Replica{
 		common: common, settings: settings, log: log, state: state,
-		node:            raft.NewNode(common.Process, firstMembers(settings), settings.Timing, random, stored, common.Clock.Now()),
+		random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // spreads elections, no secret
 		pool:            pool,
 		senders:         map[figbank.ProcessID]*sender{},
 		addresses:       map[figbank.ProcessID]figbank.Address{},
@@ -142,10 +159,12 @@
 		onFailure:       func(error) {},
 		ended:           make(chan struct{}),
 	}
+	r.deliver = r.send
 	for _, option := range options {
 		option(r)
 	}
-	r.start()
+	r.node = raft.NewNode(common.Process, firstMembers(settings), settings.Timing, r.random, stored, common.Clock.Now())
+	r.publishStatus()
 	return r, nil
 }
 
@@ -208,7 +227,6 @@
 func (r *Replica) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
-	r.publishStatus()
 	r.onConfiguration(r.state.Configuration())
 	r.onFleet(r.state.Fleet())
 	r.group.Go(func() { r.run(ctx) })
@@ -298,7 +316,7 @@
 			return err
 		}
 		for _, message := range ready.Messages {
-			r.send(ctx, message)
+			r.deliver(ctx, message)
 		}
 		for _, entry := range ready.Committed {
 			r.apply(entry)
--- a/voters/voters.go
+++ b/voters/voters.go
@@ -15,6 +15,10 @@
 const (
 	// silence is how long a voter may be unheard before a spare takes its place.
 	silence = 3 * time.Second
+	// freshness is how recently a learner must have been heard to take over: one
+	// that has just lost its disk would leave the new voters without a majority as
+	// soon as a second one is lost.
+	freshness = 500 * time.Millisecond
 	// closeEnough is how many entries a learner may be behind when it takes over.
 	closeEnough = 16
 )
@@ -61,9 +65,9 @@
 func (s Situation) decideLearner(learner, gone *schema.Voter) *schema.Membership {
 	id := figbank.ProcessID(learner.GetId())
 	switch {
-	case gone == nil, s.Heard[id] > silence:
+	case gone == nil, s.Heard[id] > silence, s.reborn(learner):
 		return &schema.Membership{Voters: s.Members.GetVoters()}
-	case s.Lag[id] > closeEnough:
+	case s.Heard[id] > freshness, s.Lag[id] > closeEnough:
 		return nil
 	}
 	next := slices.Clone(s.Members.GetVoters())
