--- a/replica/machine_test.go
+++ b/replica/machine_test.go
@@ -443,6 +443,7 @@
 			},
 			"leave": func(t *rapid.T) { host(t).leaving = rapid.Bool().Draw(t, "leaving") },
 			"cut":   func(t *rapid.T) { m.cut[[2]int{host(t).place, host(t).place}] = true },
+			"split": func(t *rapid.T) { m.split(rapid.IntRange(1, 1<<machineHosts-2).Draw(t, "side")) },
 			"mend":  func(*rapid.T) { m.cut = map[[2]int]bool{} },
 			"loss":  func(t *rapid.T) { m.lossPercent = rapid.IntRange(0, 30).Draw(t, "percent") },
 			"silence": func(t *rapid.T) {
