--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -159,7 +159,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
-	accepted, ended := make(chan struct{}), make(chan error, 1)
+	arrived, ended := make(chan struct{}), make(chan error, 1)
 	go func() {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -167,15 +167,20 @@
 			return
 		}
 		defer func() { _ = conn.Close() }()
-		close(accepted)
-		_, err = io.Copy(io.Discard, conn)
+		reader := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(reader); err != nil {
+			ended <- err
+			return
+		}
+		close(arrived)
+		_, err = io.Copy(io.Discard, reader)
 		ended <- err
 	}()
 	pool := NewPool(clock.System{})
 	defer pool.Close()
 	ctx, giveUp := context.WithCancel(context.Background())
 	go func() {
-		<-accepted
+		<-arrived
 		giveUp()
 	}()
 	call := &Call{Address: figbank.Address(listener.Addr().String()), Method: http.MethodGet, Target: "/", Host: "h"}
