--- a/app/reload_test.go
+++ b/app/reload_test.go
@@ -70,9 +70,14 @@
 	}
 }
 
+// writeFile replaces a file at once: one that is seen half written may rightly
+// lead to two reloads.
 func writeFile(t *testing.T, path, content string) {
 	t.Helper()
-	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+	if err := os.WriteFile(path+".next", []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(path+".next", path); err != nil {
 		t.Fatal(err)
 	}
 }
