--- a/app/platform.go
+++ b/app/platform.go
@@ -36,8 +36,8 @@
 			return Output{Writer: NewBoundedWriter(os.Stdout, clock.System{}, int(s.GetNode().GetLogLinesPerSecond()))}
 		}),
 		fx.Supply(s, role),
-		fx.Provide(newFleetHolder, newPool, newView, newSubscriber),
-		fx.Invoke(servePlatformMetrics),
+		fx.Provide(newFleetHolder, transport.NewMeter, newPlatformPool, newView, newSubscriber),
+		fx.Invoke(servePlatformMetrics, logTraffic),
 	)
 }
 
--- a/app/platformagent.go
+++ b/app/platformagent.go
@@ -54,7 +54,7 @@
 }
 
 func servePieces(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, store *weights.Store,
-	active *transfer.Active, link *transfer.Link, recorder *timeline.Recorder,
+	active *transfer.Active, link *transfer.Link, recorder *timeline.Recorder, meter *transport.Meter,
 ) error {
 	listener, err := listen(s.GetProcess().GetListenProcesses())
 	if err != nil {
@@ -67,7 +67,7 @@
 		schema.StreamKind_STREAM_KIND_CHUNK:    pieces.ServeChunk,
 		schema.StreamKind_STREAM_KIND_MANIFEST: pieces.ServeManifest,
 		schema.StreamKind_STREAM_KIND_INSPECT:  recorder.Serve,
-	})
+	}, transport.WithMeter(meter))
 	lifecycle.Append(fx.StopHook(server.Close))
 	return nil
 }
--- a/app/platformgateway.go
+++ b/app/platformgateway.go
@@ -64,7 +64,7 @@
 
 // shareLoad tells the other gateways of the failure domain what this one holds.
 func shareLoad(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, d *dispatch.Dispatcher,
-	view *feed.View, pool *transport.Pool, recorder *timeline.Recorder,
+	view *feed.View, pool *transport.Pool, recorder *timeline.Recorder, meter *transport.Meter,
 ) error {
 	listener, err := listen(s.GetProcess().GetListenProcesses())
 	if err != nil {
@@ -74,7 +74,7 @@
 	server := transport.NewServer(common, listener, transport.Handlers{
 		schema.StreamKind_STREAM_KIND_LOAD:    share.Serve,
 		schema.StreamKind_STREAM_KIND_INSPECT: recorder.Serve,
-	})
+	}, transport.WithMeter(meter))
 	ctx, cancel := context.WithCancel(context.Background())
 	go share.Run(ctx)
 	lifecycle.Append(fx.StopHook(func() {
--- a/app/platformreplica.go
+++ b/app/platformreplica.go
@@ -179,7 +179,7 @@
 }
 
 func serveReplica(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, v voter,
-	view *feed.View, recorder *timeline.Recorder, _ *feed.Subscriber,
+	view *feed.View, recorder *timeline.Recorder, meter *transport.Meter, _ *feed.Subscriber,
 ) error {
 	listener, err := listen(s.GetProcess().GetListenProcesses())
 	if err != nil {
@@ -191,7 +191,7 @@
 		schema.StreamKind_STREAM_KIND_RAFT:    v.ServeRaft,
 		schema.StreamKind_STREAM_KIND_PROPOSE: v.ServePropose,
 	}
-	server := transport.NewServer(common, listener, handlers)
+	server := transport.NewServer(common, listener, handlers, transport.WithMeter(meter))
 	lifecycle.Append(fx.StopHook(server.Close))
 	return nil
 }
--- /dev/null
+++ b/transport/meter.go
@@ -0,0 +1,90 @@
+package transport
+
+import (
+	"sync/atomic"
+
+	"figbank"
+	"figbank/schema"
+
+	"github.com/uber-go/tally/v4"
+)
+
+type (
+	// Usage is what one kind of stream has carried, in both directions.
+	Usage struct {
+		Kind                      schema.StreamKind
+		SentMessages, SentBytes   int64
+		HeardMessages, HeardBytes int64
+	}
+
+	// Meter counts what each kind of stream carries. It is safe for concurrent use.
+	Meter struct {
+		kinds map[schema.StreamKind]*kindMeter
+	}
+
+	kindMeter struct {
+		sent, heard directionMeter
+	}
+
+	directionMeter struct {
+		messages, bytes         atomic.Int64
+		messageCount, byteCount tally.Counter
+	}
+)
+
+// NewMeter returns a meter that also reports to the scope of common.
+func NewMeter(common figbank.Common) *Meter {
+	m := &Meter{kinds: map[schema.StreamKind]*kindMeter{}}
+	for number, name := range schema.StreamKind_name {
+		scope := common.For("transport").Scope.Tagged(map[string]string{"kind": name})
+		m.kinds[schema.StreamKind(number)] = &kindMeter{
+			sent:  directionMeter{messageCount: scope.Counter("sent_messages"), byteCount: scope.Counter("sent_bytes")},
+			heard: directionMeter{messageCount: scope.Counter("heard_messages"), byteCount: scope.Counter("heard_bytes")},
+		}
+	}
+	return m
+}
+
+// Usage lists what has been carried since the start, by kind, without kinds that
+// carried nothing. The order is not fixed.
+func (m *Meter) Usage() []Usage {
+	var all []Usage
+	for kind, meter := range m.kinds {
+		u := Usage{
+			Kind:         kind,
+			SentMessages: meter.sent.messages.Load(), SentBytes: meter.sent.bytes.Load(),
+			HeardMessages: meter.heard.messages.Load(), HeardBytes: meter.heard.bytes.Load(),
+		}
+		if u.SentMessages+u.HeardMessages > 0 {
+			all = append(all, u)
+		}
+	}
+	return all
+}
+
+// of returns the meter of one kind, nil without a meter.
+func (m *Meter) of(kind schema.StreamKind) *kindMeter {
+	if m == nil {
+		return nil
+	}
+	return m.kinds[kind]
+}
+
+func (k *kindMeter) countSent(bytes int) {
+	if k != nil {
+		k.sent.count(bytes)
+	}
+}
+
+func (k *kindMeter) countHeard(bytes int) {
+	if k != nil {
+		k.heard.count(bytes)
+	}
+}
+
+func (d *directionMeter) count(bytes int) {
+	d.messages.Add(1)
+	d.bytes.Add(int64(bytes))
+	d.messageCount.Inc(1)
+	d.byteCount.Inc(int64(bytes))
+}
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -32,7 +32,8 @@
 	Option func(*options)
 
 	options struct {
-		dial Dialer
+		dial  Dialer
+		meter *Meter
 	}
 
 	// Pool keeps one session to each process that this one talks to. It is safe
@@ -40,6 +41,7 @@
 	Pool struct {
 		common figbank.Common
 		dial   Dialer
+		meter  *Meter
 
 		mu       sync.Mutex
 		sessions map[figbank.Address]*dialed
@@ -59,13 +61,18 @@
 	return func(o *options) { o.dial = dial }
 }
 
+// WithMeter counts what streams carry.
+func WithMeter(meter *Meter) Option {
+	return func(o *options) { o.meter = meter }
+}
+
 // NewPool returns an empty pool; sessions are dialed when first needed.
 func NewPool(common figbank.Common, opts ...Option) *Pool {
 	o := options{dial: dialTCP}
 	for _, opt := range opts {
 		opt(&o)
 	}
-	return &Pool{common: common.For("transport"), dial: o.dial, sessions: map[figbank.Address]*dialed{}}
+	return &Pool{common: common.For("transport"), dial: o.dial, meter: o.meter, sessions: map[figbank.Address]*dialed{}}
 }
 
 // Open starts a stream of the given kind. An error proves that the peer has not
@@ -81,6 +88,7 @@
 		return nil, figbank.Fail("transport", "OpenStream", err, "address", address)
 	}
 	stream := newStream(raw)
+	stream.meter = p.meter.of(kind)
 	open := &schema.StreamOpen{Kind: kind, From: string(p.common.Process), Stamp: p.common.Recorder.Stamp()}
 	if err := stream.Send(open); err != nil {
 		stream.Close()
--- a/transport/server.go
+++ b/transport/server.go
@@ -26,6 +26,7 @@
 		common   figbank.Common
 		handlers Handlers
 		listener net.Listener
+		meter    *Meter
 
 		cancel context.CancelFunc
 		group  sync.WaitGroup
@@ -33,9 +34,13 @@
 )
 
 // NewServer serves streams from sessions accepted on listener until Close.
-func NewServer(common figbank.Common, listener net.Listener, handlers Handlers) *Server {
+func NewServer(common figbank.Common, listener net.Listener, handlers Handlers, opts ...Option) *Server {
+	var o options
+	for _, opt := range opts {
+		opt(&o)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	server := &Server{common: common.For("transport"), handlers: handlers, listener: listener, cancel: cancel}
+	server := &Server{common: common.For("transport"), handlers: handlers, listener: listener, meter: o.meter, cancel: cancel}
 	server.group.Go(func() { server.accept(ctx) })
 	return server
 }
@@ -87,6 +92,7 @@
 		return
 	}
 	s.common.Recorder.Witness(open.GetStamp())
+	stream.meter = s.meter.of(open.GetKind())
 	handler, found := s.handlers[open.GetKind()]
 	if !found {
 		s.common.Log.Warn("refused a stream of unknown kind", zap.String("from", open.GetFrom()), zap.Stringer("kind", open.GetKind()))
--- a/transport/stream.go
+++ b/transport/stream.go
@@ -31,6 +31,8 @@
 type Stream struct {
 	raw    *yamux.Stream
 	reader *bufio.Reader
+	// meter counts what the stream carries, nil for none.
+	meter *kindMeter
 
 	sendMu sync.Mutex
 	buffer bytes.Buffer
@@ -48,6 +50,7 @@
 	if _, err := protodelim.MarshalTo(&s.buffer, message); err != nil {
 		return figbank.Fail("transport", "Marshal", err)
 	}
+	s.meter.countSent(s.buffer.Len())
 	_, err := s.raw.Write(s.buffer.Bytes())
 	return figbank.Fail("transport", "Send", err)
 }
@@ -55,7 +58,13 @@
 // Receive reads one message into message. It fails with an error around
 // io.EOF when the peer has finished sending.
 func (s *Stream) Receive(message proto.Message) error {
-	return receive(s.reader, message)
+	if err := receive(s.reader, message); err != nil {
+		return err
+	}
+	if s.meter != nil {
+		s.meter.countHeard(proto.Size(message))
+	}
+	return nil
 }
 
 func receive(reader *bufio.Reader, message proto.Message) error {
