--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -25,6 +25,7 @@
 	subscriber *Subscriber
 	server     *transport.Server
 	address    figbank.Address
+	meter      *transport.Meter
 }
 
 func newNode(t *testing.T, id string, role schema.MemberRole, seeds ...figbank.Address) *node {
@@ -37,10 +38,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := &node{fleet: configuration.NewFleetHolder(common.Recorder), address: figbank.Address(listener.Addr().String())}
+	n := &node{fleet: configuration.NewFleetHolder(common.Recorder), address: figbank.Address(listener.Addr().String()), meter: transport.NewMeter(common)}
 	n.view = NewView(common, time.Minute, n.fleet)
 	pool := transport.NewPool(common)
-	n.server = transport.NewServer(common, listener, transport.Handlers{schema.StreamKind_STREAM_KIND_FEED: n.view.Serve})
+	n.server = transport.NewServer(common, listener, transport.Handlers{schema.StreamKind_STREAM_KIND_FEED: n.view.Serve}, transport.WithMeter(n.meter))
 	n.subscriber = NewSubscriber(common, n.view, pool, &schema.Member{Id: id, Role: role, Address: string(n.address)}, seeds)
 	t.Cleanup(func() {
 		n.subscriber.Close()
--- /dev/null
+++ b/feed/growth_test.go
@@ -0,0 +1,54 @@
+package feed
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"figbank/schema"
+)
+
+// One process that joins costs each subscriber one entry, however many
+// processes there are.
+func TestJoinCostsOneEntryASubscriber(t *testing.T) {
+	const subscribers = 40
+	r := newNode(t, "r1", replica)
+	nodes := make([]*node, 0, subscribers+1)
+	for i := range subscribers {
+		nodes = append(nodes, newNode(t, fmt.Sprintf("gateway-in-some-domain-%d", i), gateway, r.address))
+	}
+	awaitMembers(t, nodes, subscribers)
+	time.Sleep(300 * time.Millisecond)
+	before := r.sentBytes()
+	last := newNode(t, "gateway-in-some-domain-last", gateway, r.address)
+	nodes = append(nodes, last)
+	awaitMembers(t, nodes, subscribers+1)
+	whole := subscribers * proto.Size(last.subscriber.self.Load()) * 2
+	each := (int(r.sentBytes()-before) - whole) / subscribers
+	if most := 3 * proto.Size(last.subscriber.self.Load()); each > most {
+		t.Errorf("one join cost each of %d subscribers %d bytes, want at most %d", subscribers, each, most)
+	}
+}
+
+func awaitMembers(t *testing.T, nodes []*node, count int) {
+	t.Helper()
+	await(t, "all know all", func() bool {
+		for _, n := range nodes {
+			if len(n.view.Members()) != count {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (n *node) sentBytes() int64 {
+	for _, usage := range n.meter.Usage() {
+		if usage.Kind == schema.StreamKind_STREAM_KIND_FEED {
+			return usage.SentBytes
+		}
+	}
+	return 0
+}
