Leave the origin's connections to others once used

What callers saw: upstreams that were added, or that started without weights, never served; the rest were overloaded and answered late. Change: connections to the origin are closed after each answer; agents that were refused come back spread over time. TestIdleHostsLeaveTheOriginToOthers failed before (8 of 8 kept), passes now.

--- a/staging/collect.go
+++ b/staging/collect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,12 +28,18 @@
 			s.common.Log.Warn("weights did not arrive", zap.Int64("version", source.Version), figbank.ErrorField(err))
 			select {
 			case <-ctx.Done():
-			case <-s.common.Clock.After(retryDelay):
+			case <-s.common.Clock.After(spread(retryDelay)):
 			}
 		}
 	}()
 }
 
+// spread draws a delay around the given one, so that hosts that were refused
+// together do not all come back together.
+func spread(delay time.Duration) time.Duration {
+	return delay/2 + rand.N(delay) //nolint:gosec // spreads load, no secret
+}
+
 func (s *Stager) abandon() {
 	s.drainedAt = time.Time{}
 	if s.collected.cancel != nil {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -30,6 +30,8 @@
 		Host   string
 		Header http.Header
 		Body   []byte
+		// Once closes the connection after the answer instead of keeping it.
+		Once bool
 	}
 
 	// Answer is the head of an answer. Body must be closed. A body without a
@@ -66,7 +68,7 @@
 	}
 	c.hearKeepAlive(response.Header.Get("Keep-Alive"))
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	b := &body{ReadCloser: response.Body, conn: c, reuse: framed && !response.Close, stop: stop, written: written}
+	b := &body{ReadCloser: response.Body, conn: c, reuse: framed && !response.Close && !call.Once, stop: stop, written: written}
 	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: b}
 	if response.ContentLength == 0 {
 		b.finish()
