Let as many replicas vote as the loss of disks asks for

What callers saw: after a fault that took two disks, no configuration could be read or changed and service did not come back. Cause: the voters of the log were the three seeds whatever may be lost at once. What two of three hold is gone with two disks, and the one that remains never has a majority again. Change: the leader grows the voters to twice the disks that may be lost and one, one by one, each once it has caught up, and spreads them and their replacements over failure domains. The machine of replica/ now draws either tolerance.

--- a/app/platformreplica.go
+++ b/app/platformreplica.go
@@ -91,6 +91,7 @@
 			HeartbeatInterval: s.GetLog().GetHeartbeatInterval().AsDuration(),
 		},
 		SnapshotEntries: int(s.GetLog().GetSnapshotEntries()),
+		LostDisks:       int(s.GetBounds().GetLostDisks()),
 		Voters:          first,
 		Address:         figbank.Address(s.GetProcess().GetListenProcesses()),
 	}
@@ -118,11 +119,15 @@
 
 // knownReplicas lists the replicas in touch, this one included.
 func knownReplicas(view *feed.View, self figbank.ProcessID, s *schema.PlatformSettings) []voters.Replica {
-	known := []voters.Replica{{ID: self, Address: figbank.Address(s.GetProcess().GetListenProcesses())}}
+	known := []voters.Replica{{
+		ID: self, Address: figbank.Address(s.GetProcess().GetListenProcesses()),
+		Domain: figbank.FailureDomain(s.GetProcess().GetFailureDomain()),
+	}}
 	for _, member := range view.Members() {
 		if member.GetRole() == schema.MemberRole_MEMBER_ROLE_REPLICA && member.GetReplicaId() != "" && member.GetId() != s.GetProcess().GetId() {
 			known = append(known, voters.Replica{
-				ID: figbank.ProcessID(member.GetReplicaId()), Address: figbank.Address(member.GetAddress()), Leaving: member.GetLeaving(),
+				ID: figbank.ProcessID(member.GetReplicaId()), Address: figbank.Address(member.GetAddress()),
+				Domain: figbank.FailureDomain(member.GetFailureDomain()), Leaving: member.GetLeaving(),
 			})
 		}
 	}
--- a/replica/lostdisks_test.go
+++ b/replica/lostdisks_test.go
@@ -11,7 +11,7 @@
 // acknowledged, and elects a leader again, while all others lose power too.
 func TestTwoDisksLostTogetherForgetNothing(t *testing.T) {
 	for seed := range uint64(20) {
-		m := newMachine(seed, t.Fatalf)
+		m := newMachine(seed, 2, t.Fatalf)
 		m.time(2 * silenceTicks)
 		for number := range int64(5) {
 			m.numbers = number + 1
--- a/replica/machine_test.go
+++ b/replica/machine_test.go
@@ -21,7 +21,8 @@
 )
 
 const (
-	machineTick   = 10 * time.Millisecond
+	machineTick = 10 * time.Millisecond
+	// machineVoters are the first voters.
 	machineVoters = 3
 	machineHosts  = 5
 	// mostMessages is more than one tick can need.
@@ -51,6 +52,8 @@
 		acknowledged int64
 		// states is what each place of the log must look like, on all replicas.
 		states map[figbank.CommitIndex]string
+		// lostDisks is how many disks may be lost at once.
+		lostDisks int
 		// wounded is the id of the replica that lost its disk last, until no replica
 		// names it a voter any more.
 		wounded figbank.ProcessID
@@ -85,9 +88,9 @@
 func (machineClock) After(time.Duration) <-chan time.Time          { return nil }
 func (machineClock) Tick(time.Duration) (<-chan time.Time, func()) { return nil, func() {} }
 
-func newMachine(seed uint64, fail func(string, ...any)) *machine {
+func newMachine(seed uint64, lostDisks int, fail func(string, ...any)) *machine {
 	m := &machine{
-		fail: fail, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 7)),
+		fail: fail, lostDisks: lostDisks, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 7)),
 		cut: map[[2]int]bool{}, states: map[figbank.CommitIndex]string{},
 	}
 	for place := range machineHosts {
@@ -107,7 +110,7 @@
 
 // start opens a replica on what its disk holds.
 func (m *machine) start(h *machineHost) {
-	settings := Settings{Timing: machineTiming, SnapshotEntries: 12, Rewrite: h.broken, Address: h.address()}
+	settings := Settings{Timing: machineTiming, SnapshotEntries: 12, LostDisks: m.lostDisks, Rewrite: h.broken, Address: h.address()}
 	if h.first {
 		settings.Voters = map[figbank.ProcessID]figbank.Address{}
 		for place := range machineVoters {
@@ -342,7 +345,7 @@
 		}
 		agreed = ids
 	}
-	return len(agreed) == machineVoters
+	return len(agreed) == voters.Wanted(m.lostDisks)
 }
 
 func (m *machine) heal() {
--- a/replica/members.go
+++ b/replica/members.go
@@ -82,7 +82,7 @@
 func (r *Replica) situation(now time.Time) voters.Situation {
 	members := r.node.Membership()
 	s := voters.Situation{
-		Members: members, Known: r.known(),
+		Members: members, Known: r.known(), Wanted: voters.Wanted(r.settings.LostDisks),
 		Heard: map[figbank.ProcessID]time.Duration{}, Lag: map[figbank.ProcessID]uint64{},
 	}
 	for _, set := range [][]*schema.Voter{members.GetVoters(), members.GetLearners()} {
--- a/replica/register_test.go
+++ b/replica/register_test.go
@@ -12,7 +12,7 @@
 // replicas differ at a place of the log, and once all is well the log goes on.
 func TestReplicasAgainstRegister(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := newMachine(rapid.Uint64().Draw(t, "seed"), t.Fatalf)
+		m := newMachine(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 2).Draw(t, "lost disks"), t.Fatalf)
 		m.time(60)
 		host := func(t *rapid.T) *machineHost { return m.hosts[rapid.IntRange(0, machineHosts-1).Draw(t, "host")] }
 		t.Repeat(map[string]func(*rapid.T){
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -35,6 +35,8 @@
 	Settings struct {
 		Timing          raft.Timing
 		SnapshotEntries int
+		// LostDisks is how many replicas may lose their disks at once.
+		LostDisks int
 		// Rewrite writes the log anew at the start: after a failed sync nobody knows
 		// which of its pages the disk has.
 		Rewrite bool
--- a/voters/voters.go
+++ b/voters/voters.go
@@ -1,7 +1,8 @@
-// Package voters decides who votes in the replicated log: a replica that is gone
-// is replaced by one that has caught up, with the number of voters unchanged. It
-// answers the loss of a host for good, a host that comes back with an empty
-// disk, a planned replacement, and a second loss right after a first.
+// Package voters decides who votes in the replicated log: as many replicas as it
+// takes to bear the loss of some disks at once, spread over failure domains. One
+// that is gone is replaced by one that has caught up. It answers the first
+// growth from a few seeds, the loss of a host for good, a host that comes back
+// with an empty disk, a planned replacement, and a second loss right after a first.
 package voters
 
 import (
@@ -28,6 +29,7 @@
 	Replica struct {
 		ID      figbank.ProcessID
 		Address figbank.Address
+		Domain  figbank.FailureDomain
 		// Leaving replicas are about to stop.
 		Leaving bool
 	}
@@ -36,6 +38,8 @@
 	Situation struct {
 		// Members is the newest membership, settled.
 		Members *schema.Membership
+		// Wanted is how many should vote; see Wanted.
+		Wanted int
 		// Known are the replicas that are in touch, by whatever way.
 		Known []Replica
 		// Heard is how long ago the leader has heard each voter and learner.
@@ -45,13 +49,19 @@
 	}
 )
 
+// Wanted is how many replicas have to vote so that what a majority of them has
+// outlives the loss of that many disks at once, and those that remain can elect.
+func Wanted(lostDisks int) int {
+	return 2*lostDisks + 1
+}
+
 // Decide returns the membership to change to, or nil for none.
 func Decide(s Situation) *schema.Membership {
 	gone := s.replaceable()
 	if learners := s.Members.GetLearners(); len(learners) > 0 {
 		return s.decideLearner(learners[0], gone)
 	}
-	if gone == nil {
+	if gone == nil && len(s.Members.GetVoters()) >= s.Wanted {
 		return nil
 	}
 	spare := s.spareFor(gone)
@@ -61,16 +71,20 @@
 	return &schema.Membership{Voters: s.Members.GetVoters(), Learners: []*schema.Voter{spare}}
 }
 
-// decideLearner swaps a learner in that has caught up, or gives it up.
+// decideLearner lets a learner that has caught up vote, in the place of the voter
+// that is gone if there is one, or gives it up.
 func (s Situation) decideLearner(learner, gone *schema.Voter) *schema.Membership {
 	id := figbank.ProcessID(learner.GetId())
 	switch {
-	case gone == nil, s.Heard[id] > silence, s.reborn(learner):
+	case gone == nil && len(s.Members.GetVoters()) >= s.Wanted, s.Heard[id] > silence, s.reborn(learner):
 		return &schema.Membership{Voters: s.Members.GetVoters()}
 	case s.Heard[id] > freshness, s.Lag[id] > closeEnough:
 		return nil
 	}
 	next := slices.Clone(s.Members.GetVoters())
+	if gone == nil {
+		return &schema.Membership{Voters: append(next, learner)}
+	}
 	for i, voter := range next {
 		if voter.GetId() == gone.GetId() {
 			next[i] = learner
@@ -106,25 +120,41 @@
 	return slices.ContainsFunc(s.Known, func(r Replica) bool { return string(r.ID) == voter.GetId() && r.Leaving })
 }
 
-// spareFor returns a replica that can take a voter's place: the one at its own
-// address if there is one.
+// spareFor returns a replica that can take a voter's place, or vote beside the
+// others when voter is nil: the one at the voter's own address if there is one,
+// else one of the failure domain in which the fewest vote.
 func (s Situation) spareFor(voter *schema.Voter) *schema.Voter {
 	var spare *schema.Voter
+	crowd := s.crowds(voter)
+	fewest := 0
 	for _, known := range s.Known {
 		if known.Leaving || s.votes(known.ID) {
 			continue
 		}
 		candidate := &schema.Voter{Id: string(known.ID), Address: string(known.Address)}
-		if candidate.GetAddress() == voter.GetAddress() {
+		if voter != nil && candidate.GetAddress() == voter.GetAddress() {
 			return candidate
 		}
-		if spare == nil || candidate.GetId() < spare.GetId() {
-			spare = candidate
+		count := crowd[known.Domain]
+		if spare == nil || count < fewest || count == fewest && candidate.GetId() < spare.GetId() {
+			spare, fewest = candidate, count
 		}
 	}
 	return spare
 }
 
+// crowds counts the voters of each failure domain, without one that goes.
+func (s Situation) crowds(without *schema.Voter) map[figbank.FailureDomain]int {
+	counts := map[figbank.FailureDomain]int{}
+	for _, voter := range s.Members.GetVoters() {
+		i := slices.IndexFunc(s.Known, func(r Replica) bool { return string(r.Address) == voter.GetAddress() })
+		if i >= 0 && voter.GetId() != without.GetId() {
+			counts[s.Known[i].Domain]++
+		}
+	}
+	return counts
+}
+
 func (s Situation) votes(id figbank.ProcessID) bool {
 	return slices.ContainsFunc(s.Members.GetVoters(), func(v *schema.Voter) bool { return v.GetId() == string(id) })
 }
--- a/voters/voters_test.go
+++ b/voters/voters_test.go
@@ -66,9 +66,42 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
+			s.s.Wanted = 3
 			if got := Decide(s.s); !proto.Equal(got, s.want) {
 				t.Errorf("Decide() = %v, want %v", got, s.want)
 			}
 		})
 	}
 }
+
+// Two disks may be lost at once: three seeds become five voters, one by one, as
+// spread over failure domains as there are replicas.
+func TestVotersGrowFromTheSeeds(t *testing.T) {
+	s := Situation{Members: members("", "a1", "b1", "c1"), Wanted: Wanted(2)}
+	for _, id := range []string{"a1", "a2", "b1", "b2", "c1", "c2", "d1", "d2"} {
+		s.Known = append(s.Known, Replica{ID: figbank.ProcessID(id), Address: figbank.Address(id + ":1"), Domain: figbank.FailureDomain(id[:1])})
+	}
+	for range 10 {
+		if next := Decide(s); next != nil {
+			s.Members = next
+		}
+	}
+	if got, want := s.Members, members("", "a1", "b1", "c1", "d1", "a2"); !proto.Equal(got, want) {
+		t.Errorf("voters are %v, want %v", got, want)
+	}
+}
+
+// A voter that goes for good is replaced where the fewest vote, not where one
+// more loss would take two.
+func TestReplacementKeepsVotersApart(t *testing.T) {
+	s := Situation{
+		Members: members("", "a1", "b1", "c1"), Wanted: Wanted(1),
+		Heard: map[figbank.ProcessID]time.Duration{"c1": time.Minute},
+	}
+	for _, id := range []string{"a1", "a2", "b1", "c2"} {
+		s.Known = append(s.Known, Replica{ID: figbank.ProcessID(id), Address: figbank.Address(id + ":1"), Domain: figbank.FailureDomain(id[:1])})
+	}
+	if got, want := Decide(s), members("c2", "a1", "b1", "c1"); !proto.Equal(got, want) {
+		t.Errorf("Decide() = %v, want %v", got, want)
+	}
+}
