Let one gateway of a failure domain tell the others its load

One that was gone held up all reports for half a second a round. Change: within a failure domain each still tells each; the first by id tells the gateways elsewhere the domain's sum. Each gateway that is told has a sender of its own, which keeps only the newest report.

--- a/loadshare/share.go
+++ b/loadshare/share.go
@@ -1,6 +1,8 @@
 // Package loadshare lets gateways tell each other how many requests each has at
-// each upstream, so that together they do not overrun one whose own count lags:
-// those of one failure domain often, the others less so.
+// each upstream, so that together they do not overrun one whose own count lags.
+// Within a failure domain each tells each; one of a domain tells the gateways
+// elsewhere what the domain has in all, so that the cost between domains does not
+// grow with the product of gateways.
 package loadshare
 
 import (
@@ -16,45 +18,29 @@
 )
 
 const (
-	// interval is between two reports within a failure domain; one in farEvery goes
-	// to the others too.
+	// interval is between two reports within a failure domain; with one in farEvery
+	// the others are told too.
 	interval = 100 * time.Millisecond
 	farEvery = 3
-	// lifetime is how long a report counts.
-	lifetime = time.Second
-	// openTimeout bounds the opening of a stream to another gateway.
-	openTimeout = 500 * time.Millisecond
 )
 
-type (
-	// Share tells other gateways this one's load and takes in theirs. It is safe
-	// for concurrent use.
-	Share struct {
-		common     figbank.Common
-		dispatcher *dispatch.Dispatcher
-		view       *feed.View
-		pool       *transport.Pool
-		self       *schema.Member
+// Share tells other gateways this one's load and takes in theirs. It is safe for
+// concurrent use.
+type Share struct {
+	common     figbank.Common
+	dispatcher *dispatch.Dispatcher
+	view       *feed.View
+	pool       *transport.Pool
+	self       *schema.Member
 
-		mu      sync.Mutex
-		reports map[string]*report
-	}
-
-	report struct {
-		at    time.Time
-		loads map[key]int64
-	}
-
-	key struct {
-		id   figbank.UpstreamID
-		born int64
-	}
-)
+	mu      sync.Mutex
+	reports *reports
+}
 
 // New returns a share for a gateway.
 func New(common figbank.Common, dispatcher *dispatch.Dispatcher, view *feed.View, pool *transport.Pool, self *schema.Member) *Share {
 	return &Share{
-		common: common.For("loadshare"), dispatcher: dispatcher, view: view, pool: pool, self: self, reports: map[string]*report{},
+		common: common.For("loadshare"), dispatcher: dispatcher, view: view, pool: pool, self: self, reports: newReports(self),
 	}
 }
 
@@ -62,15 +48,23 @@
 func (s *Share) Run(ctx context.Context) {
 	ticks, stop := s.common.Clock.Tick(interval)
 	defer stop()
-	streams := map[figbank.Address]*transport.Stream{}
+	near, far := newAudience(ctx, s.pool), newAudience(ctx, s.pool)
 	for round := 0; ; round++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticks:
 		}
-		s.tell(ctx, streams, round%farEvery == 0)
-		s.apply()
+		table := s.dispatcher.Table()
+		if table == nil {
+			continue
+		}
+		own := ownLoads(table)
+		near.tell(s.gateways(true), s.message(own, false))
+		sum, speaks := s.review(table, own)
+		if speaks && round%farEvery == 0 {
+			far.tell(s.gateways(false), s.message(sum, true))
+		}
 	}
 }
 
@@ -81,91 +75,56 @@
 		if err := stream.Receive(message); err != nil {
 			return
 		}
-		s.hear(message)
+		s.mu.Lock()
+		s.reports.hear(s.common.Clock.Now(), message)
+		s.mu.Unlock()
 	}
 }
 
-func (s *Share) tell(ctx context.Context, streams map[figbank.Address]*transport.Stream, far bool) {
-	message := s.own()
-	for _, address := range s.others(far) {
-		stream := streams[address]
-		if stream == nil {
-			opening, cancel := context.WithTimeout(ctx, openTimeout)
-			opened, err := s.pool.Open(opening, address, schema.StreamKind_STREAM_KIND_LOAD)
-			cancel()
-			if err != nil {
-				continue
-			}
-			stream = opened
-			streams[address] = stream
-		}
-		if err := stream.Send(message); err != nil {
-			stream.Close()
-			delete(streams, address)
-		}
-	}
+// review gives each upstream the sum of what the other gateways have there. It
+// returns what the failure domain has in all and whether this gateway tells it.
+func (s *Share) review(table *dispatch.Table, own map[key]int64) (sum map[key]int64, speaks bool) {
+	now := s.common.Clock.Now()
+	s.mu.Lock()
+	s.reports.expire(now)
+	others := s.reports.others()
+	sum, speaks = s.reports.domainSum(own), s.reports.speaks()
+	s.mu.Unlock()
+	table.Loads(func(id figbank.UpstreamID, born int64, load *dispatch.Load) {
+		load.HearPeers(now, others[key{id: id, born: born}])
+	})
+	return sum, speaks
 }
 
-// own lists the upstreams at which this gateway has requests.
-func (s *Share) own() *schema.LoadReport {
-	message := &schema.LoadReport{From: s.self.GetId()}
-	table := s.dispatcher.Table()
-	if table == nil {
-		return message
-	}
+// ownLoads maps the upstreams at which this gateway has requests.
+func ownLoads(table *dispatch.Table) map[key]int64 {
+	own := map[key]int64{}
 	table.Loads(func(id figbank.UpstreamID, born int64, load *dispatch.Load) {
 		if running := load.Own(); running > 0 {
-			message.Loads = append(message.Loads, &schema.InstanceLoad{Id: string(id), BornUnixMilli: born, Running: running})
+			own[key{id: id, born: born}] = running
 		}
 	})
+	return own
+}
+
+func (s *Share) message(loads map[key]int64, wholeDomain bool) *schema.LoadReport {
+	message := &schema.LoadReport{From: s.self.GetId(), FailureDomain: s.self.GetFailureDomain(), WholeDomain: wholeDomain}
+	for k, running := range loads {
+		message.Loads = append(message.Loads, &schema.InstanceLoad{Id: string(k.id), BornUnixMilli: k.born, Running: running})
+	}
 	return message
 }
 
-// others lists the other gateways of this failure domain, and with far set those
-// elsewhere too.
-func (s *Share) others(far bool) []figbank.Address {
+// gateways lists the other gateways, those of this failure domain or those elsewhere.
+func (s *Share) gateways(near bool) []figbank.Address {
 	var addresses []figbank.Address
 	for _, member := range s.view.Members() {
 		if member.GetRole() != schema.MemberRole_MEMBER_ROLE_GATEWAY || member.GetId() == s.self.GetId() {
 			continue
 		}
-		if far || member.GetFailureDomain() == s.self.GetFailureDomain() {
+		if near == (member.GetFailureDomain() == s.self.GetFailureDomain()) {
 			addresses = append(addresses, figbank.Address(member.GetAddress()))
 		}
 	}
 	return addresses
 }
-
-func (s *Share) hear(message *schema.LoadReport) {
-	loads := map[key]int64{}
-	for _, load := range message.GetLoads() {
-		loads[key{id: figbank.UpstreamID(load.GetId()), born: load.GetBornUnixMilli()}] = load.GetRunning()
-	}
-	s.mu.Lock()
-	s.reports[message.GetFrom()] = &report{at: s.common.Clock.Now(), loads: loads}
-	s.mu.Unlock()
-}
-
-// apply gives each upstream the sum of what the other gateways have there.
-func (s *Share) apply() {
-	table := s.dispatcher.Table()
-	if table == nil {
-		return
-	}
-	now := s.common.Clock.Now()
-	sums := map[key]int64{}
-	s.mu.Lock()
-	for from, r := range s.reports {
-		if now.Sub(r.at) > lifetime {
-			delete(s.reports, from)
-			continue
-		}
-		for k, running := range r.loads {
-			sums[k] += running
-		}
-	}
-	s.mu.Unlock()
-	table.Loads(func(id figbank.UpstreamID, born int64, load *dispatch.Load) {
-		load.HearPeers(now, sums[key{id: id, born: born}])
-	})
-}
