--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -33,7 +33,8 @@
 	mu      sync.Mutex
 	seeds   []figbank.Address
 	running map[figbank.Address]context.CancelFunc
-	reached map[figbank.Address]bool
+	// reached holds the life of the feed from each replica that feeds this process.
+	reached map[figbank.Address]context.Context
 	ctx     context.Context //nolint:containedctx // the life of the subscriber, from which each feed's is derived
 	group   sync.WaitGroup
 	stop    context.CancelFunc
@@ -45,7 +46,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	s := &Subscriber{
 		common: common.For("feed"), view: view, pool: pool, seeds: seeds, ctx: ctx, stop: stop,
-		running: map[figbank.Address]context.CancelFunc{}, reached: map[figbank.Address]bool{},
+		running: map[figbank.Address]context.CancelFunc{}, reached: map[figbank.Address]context.Context{},
 		urgent: make(chan struct{}),
 	}
 	s.self.Store(self)
@@ -115,7 +116,7 @@
 		return
 	}
 	for i := range candidates {
-		candidates[i].reached = s.reached[candidates[i].address]
+		candidates[i].reached = s.reached[candidates[i].address] != nil
 	}
 	chosen := choose(figbank.ProcessID(s.self.Load().GetId()), candidates, wanted)
 	for address, cancel := range s.running {
@@ -170,8 +171,8 @@
 	}
 }
 
-func (s *Subscriber) followOnce(followed context.Context, address figbank.Address) {
-	ctx, cancel := context.WithCancel(followed)
+func (s *Subscriber) followOnce(life context.Context, address figbank.Address) {
+	ctx, cancel := context.WithCancel(life)
 	defer cancel()
 	opening, cancelOpening := context.WithTimeout(ctx, silence)
 	stream, err := s.pool.Open(opening, address, schema.StreamKind_STREAM_KIND_FEED)
@@ -181,16 +182,18 @@
 	}
 	defer stream.Close()
 	defer stream.CloseWhenDone(ctx)()
+	defer s.left(life, address)
 	heard := make(chan struct{}, 1)
 	go watchSilence(ctx, func() { s.lost(cancel, address) }, s.common.Clock, heard)
 	go s.refresh(ctx, cancel, stream)
 	for {
 		update := &schema.FeedUpdate{}
 		if err := stream.Receive(update); err != nil {
-			s.left(followed, address)
 			return
 		}
-		s.arrived(address)
+		if !s.arrived(life, address) {
+			return
+		}
 		signal(heard)
 		s.view.apply(address, update)
 	}
@@ -226,29 +229,36 @@
 	}
 }
 
-func (s *Subscriber) arrived(address figbank.Address) {
+// arrived notes an update of a feed. It tells whether the feed is still wanted:
+// the same replica may be followed anew before the old feed has ended.
+func (s *Subscriber) arrived(life context.Context, address figbank.Address) bool {
 	s.mu.Lock()
+	if life.Err() != nil {
+		s.mu.Unlock()
+		return false
+	}
 	before := s.reached[address]
-	s.reached[address] = true
+	s.reached[address] = life
 	s.mu.Unlock()
-	if !before {
+	if before == nil {
 		s.common.Log.Info("replica reached", zap.String("replica", string(address)))
 		s.update()
 	}
+	return true
 }
 
 // left notes that a feed has ended. Processes that are no replicas hear all from
 // each replica, so that the others' lists suffice while there are any.
-func (s *Subscriber) left(followed context.Context, address figbank.Address) {
+func (s *Subscriber) left(life context.Context, address figbank.Address) {
 	s.mu.Lock()
-	before := s.reached[address]
+	if s.reached[address] != life {
+		s.mu.Unlock()
+		return
+	}
 	delete(s.reached, address)
 	others := len(s.reached) > 0
 	s.mu.Unlock()
-	if !before {
-		return
-	}
-	if followed.Err() != nil {
+	if life.Err() != nil {
 		s.common.Log.Info("replica no longer followed", zap.String("replica", string(address)))
 	} else {
 		s.common.Log.Warn("replica lost", zap.String("replica", string(address)))
