--- a/feed/server.go
+++ b/feed/server.go
@@ -90,7 +90,7 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
-		case <-clock.After(keepAlive):
+		case <-clock.After(s.sentAt.Add(keepAlive).Sub(clock.Now())):
 		}
 	}
 }
