--- /dev/null
+++ b/measure/feeds.go
@@ -0,0 +1,132 @@
+package measure
+
+import (
+	"fmt"
+	"time"
+
+	"figbank"
+	"figbank/configuration"
+	"figbank/deployment"
+	"figbank/fake"
+	"figbank/feed"
+	"figbank/schema"
+	"figbank/transport"
+)
+
+const (
+	feedReplicas = 8
+	// feedSettle is how long all processes need to find their replicas.
+	feedSettle = 5 * time.Second
+	feedTime   = 30 * time.Second
+)
+
+// feedScales are multiples of a deployment's own size.
+var feedScales = []int{1, 2, 4, 8}
+
+type (
+	// feedWorld is replicas and the processes that they feed, without callers.
+	feedWorld struct {
+		network  *fake.Network
+		domains  []figbank.FailureDomain
+		seeds    []figbank.Address
+		replicas []*feedProcess
+		others   []*feedProcess
+	}
+
+	feedProcess struct {
+		meter      *transport.Meter
+		view       *feed.View
+		subscriber *feed.Subscriber
+		pool       *transport.Pool
+		server     *transport.Server
+	}
+)
+
+// Feeds measures what feeds cost a replica and a process at rest, and what one
+// process that joins costs each replica, at several sizes of a deployment. One
+// join a second must fit into what a node may spend on control.
+func Feeds(d *deployment.Deployment) *Report {
+	r := &Report{}
+	for _, scale := range feedScales {
+		w := newFeedWorld(scaled(d, scale))
+		sleep(feedSettle)
+		size := fmt.Sprintf("With%dProcesses", len(w.others))
+		before, beforeOther := w.sent(w.replicas), w.sent(w.others)
+		sleep(feedTime)
+		atRest := float64(w.sent(w.replicas)-before) / feedTime.Seconds() / feedReplicas
+		r.AtMost("Replica"+size, atRest, "bytes/s", controlBytes)
+		r.AtMost("Process"+size, float64(w.sent(w.others)-beforeOther)/feedTime.Seconds()/float64(len(w.others)), "bytes/s", controlBytes)
+		before = w.sent(w.replicas)
+		w.join(schema.MemberRole_MEMBER_ROLE_GATEWAY, "last", w.domains[0])
+		sleep(time.Second)
+		r.AtMost("JoinAtReplica"+size, float64(w.sent(w.replicas)-before)/feedReplicas-atRest, "bytes", controlBytes)
+		w.close()
+	}
+	return r
+}
+
+func newFeedWorld(d *deployment.Deployment) *feedWorld {
+	w := &feedWorld{network: fake.NewNetwork(virtual, nearDelay, farDelay)}
+	for _, domain := range d.Domains {
+		w.domains = append(w.domains, domain.Name)
+	}
+	for i := range feedReplicas {
+		domain := w.domains[i%len(w.domains)]
+		p := w.start(schema.MemberRole_MEMBER_ROLE_REPLICA, fmt.Sprintf("replica-%d", i), domain)
+		w.replicas = append(w.replicas, p)
+	}
+	for _, domain := range d.Domains {
+		for i := range domain.Gateways {
+			w.join(schema.MemberRole_MEMBER_ROLE_GATEWAY, fmt.Sprintf("gateway-%d", i), domain.Name)
+		}
+	}
+	for _, service := range d.Services {
+		for i, count := range service.Upstreams {
+			for n := range count {
+				w.join(schema.MemberRole_MEMBER_ROLE_AGENT, fmt.Sprintf("%s-%d", service.Name, n), w.domains[i%len(w.domains)])
+			}
+		}
+	}
+	return w
+}
+
+func (w *feedWorld) join(role schema.MemberRole, name string, domain figbank.FailureDomain) {
+	w.others = append(w.others, w.start(role, name, domain))
+}
+
+func (w *feedWorld) start(role schema.MemberRole, name string, domain figbank.FailureDomain) *feedProcess {
+	id := string(domain) + "-" + name
+	address := figbank.Address(string(domain) + "/" + name + ":1")
+	common := commonOf(id)
+	p := &feedProcess{meter: transport.NewMeter(common)}
+	p.view = feed.NewView(common, upstreamLease, configuration.NewFleetHolder(common.Recorder))
+	p.pool = transport.NewPool(common, transport.WithDialer(w.network.Dialer(address)), transport.WithMeter(p.meter))
+	p.server = transport.NewServer(common, w.network.Listen(address), transport.Handlers{
+		schema.StreamKind_STREAM_KIND_FEED: p.view.Serve,
+	}, transport.WithMeter(p.meter))
+	self := &schema.Member{Id: id, Role: role, Address: string(address), FailureDomain: string(domain)}
+	p.subscriber = feed.NewSubscriber(common, p.view, p.pool, self, w.seeds)
+	if len(w.seeds) < len(w.domains) {
+		w.seeds = append(w.seeds, address)
+	}
+	return p
+}
+
+// sent sums the bytes of feeds that processes have sent.
+func (w *feedWorld) sent(processes []*feedProcess) int64 {
+	sum := int64(0)
+	for _, p := range processes {
+		for _, usage := range p.meter.Usage() {
+			sum += usage.SentBytes
+		}
+	}
+	return sum
+}
+
+func (w *feedWorld) close() {
+	for _, p := range append(w.others, w.replicas...) {
+		p.subscriber.Close()
+		p.pool.Close()
+		p.server.Close()
+	}
+}
--- a/measure/measure_test.go
+++ b/measure/measure_test.go
@@ -61,6 +61,7 @@
 			baseline: func(d *deployment.Deployment) *Report { return Claims(d, true, seed) },
 		},
 		{name: "control", run: Control},
+		{name: "feeds", run: Feeds},
 	}
 	for _, m := range measures {
 		for _, name := range []string{"tabwright", "bluehole"} {
