--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -49,6 +49,8 @@
 
 		// named is when each version was named, by this process's steady clock.
 		named map[Version]time.Time
+		// gateways is how many share the upstreams, as of the last table.
+		gateways int
 	}
 
 	// run is one request on its way.
@@ -141,6 +143,10 @@
 			gateways++
 		}
 	}
+	if gateways != d.gateways {
+		d.gateways = gateways
+		d.common.Log.Info("gateways share what upstreams bear", zap.Int("gateways", gateways))
+	}
 	d.budgets.Share(gateways)
 	d.table.Store(NewTable(previous, d.settings.Place, Sources{
 		Fleet: fleet, Traffic: rules, Upstreams: d.view.Upstreams(), Named: d.named, Gateways: gateways, Now: now,
