--- /dev/null
+++ b/dispatch/cold_test.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Many gateways that all turn to a cold upstream at once stay within what it
+// bears in any second: half as much again as its rate, and a little.
+func TestManyGatewaysTogetherSpareAColdUpstream(t *testing.T) {
+	const (
+		overshoot = 1.5
+		slack     = 5
+		step      = 10 * time.Millisecond
+		length    = 20 * time.Second
+	)
+	scenarios := []struct {
+		name      string
+		gateways  int
+		perSecond float64
+		// from is when callers come; upstreams are cold and known before.
+		from time.Duration
+		// share is of the steps in which each gateway has a request.
+		share float64
+	}{
+		{name: "44 gateways, callers from the start", gateways: 44, perSecond: 17, share: 1},
+		{name: "44 gateways, callers come later all at once", gateways: 44, perSecond: 17, from: 5 * time.Second, share: 1},
+		{name: "44 gateways, few callers", gateways: 44, perSecond: 17, share: 0.02},
+		{name: "8 gateways", gateways: 8, perSecond: 36, from: 2 * time.Second, share: 1},
+		{name: "200 gateways", gateways: 200, perSecond: 17, from: 3 * time.Second, share: 1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			limits := make([]coldLimit, s.gateways)
+			start := time.Unix(100, 0)
+			var sent []time.Time
+			for at := time.Duration(0); at < length; at += step {
+				now := start.Add(at)
+				for i := range limits {
+					limits[i].phase = random.Float64
+					open := limits[i].open(now, s.perSecond/float64(s.gateways))
+					if open && at >= s.from && random.Float64() < s.share {
+						limits[i].take(now, s.perSecond/float64(s.gateways))
+						sent = append(sent, now)
+					}
+				}
+			}
+			if got, want := mostInASecond(sent), int(s.perSecond*overshoot+slack); got > want {
+				t.Errorf("%d requests in one second, want at most %d", got, want)
+			}
+			if s.share == 1 {
+				least := int(s.perSecond * (length - s.from).Seconds() * 9 / 10)
+				if got := len(sent); got < least {
+					t.Errorf("%d requests in all, want at least %d", got, least)
+				}
+			}
+		})
+	}
+}
+
+func mostInASecond(sent []time.Time) int {
+	most, first := 0, 0
+	for i, at := range sent {
+		for at.Sub(sent[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
