Bound connections also where gateways outnumber them

The share of connections was rounded down to 0, which stands for no bound: an upstream that takes 48 would have had any number from 60 gateways. TestFewConnectionsAmongManyGatewaysStayBounded is new.

--- a/dispatch/cold_test.go
+++ b/dispatch/cold_test.go
@@ -70,3 +70,23 @@
 	}
 	return most
 }
+
+// An upstream that takes fewer connections than there are gateways is not
+// without a bound.
+func TestFewConnectionsAmongManyGatewaysStayBounded(t *testing.T) {
+	scenarios := []struct {
+		connections int64
+		gateways    int
+		want        int64
+	}{
+		{connections: 0, gateways: 44, want: 0},
+		{connections: 48, gateways: 60, want: 1},
+		{connections: 288, gateways: 44, want: 6},
+	}
+	for _, s := range scenarios {
+		table := &Table{gateways: s.gateways}
+		if got := table.shareOf(s.connections); got != s.want {
+			t.Errorf("share of %d among %d = %d, want %d", s.connections, s.gateways, got, s.want)
+		}
+	}
+}
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -161,7 +161,7 @@
 		Region: place.Regions[domain], Near: domain == place.FailureDomain, Slots: int(record.GetSlots()),
 		Model: upstream.Loaded.GetModel(), Version: upstream.Loaded.GetVersion(),
 		Silent:      record.GetState() == schema.InstanceState_INSTANCE_STATE_SILENT,
-		Connections: service.GetMaxConnections() / int64(t.gateways), Load: load,
+		Connections: t.shareOf(service.GetMaxConnections()), Load: load,
 	}
 	if cold := record.GetColdMilliseconds(); cold > 0 && service.GetColdRequestsPerSecond() > 0 {
 		target.ColdUntil = sources.Now.Add(time.Duration(cold) * time.Millisecond)
@@ -171,6 +171,15 @@
 	return target
 }
 
+// shareOf is this gateway's share of the connections that an upstream takes: one
+// at least, since 0 stands for no bound.
+func (t *Table) shareOf(connections int64) int64 {
+	if connections <= 0 {
+		return 0
+	}
+	return max(1, connections/int64(t.gateways))
+}
+
 // oldAfter is when the target's weights become older than the first named
 // version that it lacks allows, by this process's steady clock and by the time
 // of day: the one stands still while the host is suspended, the other may jump.
