Leave cold upstreams alone until a gateway knows its share

Change: a gateway sends cold upstreams nothing in its first 2 s, and counts gateways that are no longer listed for 10 s more, since lists are short when replicas have restarted together.

--- /dev/null
+++ b/dispatch/crowd.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import "time"
+
+const (
+	// settleTime is how long a gateway that has just started leaves cold upstreams
+	// alone: it does not know yet with how many others it shares them.
+	settleTime = 2 * time.Second
+	// crowdHold is how long gateways that are no longer listed still count. Lists
+	// are short for a moment when replicas have restarted together.
+	crowdHold = 10 * time.Second
+)
+
+// crowd says among how many gateways to divide what upstreams bear. It counts
+// more at once and fewer only after a while, so that the sum over all gateways
+// stays within bounds while their lists differ.
+type crowd struct {
+	count   int
+	firstAt time.Time
+	// shortSince is since when fewer than count are listed, zero when they are not.
+	shortSince time.Time
+}
+
+// hear takes in how many gateways are listed and returns how many count.
+func (c *crowd) hear(now time.Time, listed int) int {
+	if c.firstAt.IsZero() {
+		c.firstAt = now
+	}
+	switch {
+	case listed >= c.count:
+		c.count, c.shortSince = listed, time.Time{}
+	case c.shortSince.IsZero():
+		c.shortSince = now
+	case now.Sub(c.shortSince) > crowdHold:
+		c.count, c.shortSince = listed, time.Time{}
+	}
+	return c.count
+}
+
+// settledAt is from when the count can be relied on.
+func (c *crowd) settledAt() time.Time {
+	return c.firstAt.Add(settleTime)
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -49,8 +49,8 @@
 
 		// named is when each version was named, by this process's steady clock.
 		named map[Version]time.Time
-		// gateways is how many share the upstreams, as of the last table.
-		gateways int
+		// crowd is the gateways that share the upstreams.
+		crowd crowd
 	}
 
 	// run is one request on its way.
@@ -137,19 +137,21 @@
 	}
 	now := d.common.Clock.Now()
 	d.noteNamed(fleet, now)
-	gateways := 0
+	listed := 0
 	for _, member := range d.view.Members() {
 		if member.GetRole() == schema.MemberRole_MEMBER_ROLE_GATEWAY {
-			gateways++
+			listed++
 		}
 	}
-	if gateways != d.gateways {
-		d.gateways = gateways
-		d.common.Log.Info("gateways share what upstreams bear", zap.Int("gateways", gateways))
+	before := d.crowd.count
+	gateways := d.crowd.hear(now, listed)
+	if gateways != before {
+		d.common.Log.Info("gateways share what upstreams bear", zap.Int("gateways", gateways), zap.Int("listed", listed))
 	}
 	d.budgets.Share(gateways)
 	d.table.Store(NewTable(previous, d.settings.Place, Sources{
-		Fleet: fleet, Traffic: rules, Upstreams: d.view.Upstreams(), Named: d.named, Gateways: gateways, Now: now,
+		Fleet: fleet, Traffic: rules, Upstreams: d.view.Upstreams(), Named: d.named, Gateways: gateways,
+		SettledAt: d.crowd.settledAt(), Now: now,
 	}))
 	if previous == nil || previous.Index != figbank.CommitIndex(fleet.GetCommitIndex()) {
 		d.common.Log.Info("fleet in force", zap.Uint64("commit", fleet.GetCommitIndex()), zap.Int64("rules", rules.Number()),
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -61,6 +61,8 @@
 		// ColdUntil is until when it bears only ColdPerSecond requests of this gateway.
 		ColdUntil     time.Time
 		ColdPerSecond float64
+		// ColdFrom is from when this gateway knows its share; before, a cold target gets nothing.
+		ColdFrom time.Time
 		// Connections is this gateway's share of what the upstream accepts; 0 for no bound.
 		Connections int64
 		Delay       time.Duration
@@ -87,7 +89,9 @@
 		Named map[Version]time.Time
 		// Gateways is how many gateways share the upstreams.
 		Gateways int
-		Now      time.Time
+		// SettledAt is from when Gateways can be relied on.
+		SettledAt time.Time
+		Now       time.Time
 	}
 )
 
@@ -165,6 +169,7 @@
 	}
 	if cold := record.GetColdMilliseconds(); cold > 0 && service.GetColdRequestsPerSecond() > 0 {
 		target.ColdUntil = sources.Now.Add(time.Duration(cold) * time.Millisecond)
+		target.ColdFrom = sources.SettledAt
 		target.ColdPerSecond = service.GetColdRequestsPerSecond() / float64(t.gateways)
 	}
 	target.OldAfter, target.OldAfterWall = oldAfter(place, sources, target)
@@ -213,7 +218,10 @@
 
 // bears tells whether a cold target bears one more request.
 func (t *Target) bears(now time.Time) bool {
-	return !now.Before(t.ColdUntil) || t.Load.cold.open(now, t.ColdPerSecond)
+	if !now.Before(t.ColdUntil) {
+		return true
+	}
+	return !now.Before(t.ColdFrom) && t.Load.cold.open(now, t.ColdPerSecond)
 }
 
 // takeCold counts a request that goes to a cold target.
