--- a/feed/roster.go
+++ b/feed/roster.go
@@ -113,41 +113,35 @@
 // hear takes in what a replica lists anew. It tells whether anything changed.
 func (r *roster) hear(from figbank.Address, update *schema.FeedUpdate) bool {
 	list := r.listed[from]
-	changed := false
 	if list == nil {
-		list = &listing{members: map[string]*schema.Member{}}
+		list = &listing{members: map[string]*schema.Member{}, lost: true}
 		r.listed[from] = list
-		changed = true
 	}
-	list.lost = false
-	if update.GetAllMembers() {
-		kept := map[string]bool{}
-		for _, member := range update.GetMembers() {
-			kept[member.GetId()] = true
-		}
-		for id := range list.members {
-			if !kept[id] {
-				delete(list.members, id)
-				changed = true
-			}
-		}
+	next := list.after(update)
+	if !list.lost && maps.EqualFunc(list.members, next, sameMember) {
+		return false
 	}
-	for _, member := range update.GetMembers() {
-		if known, found := list.members[member.GetId()]; !found || !sameMember(known, member) {
-			list.members[member.GetId()] = member
-			changed = true
-		}
+	list.members, list.lost = next, false
+	r.changes++
+	return true
+}
+
+// after is what is listed after an update.
+func (l *listing) after(update *schema.FeedUpdate) map[string]*schema.Member {
+	if !update.GetAllMembers() && len(update.GetMembers())+len(update.GetGoneMembers()) == 0 {
+		return l.members
+	}
+	next := map[string]*schema.Member{}
+	if !update.GetAllMembers() {
+		maps.Copy(next, l.members)
 	}
 	for _, id := range update.GetGoneMembers() {
-		if _, found := list.members[id]; found {
-			delete(list.members, id)
-			changed = true
-		}
+		delete(next, id)
 	}
-	if changed {
-		r.changes++
+	for _, member := range update.GetMembers() {
+		next[member.GetId()] = member
 	}
-	return changed
+	return next
 }
 
 // lose notes that a replica does not feed this process any more. What it listed
