--- a/loadshare/audience.go
+++ b/loadshare/audience.go
@@ -12,16 +12,17 @@
 type audience struct {
 	ctx     context.Context //nolint:containedctx // the life of the share, from which each teller's is derived
 	pool    *transport.Pool
-	tellers map[figbank.Address]*member
+	tellers map[figbank.Address]*follower
 }
 
-type member struct {
+// follower is one gateway that is told, and how to stop telling it.
+type follower struct {
 	teller *teller
 	stop   context.CancelFunc
 }
 
 func newAudience(ctx context.Context, pool *transport.Pool) *audience {
-	return &audience{ctx: ctx, pool: pool, tellers: map[figbank.Address]*member{}}
+	return &audience{ctx: ctx, pool: pool, tellers: map[figbank.Address]*follower{}}
 }
 
 // tell offers a report to each address, and forgets those no longer listed.
@@ -31,8 +32,8 @@
 		listed[address] = true
 		m, found := a.tellers[address]
 		if !found {
-			ctx, stop := context.WithCancel(a.ctx) //nolint:gosec // ended when the address is no longer listed
-			m = &member{teller: newTeller(a.pool, address), stop: stop}
+			ctx, stop := context.WithCancel(a.ctx)
+			m = &follower{teller: newTeller(a.pool, address), stop: stop}
 			a.tellers[address] = m
 			go m.teller.run(ctx)
 		}
