Follow one replica more than a minority

Found by reading: with three of eight replicas followed, a cut of the replicas in five and three could leave a gateway with the smaller part alone, in touch and without news. One more than a minority is now followed, four of eight, three of six. TestMajorityAlwaysFeedsEachProcess fails with three of eight, passes now.

--- a/feed/choose.go
+++ b/feed/choose.go
@@ -8,10 +8,8 @@
 	"figbank"
 )
 
-// followed is how many replicas feed a process that is none itself: more than
-// may be lost at once, so that news still arrives, and no more, since each feed
-// costs its replica time and its links bytes.
-const followed = 3
+// leastFollowed is how many replicas feed a process at least, where there are as many.
+const leastFollowed = 3
 
 // candidate is a replica that may feed a process.
 type candidate struct {
@@ -22,6 +20,14 @@
 	reached bool
 }
 
+// wantedOf is how many of some replicas feed a process that is none itself: one
+// more than a minority, so that news arrives however the replicas are cut apart,
+// and no more, since each feed costs its replica time and its links bytes.
+func wantedOf(replicas int) int {
+	minority := max(0, replicas-1) / 2
+	return max(leastFollowed, minority+1)
+}
+
 // choose lists the replicas to follow, best first: near ones, then others in an
 // order of this process's own, which spreads processes over replicas. Beyond
 // those wanted it lists as many as it takes to have the wanted number reached.
--- a/feed/choose_test.go
+++ b/feed/choose_test.go
@@ -59,6 +59,16 @@
 	}
 }
 
+// However replicas are cut in two, a process is fed by one of the larger part.
+func TestMajorityAlwaysFeedsEachProcess(t *testing.T) {
+	for replicas := 1; replicas <= 9; replicas++ {
+		largestMinority := (replicas - 1) / 2
+		if got := min(wantedOf(replicas), replicas); got <= largestMinority {
+			t.Errorf("of %d replicas %d are followed, and %d may be cut off from the others", replicas, got, largestMinority)
+		}
+	}
+}
+
 // A process follows a few of many replicas, hears from them of all others, and
 // finds others when its own go.
 func TestFewReplicasSuffice(t *testing.T) {
@@ -72,7 +82,8 @@
 	first := newNode(t, "g1", gateway, seeds[0])
 	second := newNode(t, "g2", gateway, seeds[5])
 	await(t, "both know all", func() bool { return len(first.view.Members()) == 8 && len(second.view.Members()) == 8 })
-	await(t, "each follows three", func() bool { return first.subscriber.count() == followed && second.subscriber.count() == followed })
+	wanted := wantedOf(len(replicas))
+	await(t, "each follows three", func() bool { return first.subscriber.count() == wanted && second.subscriber.count() == wanted })
 	for _, r := range replicas[:4] {
 		r.subscriber.Close()
 		r.server.Close()
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -106,7 +106,7 @@
 // update follows the replicas that are chosen now, and no others.
 func (s *Subscriber) update() {
 	candidates := s.candidates()
-	wanted := followed
+	wanted := wantedOf(len(candidates))
 	if s.self.Load().GetRole() == schema.MemberRole_MEMBER_ROLE_REPLICA {
 		wanted = len(candidates)
 	}
