--- a/replica/sender.go
+++ b/replica/sender.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"time"
 
 	"figbank"
 	"figbank/schema"
 	"figbank/transport"
 )
 
+// openTimeout bounds the opening of a stream to another replica.
+const openTimeout = 2 * time.Second
+
 // sender carries messages to one other replica. Messages that cannot be sent
 // are dropped; raft repeats what matters.
 type sender struct {
@@ -31,33 +35,15 @@
 }
 
 func (s *sender) run() {
-	ctx := s.ctx
-	var stream *transport.Stream
+	line := s.pool.NewLine(s.address, schema.StreamKind_STREAM_KIND_RAFT, openTimeout)
+	defer line.Close()
 	for {
 		select {
-		case <-ctx.Done():
-			if stream != nil {
-				stream.Close()
-			}
+		case <-s.ctx.Done():
 			return
 		case message := <-s.queue:
-			stream = s.send(ctx, stream, message)
-		}
-	}
-}
-
-// send returns the stream to use for the next message, nil after a failure.
-func (s *sender) send(ctx context.Context, stream *transport.Stream, message *schema.RaftMessage) *transport.Stream {
-	if stream == nil {
-		opened, err := s.pool.Open(ctx, s.address, schema.StreamKind_STREAM_KIND_RAFT)
-		if err != nil {
-			return nil
+			// The line logs what is lost, and raft repeats what matters.
+			_ = line.Send(s.ctx, message)
 		}
-		stream = opened
-	}
-	if err := stream.Send(message); err != nil {
-		stream.Close()
-		return nil
 	}
-	return stream
 }
