--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -49,8 +49,8 @@
 
 		// named is when each version was named, by this process's steady clock.
 		named map[Version]time.Time
-		// crowd is the gateways that share the upstreams.
-		crowd crowd
+		// gatewayCount is how many gateways share the upstreams.
+		gatewayCount gatewayCount
 	}
 
 	// run is one request on its way.
@@ -143,15 +143,15 @@
 			listed++
 		}
 	}
-	before := d.crowd.count
-	gateways := d.crowd.hear(now, listed)
+	before := d.gatewayCount.count
+	gateways := d.gatewayCount.hear(now, listed)
 	if gateways != before {
 		d.common.Log.Info("gateways share what upstreams bear", zap.Int("gateways", gateways), zap.Int("listed", listed))
 	}
 	d.budgets.Share(gateways)
 	d.table.Store(NewTable(previous, d.settings.Place, Sources{
 		Fleet: fleet, Traffic: rules, Upstreams: d.view.Upstreams(), Named: d.named, Gateways: gateways,
-		SettledAt: d.crowd.settledAt(), Now: now,
+		SettledAt: d.gatewayCount.settledAt(), Now: now,
 	}))
 	if previous == nil || previous.Index != figbank.CommitIndex(fleet.GetCommitIndex()) {
 		d.common.Log.Info("fleet in force", zap.Uint64("commit", fleet.GetCommitIndex()), zap.Int64("rules", rules.Number()),
--- a/dispatch/gatewaycount.go
+++ b/dispatch/gatewaycount.go
@@ -6,15 +6,15 @@
 	// settleTime is how long a gateway that has just started leaves cold upstreams
 	// alone: it does not know yet with how many others it shares them.
 	settleTime = 2 * time.Second
-	// crowdHold is how long gateways that are no longer listed still count. Lists
+	// shortListHold is how long gateways that are no longer listed still count. Lists
 	// are short for a moment when replicas have restarted together.
-	crowdHold = 10 * time.Second
+	shortListHold = 10 * time.Second
 )
 
-// crowd says among how many gateways to divide what upstreams bear. It counts
+// gatewayCount says among how many gateways to divide what upstreams bear. It counts
 // more at once and fewer only after a while, so that the sum over all gateways
 // stays within bounds while their lists differ.
-type crowd struct {
+type gatewayCount struct {
 	count   int
 	firstAt time.Time
 	// shortSince is since when fewer than count are listed, zero when they are not.
@@ -22,7 +22,7 @@
 }
 
 // hear takes in how many gateways are listed and returns how many count.
-func (c *crowd) hear(now time.Time, listed int) int {
+func (c *gatewayCount) hear(now time.Time, listed int) int {
 	if c.firstAt.IsZero() {
 		c.firstAt = now
 	}
@@ -31,13 +31,13 @@
 		c.count, c.shortSince = listed, time.Time{}
 	case c.shortSince.IsZero():
 		c.shortSince = now
-	case now.Sub(c.shortSince) > crowdHold:
+	case now.Sub(c.shortSince) > shortListHold:
 		c.count, c.shortSince = listed, time.Time{}
 	}
 	return c.count
 }
 
 // settledAt is from when the count can be relied on.
-func (c *crowd) settledAt() time.Time {
+func (c *gatewayCount) settledAt() time.Time {
 	return c.firstAt.Add(settleTime)
 }
--- a/dispatch/gatewaycount_test.go
+++ b/dispatch/gatewaycount_test.go
@@ -21,7 +21,7 @@
 		{at: 41 * time.Second, listed: 33, want: 44},
 		{at: 52 * time.Second, listed: 33, want: 33},
 	}
-	var c crowd
+	var c gatewayCount
 	for _, s := range steps {
 		if got := c.hear(start.Add(s.at), s.listed); got != s.want {
 			t.Errorf("after %v with %d listed: %d gateways count, want %d", s.at, s.listed, got, s.want)
--- a/loadshare/reports.go
+++ b/loadshare/reports.go
@@ -60,9 +60,9 @@
 	}
 }
 
-// speaks tells whether this gateway tells the other domains what its own has in
+// reportsDomain tells whether this gateway tells the other domains what its own has in
 // all: the first by id of those that are in touch.
-func (r *reports) speaks() bool {
+func (r *reports) reportsDomain() bool {
 	for id := range r.near {
 		if id < r.self {
 			return false
--- a/loadshare/reports_test.go
+++ b/loadshare/reports_test.go
@@ -49,7 +49,7 @@
 			if got := r.domainSum(map[key]int64{upstream: 1})[upstream]; got != s.sum {
 				t.Errorf("sum = %d, want %d", got, s.sum)
 			}
-			if got := r.speaks(); got != s.speaks {
+			if got := r.reportsDomain(); got != s.speaks {
 				t.Errorf("speaks = %v, want %v", got, s.speaks)
 			}
 		})
@@ -68,7 +68,7 @@
 					r.hear(now, told(fmt.Sprintf("%s-%02d", domain, other), domain, false, 1))
 				}
 			}
-			if r.speaks() {
+			if r.reportsDomain() {
 				speakers++
 			}
 		}
--- a/loadshare/senders.go
+++ b/loadshare/senders.go
@@ -8,41 +8,41 @@
 	"figbank/transport"
 )
 
-// audience is a changing set of gateways that are told the same.
-type audience struct {
-	ctx     context.Context //nolint:containedctx // the life of the share, from which each teller's is derived
-	pool    *transport.Pool
-	tellers map[figbank.Address]*follower
+// senders tells a changing set of gateways the same.
+type senders struct {
+	ctx       context.Context //nolint:containedctx // the life of the share, from which each sender's is derived
+	pool      *transport.Pool
+	byAddress map[figbank.Address]*follower
 }
 
 // follower is one gateway that is told, and how to stop telling it.
 type follower struct {
-	teller *teller
+	sender *sender
 	stop   context.CancelFunc
 }
 
-func newAudience(ctx context.Context, pool *transport.Pool) *audience {
-	return &audience{ctx: ctx, pool: pool, tellers: map[figbank.Address]*follower{}}
+func newSenders(ctx context.Context, pool *transport.Pool) *senders {
+	return &senders{ctx: ctx, pool: pool, byAddress: map[figbank.Address]*follower{}}
 }
 
 // tell offers a report to each address, and forgets those no longer listed.
-func (a *audience) tell(addresses []figbank.Address, message *schema.LoadReport) {
+func (a *senders) tell(addresses []figbank.Address, message *schema.LoadReport) {
 	listed := map[figbank.Address]bool{}
 	for _, address := range addresses {
 		listed[address] = true
-		m, found := a.tellers[address]
+		m, found := a.byAddress[address]
 		if !found {
 			ctx, stop := context.WithCancel(a.ctx)
-			m = &follower{teller: newTeller(a.pool, address), stop: stop}
-			a.tellers[address] = m
-			go m.teller.run(ctx)
+			m = &follower{sender: newSender(a.pool, address), stop: stop}
+			a.byAddress[address] = m
+			go m.sender.run(ctx)
 		}
-		m.teller.offer(message)
+		m.sender.offer(message)
 	}
-	for address, m := range a.tellers {
+	for address, m := range a.byAddress {
 		if !listed[address] {
 			m.stop()
-			delete(a.tellers, address)
+			delete(a.byAddress, address)
 		}
 	}
 }
--- a/loadshare/share.go
+++ b/loadshare/share.go
@@ -48,7 +48,7 @@
 func (s *Share) Run(ctx context.Context) {
 	ticks, stop := s.common.Clock.Tick(interval)
 	defer stop()
-	near, far := newAudience(ctx, s.pool), newAudience(ctx, s.pool)
+	near, far := newSenders(ctx, s.pool), newSenders(ctx, s.pool)
 	for round := 0; ; round++ {
 		select {
 		case <-ctx.Done():
@@ -61,8 +61,8 @@
 		}
 		own := ownLoads(table)
 		near.tell(s.gateways(true), s.message(own, false))
-		sum, speaks := s.review(table, own)
-		if speaks && round%farEvery == 0 {
+		sum, reportsDomain := s.review(table, own)
+		if reportsDomain && round%farEvery == 0 {
 			far.tell(s.gateways(false), s.message(sum, true))
 		}
 	}
@@ -83,17 +83,17 @@
 
 // review gives each upstream the sum of what the other gateways have there. It
 // returns what the failure domain has in all and whether this gateway tells it.
-func (s *Share) review(table *dispatch.Table, own map[key]int64) (sum map[key]int64, speaks bool) {
+func (s *Share) review(table *dispatch.Table, own map[key]int64) (sum map[key]int64, reportsDomain bool) {
 	now := s.common.Clock.Now()
 	s.mu.Lock()
 	s.reports.expire(now)
 	others := s.reports.others()
-	sum, speaks = s.reports.domainSum(own), s.reports.speaks()
+	sum, reportsDomain = s.reports.domainSum(own), s.reports.reportsDomain()
 	s.mu.Unlock()
 	table.Loads(func(id figbank.UpstreamID, born int64, load *dispatch.Load) {
 		load.HearPeers(now, others[key{id: id, born: born}])
 	})
-	return sum, speaks
+	return sum, reportsDomain
 }
 
 // ownLoads maps the upstreams at which this gateway has requests.
--- a/voters/voters.go
+++ b/voters/voters.go
@@ -125,7 +125,7 @@
 // else one of the failure domain in which the fewest vote.
 func (s Situation) spareFor(voter *schema.Voter) *schema.Voter {
 	var spare *schema.Voter
-	crowd := s.crowds(voter)
+	counts := s.votersByDomain(voter)
 	fewest := 0
 	for _, known := range s.Known {
 		if known.Leaving || s.votes(known.ID) {
@@ -135,7 +135,7 @@
 		if voter != nil && candidate.GetAddress() == voter.GetAddress() {
 			return candidate
 		}
-		count := crowd[known.Domain]
+		count := counts[known.Domain]
 		if spare == nil || count < fewest || count == fewest && candidate.GetId() < spare.GetId() {
 			spare, fewest = candidate, count
 		}
@@ -143,8 +143,8 @@
 	return spare
 }
 
-// crowds counts the voters of each failure domain, without one that goes.
-func (s Situation) crowds(without *schema.Voter) map[figbank.FailureDomain]int {
+// votersByDomain counts the voters of each failure domain, without one that goes.
+func (s Situation) votersByDomain(without *schema.Voter) map[figbank.FailureDomain]int {
 	counts := map[figbank.FailureDomain]int{}
 	for _, voter := range s.Members.GetVoters() {
 		i := slices.IndexFunc(s.Known, func(r Replica) bool { return string(r.Address) == voter.GetAddress() })
