Hold requests that crash upstreams to three, over all gateways

Nothing held it to that beyond the tries of one gateway; the consumer sends it again at any other. Change: crashers/ keeps, by workspace, method, target and body, the upstreams that were lost while they ran a request. Only losses one after the other count: upstreams lost together say nothing about the requests that all of them ran. An answer anywhere speaks a request free. Gateways tell each other with the load reports: each piece of news once per gateway, those of repeated crashers by turns, so that late ones catch up.

--- /dev/null
+++ b/dispatch/crashing_test.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"figbank"
+	"figbank/clock"
+	"figbank/crashers"
+	"figbank/retry"
+	"figbank/schema"
+	"figbank/traffic"
+)
+
+const (
+	crashingBody = "crashes who runs it"
+	crashTime    = 20 * time.Millisecond
+)
+
+// crashTransport loses the upstream that runs a certain request.
+type crashTransport struct {
+	crashed int
+}
+
+func (c *crashTransport) Send(_ context.Context, request *Request, _ Hop) (*Answer, error) {
+	time.Sleep(crashTime)
+	if string(request.Body) == crashingBody {
+		c.crashed++
+		return nil, figbank.UnknownOutcomeError{Detail: "connection lost"}
+	}
+	return &Answer{Status: http.StatusOK, Length: -1, Body: io.NopCloser(strings.NewReader("answer"))}, nil
+}
+
+// TestRequestThatCrashesUpstreamsIsRefused sends such a request again and again
+// among others; its upstreams come back each time as new incarnations.
+func TestRequestThatCrashesUpstreamsIsRefused(t *testing.T) {
+	scenarios := []struct {
+		name string
+		kind schema.CallKind
+	}{
+		{"may be repeated", schema.CallKind_CALL_KIND_SAFE},
+		{"may not", schema.CallKind_CALL_KIND_UNSAFE},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				transport := &crashTransport{}
+				d := &Dispatcher{
+					common:    figbank.Common{Log: zap.NewNop(), Clock: clock.System{}, Scope: tally.NoopScope},
+					transport: transport, budgets: retry.NewBudgets(retry.Allowance{Percent: 20, Slack: 100}), crashers: crashers.NewSet(),
+				}
+				send := func(body string) error {
+					request := &Request{
+						ID: "r", Route: &traffic.Route{Route: &schema.Route{Kind: s.kind, MaxUpstreams: 2}, Target: time.Second}, Service: "s",
+						ReceivedAt: time.Now(), Deadline: time.Now().Add(10 * time.Second), Body: []byte(body),
+					}
+					return d.Serve(context.Background(), request, &wholeReply{})
+				}
+				var last error
+				for round := range 20 {
+					targets := []*Target{}
+					for i := range 4 {
+						targets = append(targets, &Target{ID: figbank.UpstreamID(fmt.Sprint(i)), Born: int64(round), Slots: 8, Load: &Load{}})
+					}
+					d.table.Store(&Table{services: map[figbank.ServiceName][]*Target{"s": targets}})
+					last = send(crashingBody)
+					if err := send("other"); err != nil {
+						t.Errorf("Serve() of another request = %v, want none", err)
+					}
+					time.Sleep(time.Second)
+				}
+				if got, want := transport.crashed, 3; got != want {
+					t.Errorf("upstreams crashed = %d, want %d", got, want)
+				}
+				var notRun figbank.NotRunError
+				if !errors.As(last, &notRun) || notRun.Reason != figbank.ReasonCrashesUpstreams {
+					t.Errorf("Serve() = %v, want a refusal for crashing upstreams", last)
+				}
+			})
+		})
+	}
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"figbank"
+	"figbank/crashers"
 	"figbank/feed"
 	"figbank/placement"
 	"figbank/retry"
@@ -22,6 +23,8 @@
 	// mostTries bounds the upstreams that one request is offered to, those that
 	// prove they have not run it included.
 	mostTries = 4
+	// crashersRetryAfter is what callers of requests that crash upstreams are told.
+	crashersRetryAfter = 30 * time.Second
 	// delayNear and delayFar are there and back, within and between failure domains.
 	delayNear = time.Millisecond
 	delayFar  = 6 * time.Millisecond
@@ -43,6 +46,7 @@
 		view      *feed.View
 		table     atomic.Pointer[Table]
 		budgets   *retry.Budgets
+		crashers  *crashers.Set
 		rebuild   chan struct{}
 		stop      context.CancelFunc
 		group     sync.WaitGroup
@@ -76,8 +80,9 @@
 		began  chan struct{}
 		lifted bool
 		// load is that of the present attempt's upstream.
-		load     *Load
-		upstream figbank.UpstreamID
+		load        *Load
+		upstream    figbank.UpstreamID
+		fingerprint crashers.Fingerprint
 	}
 )
 
@@ -86,7 +91,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	d := &Dispatcher{
 		common: common.For("dispatch"), settings: settings, transport: transport, view: view,
-		budgets: retry.NewBudgets(settings.Retries),
+		budgets: retry.NewBudgets(settings.Retries), crashers: crashers.NewSet(),
 		rebuild: make(chan struct{}, 1), stop: stop,
 		named: map[Version]time.Time{},
 	}
@@ -112,6 +117,11 @@
 	return d.table.Load()
 }
 
+// Crashers are the requests that are suspected of crashing upstreams.
+func (d *Dispatcher) Crashers() *crashers.Set {
+	return d.crashers
+}
+
 // follow builds a new table after changes, off the request path.
 func (d *Dispatcher) follow(ctx context.Context) {
 	for {
@@ -194,7 +204,8 @@
 	d.budgets.For(request.Service).Deposit()
 	r := &run{
 		Dispatcher: d, request: request, reply: reply, tried: map[figbank.UpstreamID]bool{}, lastEvent: request.LastEvent,
-		log: d.common.Log.With(zap.String("request", string(request.ID))),
+		log:         d.common.Log.With(zap.String("request", string(request.ID))),
+		fingerprint: fingerprintOf(request),
 	}
 	err := r.serve(ctx)
 	r.finished(err)
@@ -222,9 +233,21 @@
 	}
 }
 
+func fingerprintOf(request *Request) crashers.Fingerprint {
+	workspace := ""
+	if request.Workspace != nil {
+		workspace = string(request.Workspace.Name)
+	}
+	return crashers.FingerprintOf(workspace, request.Method, request.Target, request.Body)
+}
+
 // place picks an upstream, or says why there is none.
 func (r *run) place(attempt int) (*Target, error) {
 	now := r.common.Clock.Now()
+	if r.crashers.Refuses(now, r.fingerprint) {
+		r.log.Info("refused", zap.String("reason", string(figbank.ReasonCrashesUpstreams)), zap.Int("attempt", attempt))
+		return nil, figbank.NotRunError{Reason: figbank.ReasonCrashesUpstreams, RetryAfter: crashersRetryAfter}
+	}
 	table := r.table.Load()
 	targets, candidates := r.candidates(table, now)
 	demand := placement.Demand{
--- a/dispatch/takeback_test.go
+++ b/dispatch/takeback_test.go
@@ -14,6 +14,7 @@
 
 	"figbank"
 	"figbank/clock"
+	"figbank/crashers"
 	"figbank/retry"
 	"figbank/schema"
 	"figbank/traffic"
@@ -75,7 +76,7 @@
 				transport := &slowTransport{delay: test.delay, began: time.Now()}
 				d := &Dispatcher{
 					common:    figbank.Common{Log: zap.NewNop(), Clock: clock.System{}, Scope: tally.NoopScope},
-					transport: transport, budgets: retry.NewBudgets(retry.Allowance{Percent: 20, Slack: 100}),
+					transport: transport, budgets: retry.NewBudgets(retry.Allowance{Percent: 20, Slack: 100}), crashers: crashers.NewSet(),
 				}
 				busy := &Load{}
 				for range 16 {
--- a/dispatch/try.go
+++ b/dispatch/try.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"figbank"
+	"figbank/crashers"
 
 	"go.uber.org/zap"
 )
@@ -64,7 +65,9 @@
 	target.Load.hear(r.common.Clock.Now(), answer.Load)
 	err = r.pass(answer)
 	if err == nil {
-		target.Load.succeed(r.common.Clock.Now())
+		now = r.common.Clock.Now()
+		target.Load.succeed(now)
+		r.crashers.Answered(now, r.fingerprint)
 		return nil
 	}
 	r.noteFailure(ctx, target, err)
@@ -108,8 +111,12 @@
 	case proved && notRun.Reason == figbank.ReasonUpstreamBusy:
 		target.Load.busy(now)
 	case errors.As(err, new(figbank.FailedAnswerError)):
+		r.crashers.Answered(now, r.fingerprint)
 		target.Load.fail(now, false)
 	default:
+		if !proved {
+			r.crashers.Crashed(now, r.fingerprint, crashers.IncarnationOf(string(target.ID), target.Born), r.sentAt)
+		}
 		target.Load.fail(now, true)
 	}
 }
--- a/errors.go
+++ b/errors.go
@@ -26,6 +26,8 @@
 	ReasonUpstreamBusy     Reason = "UpstreamBusy"
 	ReasonOtherIncarnation Reason = "OtherIncarnation"
 	ReasonNoRules          Reason = "NoTrafficRules"
+	// ReasonCrashesUpstreams refuses a request that has crashed several upstreams.
+	ReasonCrashesUpstreams Reason = "CrashesUpstreams"
 )
 
 type (
--- a/loadshare/share.go
+++ b/loadshare/share.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"figbank"
+	"figbank/crashers"
 	"figbank/dispatch"
 	"figbank/feed"
 	"figbank/schema"
@@ -60,10 +61,10 @@
 			continue
 		}
 		own := ownLoads(table)
-		near.tell(s.gateways(true), s.message(own, false))
+		near.tell(s.gateways(true), s.message(own, crashers.Near))
 		sum, reportsDomain := s.review(table, own)
 		if reportsDomain && round%farEvery == 0 {
-			far.tell(s.gateways(false), s.message(sum, true))
+			far.tell(s.gateways(false), s.message(sum, crashers.Far))
 		}
 	}
 }
@@ -75,12 +76,22 @@
 		if err := stream.Receive(message); err != nil {
 			return
 		}
-		s.mu.Lock()
-		s.reports.hear(s.common.Clock.Now(), message)
-		s.mu.Unlock()
+		s.hear(message)
 	}
 }
 
+func (s *Share) hear(message *schema.LoadReport) {
+	now := s.common.Clock.Now()
+	from := crashers.Far
+	if message.GetFailureDomain() == s.self.GetFailureDomain() {
+		from = crashers.Near
+	}
+	s.dispatcher.Crashers().Hear(now, message.GetCrashes(), from)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reports.hear(now, message)
+}
+
 // review gives each upstream the sum of what the other gateways have there. It
 // returns what the failure domain has in all and whether this gateway tells it.
 func (s *Share) review(table *dispatch.Table, own map[key]int64) (sum map[key]int64, reportsDomain bool) {
@@ -107,8 +118,12 @@
 	return own
 }
 
-func (s *Share) message(loads map[key]int64, wholeDomain bool) *schema.LoadReport {
-	message := &schema.LoadReport{From: s.self.GetId(), FailureDomain: s.self.GetFailureDomain(), WholeDomain: wholeDomain}
+// message tells gateways at that distance of loads, and of requests that crash upstreams.
+func (s *Share) message(loads map[key]int64, to crashers.Scope) *schema.LoadReport {
+	message := &schema.LoadReport{
+		From: s.self.GetId(), FailureDomain: s.self.GetFailureDomain(), WholeDomain: to == crashers.Far,
+		Crashes: s.dispatcher.Crashers().Report(s.common.Clock.Now(), to),
+	}
 	for k, running := range loads {
 		message.Loads = append(message.Loads, &schema.InstanceLoad{Id: string(k.id), BornUnixMilli: k.born, Running: running})
 	}
