A fault soak of the real programs as separate processes

figbank soak starts replicas, gateways and agents as processes on loopback, with the stand-ins of the platform around them, and injects seeded faults: proxies that delay, reset, cut one way, silence and refuse; kill, stop, pause, reload; a torn log, an empty disk; upstreams that spoil answers and crash; changes by operators meanwhile. It checks answers, runs, configurations, versions, recovery and planned restarts, and leaves a time line of a failed run. For the proxies, processes may be told another address to give to others (ReachedAt).

--- a/app/agent.go
+++ b/app/agent.go
@@ -11,6 +11,7 @@
 	"figbank/engine"
 	"figbank/origin"
 	"figbank/schema"
+	"figbank/settings"
 	"figbank/swarm"
 	"figbank/timeline"
 	"figbank/transfer"
@@ -63,7 +64,7 @@
 	active := &transfer.Active{}
 	fetcher := transfer.NewFetcher(common, transfer.Settings{
 		Self: swarm.Peer{
-			ID: common.Process, Address: figbank.Address(s.GetProcess().GetListenProcesses()),
+			ID: common.Process, Address: settings.ProcessAddress(s.GetProcess()),
 			Region:        figbank.Region(s.GetProcess().GetRegion()),
 			FailureDomain: figbank.FailureDomain(s.GetProcess().GetFailureDomain()),
 		},
@@ -113,7 +114,7 @@
 	u := s.GetUpstream()
 	return agent.Settings{
 		Service: figbank.ServiceName(u.GetService()), Plain: u.GetKind() == kindPlain,
-		Address:  figbank.Address(s.GetProcess().GetListenProcesses()),
+		Address:  settings.ProcessAddress(s.GetProcess()),
 		Capacity: figbank.Cost(u.GetCapacity()), FirstLimit: figbank.Cost(u.GetFirstLimit()),
 		ChecksFencing: u.GetChecksFencing(), Gateways: addresses(u.GetGateways()),
 		AnnounceInterval: u.GetAnnounceInterval().AsDuration(), PollInterval: u.GetPollInterval().AsDuration(),
--- a/app/platform.go
+++ b/app/platform.go
@@ -60,7 +60,7 @@
 // memberOf is this process as others know it.
 func memberOf(s *schema.PlatformSettings, role schema.MemberRole) *schema.Member {
 	return &schema.Member{
-		Id: s.GetProcess().GetId(), Role: role, Address: s.GetProcess().GetListenProcesses(),
+		Id: s.GetProcess().GetId(), Role: role, Address: string(settings.ProcessAddress(s.GetProcess())),
 		Region: s.GetProcess().GetRegion(), FailureDomain: s.GetProcess().GetFailureDomain(),
 		Upstream: s.GetNode().GetUpstream(), Service: s.GetNode().GetService(),
 	}
@@ -69,7 +69,7 @@
 // seedAddresses are where the replicas at the seeds listen for other processes:
 // on the same port as this one.
 func seedAddresses(s *schema.PlatformSettings) []figbank.Address {
-	_, port, _ := net.SplitHostPort(s.GetProcess().GetListenProcesses())
+	_, port, _ := net.SplitHostPort(string(settings.ProcessAddress(s.GetProcess())))
 	var seeds []figbank.Address
 	for _, seed := range s.GetNode().GetSeeds() {
 		host, _, _ := strings.Cut(seed, ":")
--- a/app/platformreplica.go
+++ b/app/platformreplica.go
@@ -14,6 +14,7 @@
 	"figbank/raft"
 	"figbank/replica"
 	"figbank/schema"
+	"figbank/settings"
 	"figbank/timeline"
 	"figbank/transport"
 	"figbank/voters"
@@ -93,7 +94,7 @@
 		SnapshotEntries: int(s.GetLog().GetSnapshotEntries()),
 		LostDisks:       int(s.GetBounds().GetLostDisks()),
 		Voters:          first,
-		Address:         figbank.Address(s.GetProcess().GetListenProcesses()),
+		Address:         settings.ProcessAddress(s.GetProcess()),
 	}
 }
 
@@ -104,7 +105,7 @@
 	if err != nil || identity != nil {
 		return identity, err
 	}
-	self := s.GetProcess().GetListenProcesses()
+	self := string(settings.ProcessAddress(s.GetProcess()))
 	seeds := seedAddresses(s)
 	if s.GetNode().GetBootstrap() && slices.Contains(seeds, figbank.Address(self)) {
 		identity = &schema.ReplicaIdentity{Id: self}
@@ -120,7 +121,7 @@
 // knownReplicas lists the replicas in touch, this one included.
 func knownReplicas(view *feed.View, self figbank.ProcessID, s *schema.PlatformSettings) []voters.Replica {
 	known := []voters.Replica{{
-		ID: self, Address: figbank.Address(s.GetProcess().GetListenProcesses()),
+		ID: self, Address: settings.ProcessAddress(s.GetProcess()),
 		Domain: figbank.FailureDomain(s.GetProcess().GetFailureDomain()),
 	}}
 	for _, member := range view.Members() {
@@ -169,7 +170,7 @@
 				add(member.GetReplicaId(), figbank.Address(member.GetAddress()))
 			}
 		}
-		add(s.GetProcess().GetId(), figbank.Address(s.GetProcess().GetListenProcesses()))
+		add(s.GetProcess().GetId(), settings.ProcessAddress(s.GetProcess()))
 		for _, seed := range seedAddresses(s) {
 			add(string(seed), seed)
 		}
--- /dev/null
+++ b/cmd/figbank/soak.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"figbank"
+	"figbank/soak"
+)
+
+const (
+	soakLength   = 20 * time.Second
+	soakReplicas = 3
+	soakEach     = 3
+)
+
+func newSoak() *command {
+	c := &command{sub: newSub("soak", "Run real processes on loopback under seeded faults and check what callers see.")}
+	options := soak.Options{
+		Seed: 1, Length: soakLength, Screen: os.Stdout,
+		Size: soak.Size{Replicas: soakReplicas, Gateways: soakEach, Agents: 2 * soakEach},
+	}
+	runs := 1
+	c.sub.UInt64(&options.Seed, "", "seed", "First seed.")
+	c.sub.Int(&runs, "n", "runs", "How many seeds to run, one after the other.")
+	c.sub.Duration(&options.Length, "", "length", "How long faults are injected in each run.")
+	c.sub.Int(&options.Size.Replicas, "", "replicas", "Replicas of the log, an odd number.")
+	c.sub.Int(&options.Size.Gateways, "", "gateways", "Gateways.")
+	c.sub.Int(&options.Size.Agents, "", "agents", "Agents, each with an upstream.")
+	c.sub.String(&options.Folder, "f", "folder", "Folder for settings, logs, data and time lines of failed runs. A temporary one by default.")
+	c.run = func(ctx context.Context) error {
+		binary, err := os.Executable()
+		if err != nil {
+			return figbank.Fail("figbank", "Executable", err)
+		}
+		options.Binary = binary
+		return runSoak(ctx, options, runs)
+	}
+	return c
+}
+
+// runSoak runs one seed after the other, and fails when any broke a promise.
+func runSoak(ctx context.Context, options soak.Options, runs int) error {
+	if err := options.Check(); err != nil {
+		return err
+	}
+	if options.Folder == "" {
+		folder, err := os.MkdirTemp("", "figbank-soak-")
+		if err != nil {
+			return figbank.Fail("figbank", "Folder", err)
+		}
+		options.Folder = folder
+	}
+	top, broken := options.Folder, 0
+	for range runs {
+		options.Folder = filepath.Join(top, fmt.Sprintf("seed-%d", options.Seed))
+		report, err := soak.Run(ctx, options)
+		if err != nil {
+			return err
+		}
+		printSoak(options.Screen, report)
+		if report.Kept() {
+			_ = os.RemoveAll(options.Folder)
+		} else {
+			broken++
+			if err := writeSoakPage(report, filepath.Join(options.Folder, "TimeLine.html")); err != nil {
+				return err
+			}
+		}
+		options.Seed++
+	}
+	fmt.Fprintf(options.Screen, "%d of %d runs broke a promise\n", broken, runs)
+	if broken > 0 {
+		fmt.Fprintf(options.Screen, "logs, data and time lines: %s\n", top)
+		return promiseError{}
+	}
+	return nil
+}
+
+func printSoak(w io.Writer, report *soak.Report) {
+	fmt.Fprintf(w, "seed %d: %d faults, %d promises broken;", report.Seed, report.Faults, len(report.Broken))
+	for _, outcome := range slices.Sorted(maps.Keys(report.Outcomes)) {
+		fmt.Fprintf(w, " %s: %d", outcome, report.Outcomes[outcome])
+	}
+	fmt.Fprintln(w)
+	for _, broken := range report.Broken {
+		fmt.Fprintf(w, "  %8.3f s  %s  %s\n", broken.At.Seconds(), broken.Promise, broken.Detail)
+	}
+}
+
+func writeSoakPage(report *soak.Report, path string) error {
+	file, err := os.Create(path) //nolint:gosec // named by the user
+	if err != nil {
+		return figbank.Fail("figbank", "Page", err)
+	}
+	defer file.Close()
+	return report.WritePage(file)
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -84,6 +84,14 @@
 	return regions
 }
 
+// ProcessAddress is where other figbank processes reach this one.
+func ProcessAddress(p *schema.ProcessSettings) figbank.Address {
+	if p.GetReachedAt() != "" {
+		return figbank.Address(p.GetReachedAt())
+	}
+	return figbank.Address(p.GetListenProcesses())
+}
+
 // IsReplica tells whether a gateway keeps the log.
 func IsReplica(s *schema.GatewaySettings) bool {
 	_, found := Replicas(s)[figbank.ProcessID(s.GetProcess().GetId())]
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,304 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"figbank/platform/standin"
+)
+
+// runs are the seeds that CI runs: the first ones, and each that ever broke a promise.
+var runs = []struct {
+	name string
+	seed uint64
+}{
+	{name: "first", seed: 1},
+}
+
+const runLength = 10 * time.Second
+
+// TestSoak builds the program and runs it as separate processes under faults.
+func TestSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "figbank")
+	build := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../cmd/figbank")
+	if output, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("go build = %v\n%s", err, output)
+	}
+	for _, s := range runs {
+		t.Run(s.name, func(t *testing.T) {
+			var screen bytes.Buffer
+			folder := filepath.Join(t.TempDir(), "run")
+			report, err := Run(context.Background(), Options{
+				Seed: s.seed, Length: runLength, Size: Size{Replicas: 3, Gateways: 3, Agents: 6},
+				Binary: binary, Folder: folder, Screen: &screen,
+			})
+			if err != nil {
+				t.Fatalf("Run() = %v\n%s", err, screen.String())
+			}
+			for _, broken := range report.Broken {
+				t.Errorf("%v %s %s", broken.At, broken.Promise, broken.Detail)
+			}
+			if !report.Kept() {
+				t.Log(screen.String())
+			}
+		})
+	}
+}
+
+func TestPlanIsItsSeed(t *testing.T) {
+	size := Size{Replicas: 3, Gateways: 3, Agents: 6}
+	first, again := NewPlan(7, time.Minute, size), NewPlan(7, time.Minute, size)
+	if !slices.Equal(first, again) {
+		t.Error("two plans of one seed differ")
+	}
+	if slices.Equal(first, NewPlan(8, time.Minute, size)) {
+		t.Error("the plans of two seeds are the same")
+	}
+	wiped := 0
+	for i, fault := range first {
+		if fault.Kind == WipeReplica {
+			wiped++
+		}
+		if i > 0 && fault.At < first[i-1].At {
+			t.Errorf("fault %d comes at %v, before the one before it", i, fault.At)
+		}
+	}
+	if wiped > 1 {
+		t.Errorf("disks wiped = %d, want at most 1", wiped)
+	}
+}
+
+func TestPlansHoldEachKind(t *testing.T) {
+	seen := map[FaultKind]bool{}
+	for seed := range uint64(10) {
+		for _, fault := range NewPlan(seed, time.Minute, Size{Replicas: 3, Gateways: 3, Agents: 6}) {
+			seen[fault.Kind] = true
+		}
+	}
+	for _, k := range kinds {
+		if !seen[k.kind] {
+			t.Errorf("no plan of ten holds %s", k.kind)
+		}
+	}
+}
+
+func TestOptionsAreChecked(t *testing.T) {
+	scenarios := []struct {
+		name   string
+		change func(*Options)
+		want   string
+	}{
+		{name: "sound", change: func(*Options) {}},
+		{name: "even replicas", change: func(o *Options) { o.Size.Replicas = 4 }, want: "replicas"},
+		{name: "no gateway", change: func(o *Options) { o.Size.Gateways = 0 }, want: "size"},
+		{name: "too many processes", change: func(o *Options) { o.Size.Agents = 300 }, want: "size"},
+		{name: "no time", change: func(o *Options) { o.Length = 0 }, want: "length"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			options := Options{Length: time.Second, Size: Size{Replicas: 3, Gateways: 3, Agents: 6}}
+			s.change(&options)
+			got := ""
+			if err := options.Check(); err != nil {
+				got = err.Error()
+			}
+			if (got == "") != (s.want == "") || !strings.Contains(got, s.want) {
+				t.Errorf("Check() = %q, want an error about %q", got, s.want)
+			}
+		})
+	}
+}
+
+// echo answers each connection with what it sends.
+func echo(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				buffer := make([]byte, 64)
+				for {
+					n, err := conn.Read(buffer)
+					if err != nil {
+						return
+					}
+					_, _ = conn.Write(buffer[:n])
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// TestProxyHarms sends a word through a proxy under each harm, and once more
+// after it.
+func TestProxyHarms(t *testing.T) {
+	const wait = 150 * time.Millisecond
+	scenarios := []struct {
+		name string
+		harm Harm
+		// passes is set when the word comes back at once.
+		passes bool
+	}{
+		{name: "none", passes: true},
+		{name: "a little delay", harm: Harm{Delay: time.Millisecond}, passes: true},
+		{name: "much delay", harm: Harm{Delay: time.Second}},
+		{name: "cut inward", harm: Harm{HoldIn: true}},
+		{name: "cut outward", harm: Harm{HoldOut: true}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			proxy, err := StartProxy("127.0.0.1:0", echo(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer proxy.Close()
+			conn, err := net.Dial("tcp", proxy.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			proxy.SetHarm(s.harm)
+			_, _ = conn.Write([]byte("word"))
+			_ = conn.SetReadDeadline(time.Now().Add(wait))
+			buffer := make([]byte, 8)
+			n, _ := conn.Read(buffer)
+			if got := string(buffer[:n]); (got == "word") != s.passes {
+				t.Errorf("came back within %v = %q, want the word: %t", wait, got, s.passes)
+			}
+			if s.passes {
+				return
+			}
+			proxy.SetHarm(Harm{})
+			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+			if n, err = conn.Read(buffer); err != nil || string(buffer[:n]) != "word" {
+				t.Errorf("after the harm = %q, %v, want the word", buffer[:n], err)
+			}
+		})
+	}
+}
+
+func TestProxyResetsAndRefuses(t *testing.T) {
+	proxy, err := StartProxy("127.0.0.1:0", echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer proxy.Close()
+	conn, err := net.Dial("tcp", proxy.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = conn.Write([]byte("word"))
+	buffer := make([]byte, 8)
+	_, _ = conn.Read(buffer)
+	proxy.Reset()
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := conn.Read(buffer); err == nil || os.IsTimeout(err) {
+		t.Errorf("read after a reset = %v, want the end of the connection", err)
+	}
+	proxy.SetHarm(Harm{Refuse: true})
+	refused, err := net.Dial("tcp", proxy.Address())
+	if err != nil {
+		return
+	}
+	defer refused.Close()
+	_ = refused.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := refused.Read(buffer); err == nil || os.IsTimeout(err) {
+		t.Errorf("read of a refused connection = %v, want its end", err)
+	}
+}
+
+// TestSettleFindsBrokenPromises gives the callers' account runs that break each
+// promise.
+func TestSettleFindsBrokenPromises(t *testing.T) {
+	scenarios := []struct {
+		name string
+		sent sentRequest
+		runs int
+		want string
+	}{
+		{name: "ran once", sent: sentRequest{kind: standin.Unsafe}, runs: 1},
+		{name: "ran twice", sent: sentRequest{kind: standin.Unsafe}, runs: 2, want: "Twice"},
+		{name: "safe ones may", sent: sentRequest{kind: standin.Safe}, runs: 2},
+		{name: "refused and ran", sent: sentRequest{kind: standin.Unsafe, notRun: true}, runs: 1, want: "Refused"},
+		{name: "lost under faults", sent: sentRequest{kind: standin.Unsafe, lost: true}, runs: 1},
+		{name: "lost in planned work", sent: sentRequest{kind: standin.Unsafe, lost: true, planned: true}, runs: 1, want: "Lost"},
+		{name: "crossed the close", sent: sentRequest{kind: standin.Unsafe, lost: true, planned: true}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			c := newCallers(nil, newRecord())
+			c.sent["id"] = &s.sent
+			c.settle(map[string]int{"id": s.runs})
+			got := ""
+			if len(c.record.broken) > 0 {
+				got = c.record.broken[0].Promise
+			}
+			if got != s.want {
+				t.Errorf("broken = %q, want %q", got, s.want)
+			}
+		})
+	}
+	c := newCallers(nil, newRecord())
+	c.settle(map[string]int{"strange": 1})
+	if len(c.record.broken) != 1 || c.record.broken[0].Promise != "Unasked" {
+		t.Errorf("broken = %v, want one request that nobody sent", c.record.broken)
+	}
+}
+
+func TestStreamsAreChecked(t *testing.T) {
+	event := func(n string) string { return "id: " + n + "\ndata: id-" + n + "-x\n\n" }
+	scenarios := []struct {
+		name, body string
+		broken     bool
+	}{
+		{name: "whole", body: event("1") + event("2")},
+		{name: "ends early", body: event("1"), broken: true},
+		{name: "twice the same", body: event("1") + event("1"), broken: true},
+		{name: "out of order", body: event("2") + event("1"), broken: true},
+		{name: "of another request", body: strings.ReplaceAll(event("1")+event("2"), "id-", "other-"), broken: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			c := newCallers(nil, newRecord())
+			c.checkStream("id", standin.Answer{Body: s.body}, 2)
+			if got := len(c.record.broken) > 0; got != s.broken {
+				t.Errorf("broken = %v, want %t", c.record.broken, s.broken)
+			}
+		})
+	}
+}
+
+func TestPageShowsFaultsAndBrokenPromises(t *testing.T) {
+	report := &Report{
+		Seed: 5, Outcomes: map[string]int{"200": 3}, Broken: []Broken{{At: time.Second, Promise: "Twice", Detail: "<id> ran 2 times"}},
+		Marks: []Mark{{At: time.Second, For: 2 * time.Second, Lane: "gateway-0", Text: "Pause"}},
+	}
+	var got bytes.Buffer
+	if err := report.WritePage(&got); err != nil {
+		t.Fatalf("WritePage() = %v", err)
+	}
+	for _, want := range []string{"seed 5", "gateway-0", "Pause", "Twice", "&lt;id&gt; ran 2 times", `class="broken"`} {
+		if !strings.Contains(got.String(), want) {
+			t.Errorf("page lacks %q", want)
+		}
+	}
+}
