Hosts on narrowed links hold up neither the others nor their own callers

(2) A squeezed link let one chunk through at 356 KB/s, its rate being 150: the link was taken for wide, and three chunks at once filled its queue, behind which a close waited over half a second. (3) What was known of a link counted for 15 s, into the next version's transfer. Change: hosts tell their peers that they are narrow, who then count what only such hosts hold as held by nobody, and do not stand in line behind them. It takes two quick chunks to call a link wide, what is known of it counts for 3 s, and chunks that come over a link not known to be wide are paced by the sender.

--- a/swarm/choice.go
+++ b/swarm/choice.go
@@ -11,16 +11,17 @@
 // regions are asked when it is this host's turn to bring the chunk into its
 // region, or when this region stalls.
 func (p *Plan) nextFromPeers(now time.Time) (Fetch, bool) {
+	stalled := now.Sub(p.progress) >= p.settings.StallTime
 	farthest := sameRegion
-	if now.Sub(p.progress) >= p.settings.StallTime {
+	if stalled {
 		farthest = elsewhere
 	}
-	if p.settings.OneCopy && farthest == sameRegion {
+	if p.settings.OneCopy && !stalled {
 		if fetch, found := p.nextFromFar(now); found {
 			return fetch, true
 		}
 	}
-	ready := p.readyPeers(now, farthest)
+	ready := p.readyPeers(now, farthest, stalled)
 	rarest := p.rarest(ready)
 	if rarest < 0 {
 		return Fetch{}, false
@@ -36,7 +37,7 @@
 	best, bestCopies, ties := -1, 0, 0
 	for chunk, copies := range p.copies {
 		index := figbank.ChunkIndex(chunk)
-		if copies == 0 || best >= 0 && copies > bestCopies || !p.wants(index) || !held(ready, chunk) {
+		if best >= 0 && copies > bestCopies || !p.wants(index) || !held(ready, chunk) {
 			continue
 		}
 		if best < 0 || copies < bestCopies {
@@ -54,7 +55,7 @@
 // nextFromFar picks a chunk that no peer of this region holds and that it is
 // this host's turn to bring from another.
 func (p *Plan) nextFromFar(now time.Time) (Fetch, bool) {
-	ready := p.readyPeers(now, elsewhere)
+	ready := p.readyPeers(now, elsewhere, false)
 	turns := p.turns(now)
 	for chunk, place := range p.regionLine {
 		index := figbank.ChunkIndex(chunk)
@@ -68,9 +69,12 @@
 }
 
 // readyPeers lists the peers that can be asked now, nearest first.
-func (p *Plan) readyPeers(now time.Time, farthest int) []*peer {
+func (p *Plan) readyPeers(now time.Time, farthest int, narrow bool) []*peer {
 	var ready []*peer
 	for _, candidate := range p.peers {
+		if candidate.narrow && !narrow {
+			continue
+		}
 		if candidate.distance <= farthest && candidate.inFlight < perPeer && !now.Before(candidate.until) {
 			ready = append(ready, candidate)
 		}
--- a/swarm/line.go
+++ b/swarm/line.go
@@ -67,6 +67,9 @@
 	for chunk := range p.line {
 		own := rank(p.settings.Self.ID, chunk)
 		for _, other := range p.peers {
+			if other.narrow && p.behind == 0 {
+				continue
+			}
 			near := other.Region == p.settings.Self.Region
 			if !near && !p.settings.OneCopy || rank(other.ID, chunk) <= own {
 				continue
--- a/swarm/plan.go
+++ b/swarm/plan.go
@@ -99,7 +99,7 @@
 		missing  int
 		inFlight map[figbank.ChunkIndex]Fetch
 		peers    map[figbank.ProcessID]*peer
-		// copies counts the peers that hold each chunk.
+		// copies counts the peers that hold each chunk, but for narrow ones.
 		copies []int
 		// progress is when the region last got a chunk that it did not have.
 		progress time.Time
@@ -119,6 +119,9 @@
 
 	peer struct {
 		Peer
+		// narrow peers' links have been narrowed: what only they hold counts as held
+		// by nobody.
+		narrow   bool
 		have     []bool
 		distance int
 		until    time.Time
@@ -147,10 +150,24 @@
 // what it took there, nobody could take from it.
 func (p *Plan) SetLink(narrow bool, inFlight int) {
 	p.settings.InFlight = inFlight
+	if narrow == (p.behind > 0) {
+		return
+	}
 	p.behind = 0
 	if narrow {
 		p.behind = narrowTurns
 	}
+	p.rankLine()
+}
+
+// PeerNarrow notes whether a peer's link is narrowed. Nobody waits in line behind
+// a host on a narrowed link, nor for what only such hosts hold.
+func (p *Plan) PeerNarrow(id figbank.ProcessID, narrow bool) {
+	if known, found := p.peers[id]; found && known.narrow != narrow {
+		known.narrow = narrow
+		p.countCopies()
+		p.rankLine()
+	}
 }
 
 // SetPeers replaces the list of peers; what is known of those that stay is kept.
@@ -182,6 +199,9 @@
 			continue
 		}
 		holder.have[chunk] = true
+		if holder.narrow {
+			continue
+		}
 		p.copies[chunk]++
 		if holder.distance != elsewhere && p.copies[chunk] == 1 && !p.have[chunk] {
 			p.progress = now
@@ -245,7 +265,7 @@
 	case Missing:
 		if source.have[fetch.Chunk] {
 			source.have[fetch.Chunk] = false
-			p.copies[fetch.Chunk]--
+			p.countCopies()
 		}
 	case Busy:
 		p.noteFailed(fetch.Chunk, now.Add(busyPatience))
@@ -308,7 +328,7 @@
 		return false
 	}
 	for _, candidate := range p.peers {
-		if candidate.distance != elsewhere && candidate.have[chunk] {
+		if candidate.distance != elsewhere && !candidate.narrow && candidate.have[chunk] {
 			return true
 		}
 	}
@@ -333,7 +353,7 @@
 	clear(p.copies)
 	for _, holder := range p.peers {
 		for chunk, has := range holder.have {
-			if has {
+			if has && !holder.narrow {
 				p.copies[chunk]++
 			}
 		}
--- a/transfer/fetcher.go
+++ b/transfer/fetcher.go
@@ -84,6 +84,7 @@
 
 		peer   figbank.ProcessID
 		chunks []figbank.ChunkIndex
+		narrow bool
 		lost   bool
 	}
 )
@@ -277,6 +278,7 @@
 	case n.lost:
 		plan.PeerLost(n.peer)
 	case n.fetch == nil:
+		plan.PeerNarrow(n.peer, n.narrow)
 		plan.PeerHas(n.peer, n.chunks, now)
 	case n.err == nil:
 		plan.Done(*n.fetch, now)
@@ -334,7 +336,9 @@
 		f.common.Scope.Counter("origin_bytes").Inc(int64(length))
 		return f.origin.Chunk(ctx, partial.Version(), fetch.Chunk)
 	}
-	request := &schema.ChunkRequest{Manifest: string(partial.Version().Digest), Chunk: uint32(fetch.Chunk)}
+	request := &schema.ChunkRequest{
+		Manifest: string(partial.Version().Digest), Chunk: uint32(fetch.Chunk), BytesPerSecond: int64(f.settings.Link.AskedRate()),
+	}
 	return f.receiveParts(ctx, fetch.Address, schema.StreamKind_STREAM_KIND_CHUNK, request, length)
 }
 
--- a/transfer/link.go
+++ b/transfer/link.go
@@ -10,14 +10,19 @@
 const (
 	// linkSamples is how many chunks an estimate rests on. One slow peer among
 	// several says nothing about this host's own link, all of them do.
-	linkSamples = 6
-	// leastSamples is how many it takes to call the link narrow.
+	linkSamples = 4
+	// leastSamples is how many it takes to call the link narrow, wideSamples how
+	// many quick ones to call it wide: a narrowed link may let one chunk through at
+	// once before it slows.
 	leastSamples = 3
+	wideSamples  = 2
 	// linkMemory is how long a sample counts.
-	linkMemory = 15 * time.Second
+	linkMemory = 3 * time.Second
 	// narrowRatio is how far below its nominal rate a link has to be to count as
 	// narrowed.
 	narrowRatio = 4
+	// askedRatio is how far below its nominal rate a link is tried.
+	askedRatio = 2
 )
 
 // What is known of a link.
@@ -83,6 +88,16 @@
 	return judge(l.samples, l.nominal, l.clock.Now())
 }
 
+// AskedRate is how fast a chunk may come in, 0 for no bound. Over a link that may
+// be narrowed, a chunk at once would hold up the requests behind it; the rate is
+// enough to see a wide link by.
+func (l *Link) AskedRate() figbank.Bytes {
+	if state, _ := l.State(); state == Wide {
+		return 0
+	}
+	return l.nominal / askedRatio
+}
+
 func (l *Link) add(rate figbank.Bytes) {
 	l.samples = append(l.samples, linkSample{at: l.clock.Now(), rate: rate})
 	if len(l.samples) > linkSamples {
@@ -95,20 +110,21 @@
 }
 
 // judge answers links that shrink to an eighth for some seconds under full load.
-// The best of the latest samples decides: one chunk that arrives quickly proves
-// that the link is wide again.
 func judge(samples []linkSample, nominal figbank.Bytes, now time.Time) (LinkState, figbank.Bytes) {
 	var best figbank.Bytes
-	fresh := 0
+	fresh, quick := 0, 0
 	for _, sample := range samples {
 		if now.Sub(sample.at) > linkMemory {
 			continue
 		}
 		fresh++
 		best = max(best, sample.rate)
+		if sample.rate >= nominal/narrowRatio {
+			quick++
+		}
 	}
 	switch {
-	case fresh > 0 && best >= nominal/narrowRatio:
+	case quick >= wideSamples, nominal == 0:
 		return Wide, best
 	case fresh >= leastSamples:
 		return Narrow, best
--- a/transfer/peers.go
+++ b/transfer/peers.go
@@ -60,7 +60,7 @@
 		if err := stream.Receive(update); err != nil {
 			return false
 		}
-		tell(ctx, inbox, news{peer: peer.ID, chunks: listed(update, len(version.Manifest.GetChunks()))})
+		tell(ctx, inbox, news{peer: peer.ID, narrow: update.GetNarrow(), chunks: listed(update, len(version.Manifest.GetChunks()))})
 		if update.GetWhole() {
 			return true
 		}
--- a/transfer/server.go
+++ b/transfer/server.go
@@ -84,7 +84,7 @@
 		_ = stream.Send(&schema.ChunkPart{Missing: true, Last: true})
 		return
 	}
-	s.sendParts(ctx, stream, h.version.Content)
+	s.sendParts(ctx, stream, h.version.Content, 0)
 }
 
 // ServeChunk answers with a chunk's bytes, or says busy or missing.
@@ -119,8 +119,12 @@
 	}
 	began := s.common.Clock.Now()
 	together := len(s.slots)
-	s.sendParts(ctx, stream, content)
+	s.sendParts(ctx, stream, content, figbank.Bytes(request.GetBytesPerSecond()))
 	awaitEnd(ctx, stream)
+	if request.GetBytesPerSecond() > 0 {
+		// The pace was the peer's, and says nothing about this host's link.
+		return
+	}
 	s.link.observe(figbank.Bytes(len(content)), s.common.Clock.Now().Sub(began), together)
 }
 
@@ -147,10 +151,13 @@
 	go cancelAtEnd(cancel, stream)
 	ticks, stop := s.common.Clock.Tick(haveInterval)
 	defer stop()
-	told := map[figbank.ChunkIndex]bool{}
+	told, toldNarrow := map[figbank.ChunkIndex]bool{}, false
 	for {
 		update := s.update(digest, told)
-		if len(update.GetChunks()) > 0 || update.GetWhole() {
+		state, _ := s.link.State()
+		update.Narrow = state == Narrow
+		if len(update.GetChunks()) > 0 || update.GetWhole() || update.GetNarrow() != toldNarrow {
+			toldNarrow = update.GetNarrow()
 			if err := stream.Send(update); err != nil || update.GetWhole() {
 				return
 			}
@@ -198,15 +205,18 @@
 	return h.partial.Has(index)
 }
 
-func (s *Server) sendParts(ctx context.Context, stream *transport.Stream, content []byte) {
+func (s *Server) sendParts(ctx context.Context, stream *transport.Stream, content []byte, asked figbank.Bytes) {
 	size := partSize
-	if s.limiter != nil {
+	limiters := s.limiters(asked)
+	if len(limiters) > 0 {
 		size = pacedPartSize
 	}
 	for {
 		n := min(size, len(content))
-		if s.limiter != nil && s.limiter.WaitN(ctx, n) != nil {
-			return
+		for _, limiter := range limiters {
+			if limiter.WaitN(ctx, n) != nil {
+				return
+			}
 		}
 		part := &schema.ChunkPart{Data: content[:n], Last: n == len(content)}
 		if err := stream.Send(part); err != nil || part.GetLast() {
@@ -216,6 +226,19 @@
 	}
 }
 
+// limiters pace one answer: the one that all share, and one for the rate that was
+// asked for.
+func (s *Server) limiters(asked figbank.Bytes) []*rate.Limiter {
+	var limiters []*rate.Limiter
+	if s.limiter != nil {
+		limiters = append(limiters, s.limiter)
+	}
+	if asked > 0 {
+		limiters = append(limiters, rate.NewLimiter(rate.Limit(asked), pacedPartSize))
+	}
+	return limiters
+}
+
 // cancelAtEnd waits for the peer to close its side of the stream.
 func cancelAtEnd(cancel context.CancelFunc, stream *transport.Stream) {
 	defer cancel()
