An evacuation that is proposed again takes effect once

A proposal without an answer is proposed again at another replica; the first may be committed later, after the operator has withdrawn the evacuation, and took the failure domain out again. Orders carry an id now, and the ledger remembers the latest 64. TestEvacuationProposedAgainTakesEffectOnce fails without the check. The operator's own calls carry no number; what the network delivers late is open.

--- a/control/control.go
+++ b/control/control.go
@@ -11,6 +11,7 @@
 	"figbank/schema"
 	"figbank/traffic"
 
+	"github.com/google/uuid"
 	"go.uber.org/zap"
 )
 
@@ -80,7 +81,7 @@
 // Evacuate takes a failure domain out of service, or back in.
 func (c *Control) Evacuate(ctx context.Context, domain figbank.FailureDomain, withdraw bool) error {
 	return c.propose(ctx, &schema.Command{Action: &schema.Command_Evacuate{Evacuate: &schema.Evacuate{
-		FailureDomain: string(domain), Withdraw: withdraw,
+		FailureDomain: string(domain), Withdraw: withdraw, Order: uuid.NewString(),
 	}}})
 }
 
--- a/ledger/fleet.go
+++ b/ledger/fleet.go
@@ -12,6 +12,9 @@
 // versionsNamed is how many named versions of a model are remembered.
 const versionsNamed = 8
 
+// ordersKept is how many evacuations and withdrawals are remembered.
+const ordersKept = 64
+
 // publishTraffic puts traffic rules in force unless rules with as high a number
 // already are. Either way the offer is accepted, since offers may be sent again.
 func (s *State) publishTraffic(offer *schema.PublishTraffic) *schema.Result {
@@ -26,8 +29,12 @@
 	return &schema.Result{CommitIndex: s.applied}
 }
 
-// evacuate takes a failure domain out of service, or back in.
+// evacuate takes a failure domain out of service, or back in. An order that is
+// proposed again changes nothing, also when another has been carried out since.
 func (s *State) evacuate(asked *schema.Evacuate) *schema.Result {
+	if !s.isNewOrder(asked.GetOrder()) {
+		return &schema.Result{CommitIndex: s.fleet.GetCommitIndex()}
+	}
 	out := slices.Contains(s.fleet.GetEvacuated(), asked.GetFailureDomain())
 	if out != asked.GetWithdraw() {
 		return &schema.Result{CommitIndex: s.fleet.GetCommitIndex()}
@@ -43,6 +50,19 @@
 	return &schema.Result{CommitIndex: s.applied}
 }
 
+// isNewOrder remembers an order, and tells whether it has not come before.
+func (s *State) isNewOrder(order string) bool {
+	if order == "" {
+		return true
+	}
+	if slices.Contains(s.orders, order) {
+		return false
+	}
+	// The slice is copied, since snapshots may still be read.
+	s.orders = append(slices.Clone(s.orders[max(0, len(s.orders)-ordersKept+1):]), order)
+	return true
+}
+
 // nameVersion names newer weights of a model; an older or equal version changes
 // nothing. The versions before stay, since each has its own bound for the
 // requests that begin on older ones.
--- a/ledger/fleet_test.go
+++ b/ledger/fleet_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -85,6 +86,34 @@
 	}
 }
 
+// An order that the log took late, after its proposer had asked again, comes after
+// the withdrawal that followed.
+func TestEvacuationProposedAgainTakesEffectOnce(t *testing.T) {
+	m := newMachine(t)
+	order := func(id string, withdraw bool) {
+		m.apply(&schema.Command{Action: &schema.Command_Evacuate{Evacuate: &schema.Evacuate{FailureDomain: "a", Withdraw: withdraw, Order: id}}})
+	}
+	order("first", false)
+	order("second", true)
+	snapshot, err := m.state.Snapshot(1)
+	if err != nil {
+		t.Fatalf("Snapshot() = %v", err)
+	}
+	if m.state, err = Restore(snapshot); err != nil {
+		t.Fatalf("Restore() = %v", err)
+	}
+	order("first", false)
+	if got := m.state.Fleet().GetEvacuated(); len(got) != 0 {
+		t.Errorf("evacuated after a late copy of the first order = %v, want none", got)
+	}
+	for i := range 2 * ordersKept {
+		order(fmt.Sprint(i), i%2 == 1)
+	}
+	if got := len(m.state.orders); got != ordersKept {
+		t.Errorf("orders kept = %d, want %d", got, ordersKept)
+	}
+}
+
 func TestOnlyTheNewestNamedVersionsStay(t *testing.T) {
 	m := newMachine(t)
 	for version := range int64(3 * versionsNamed) {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -25,6 +25,8 @@
 		fleet         *schema.Fleet
 		// document is the compressed text that the fleet's traffic rules came from.
 		document []byte
+		// orders are the latest evacuations and withdrawals, the oldest first.
+		orders []string
 	}
 
 	claimKey struct {
@@ -65,6 +67,7 @@
 	if stored.GetFleet() != nil {
 		s.fleet = stored.GetFleet().GetFleet()
 		s.document = stored.GetFleet().GetPackedDocument()
+		s.orders = stored.GetFleet().GetOrders()
 	}
 	for _, record := range stored.GetClaims() {
 		s.putClaim(record)
@@ -81,7 +84,7 @@
 		AppliedIndex:  s.applied,
 		TimeUnixNano:  s.now.UnixNano(),
 		Configuration: s.configuration,
-		Fleet:         &schema.FleetRecord{Fleet: s.fleet, PackedDocument: s.document},
+		Fleet:         &schema.FleetRecord{Fleet: s.fleet, PackedDocument: s.document, Orders: s.orders},
 	}
 	for _, key := range s.claimOrder {
 		stored.Claims = append(stored.Claims, s.claims[key])
