Refuse by how late answers have begun of late, not by the prediction alone

Change: a service's predictions are multiplied, in the admission check only, by how many times as long as predicted its answers took to begin within the last second or so, 1 to 3 times.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -47,9 +47,11 @@
 		table     atomic.Pointer[Table]
 		budgets   *retry.Budgets
 		crashers  *crashers.Set
-		rebuild   chan struct{}
-		stop      context.CancelFunc
-		group     sync.WaitGroup
+		// drifts maps each service's name to its drift.
+		drifts  sync.Map
+		rebuild chan struct{}
+		stop    context.CancelFunc
+		group   sync.WaitGroup
 
 		// named is when each version was named, by this process's steady clock.
 		named map[Version]time.Time
@@ -122,6 +124,14 @@
 	return d.crashers
 }
 
+func (d *Dispatcher) drift(service figbank.ServiceName) *drift {
+	if known, found := d.drifts.Load(service); found {
+		return known.(*drift) //nolint:forcetypeassert // nothing else is stored
+	}
+	known, _ := d.drifts.LoadOrStore(service, &drift{})
+	return known.(*drift) //nolint:forcetypeassert // nothing else is stored
+}
+
 // follow builds a new table after changes, off the request path.
 func (d *Dispatcher) follow(ctx context.Context) {
 	for {
@@ -252,7 +262,7 @@
 	targets, candidates := r.candidates(table, now)
 	demand := placement.Demand{
 		Prompt: r.request.PromptTokens, Target: r.request.Route.Target,
-		Left: r.request.Deadline.Sub(now),
+		Left: r.request.Deadline.Sub(now), Drift: r.drift(r.request.Service).factor(now),
 	}
 	if attempt == 1 {
 		demand.Waited = now.Sub(r.request.ReceivedAt)
@@ -270,7 +280,7 @@
 	r.log.Info("placed", zap.String("upstream", string(target.ID)), zap.Int("attempt", attempt),
 		zap.Int("prompt", r.request.PromptTokens), zap.Int("outstanding", candidates[decision.Index].Outstanding),
 		zap.Duration("loadAge", target.Load.Age(now)), zap.Duration("predicted", decision.Predicted),
-		zap.Duration("late", target.Load.late.present(now)),
+		zap.Duration("late", target.Load.late.present(now)), zap.Float64("drift", demand.Drift),
 		zap.Int64("version", target.Version), zap.Int("candidates", len(candidates)), zap.Uint64("table", uint64(table.Index)))
 	return target, nil
 }
--- a/dispatch/try.go
+++ b/dispatch/try.go
@@ -210,6 +210,7 @@
 		close(r.began)
 		now := r.common.Clock.Now()
 		r.load.late.note(now, now.Sub(r.sentAt), r.predicted)
+		r.drift(r.request.Service).note(now, now.Sub(r.sentAt), r.predicted)
 	}
 	if r.firstAt == 0 {
 		r.firstAt = r.common.Clock.Now().Sub(r.request.ReceivedAt)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -58,6 +58,9 @@
 		Left time.Duration
 		// Waited is the time that has passed since the request came in.
 		Waited time.Duration
+		// Drift is how many times as long as predicted answers take to begin, 1 or
+		// more; 0 stands for 1.
+		Drift float64
 	}
 
 	// Decision is where to send a request, or when its caller may come back.
@@ -93,7 +96,8 @@
 		return refuse(figbank.ReasonNoUpstream, emptyReturn, random)
 	}
 	limit := min(demand.Target, demand.Left)
-	if excess := demand.Waited + bestPredicted - limit; excess > 0 {
+	expected := time.Duration(float64(bestPredicted) * max(1, demand.Drift))
+	if excess := demand.Waited + expected - limit; excess > 0 {
 		return refuse(figbank.ReasonQueueFull, excess, random)
 	}
 	return Decision{Index: best, Predicted: bestPredicted}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -119,3 +119,29 @@
 		}
 	}
 }
+
+// Answers begin three times as late as predicted, as many gateways place at
+// saturation: what would be taken by the prediction alone is refused, and what
+// has room enough is not.
+func TestDriftRefusesWhatWouldBeLate(t *testing.T) {
+	scenarios := []struct {
+		name        string
+		outstanding int
+		drift       float64
+		want        int
+	}{
+		{name: "fits, no drift", outstanding: 16, drift: 1},
+		{name: "fits, drift not told", outstanding: 16},
+		{name: "would be late", outstanding: 16, drift: 3, want: -1},
+		{name: "has room", outstanding: 3, drift: 3},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			demand := Demand{Prompt: 900, Target: 400 * time.Millisecond, Left: 6 * time.Second, Drift: s.drift}
+			got := Decide(demand, []Candidate{model(s.outstanding, true)}, rand.New(rand.NewPCG(1, 2)))
+			if got.Index != s.want {
+				t.Errorf("Decide() = %d after %v predicted, want %d", got.Index, got.Predicted, s.want)
+			}
+		})
+	}
+}
