Gateways know from the log how many share a cold upstream

After a restart of all, everything is cold, and for two seconds each gateway sent nothing to it. A gateway that starts knows it with the first rules and need not wait; the two seconds stay for the very first start.

--- a/app/platformreplica.go
+++ b/app/platformreplica.go
@@ -202,8 +202,14 @@
 	return nil
 }
 
-func serveControl(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, proposer figbank.Proposer, view *feed.View) error {
-	door := platform.NewControlDoor(common, control.New(common, proposer, view))
+func serveControl(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, proposer figbank.Proposer,
+	view *feed.View, v voter, fleet *configuration.FleetHolder,
+) error {
+	c := control.New(common, proposer, view)
+	ctx, cancel := context.WithCancel(context.Background())
+	go c.CountGateways(ctx, v.Leads, fleet.Current)
+	lifecycle.Append(fx.StopHook(cancel))
+	door := platform.NewControlDoor(common, c)
 	common.Log.Info("replica: started", zap.String("control", s.GetNode().GetListenControl()))
 	return serveHTTP(lifecycle, s.GetNode().GetListenControl(), door.Handler())
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -163,10 +163,10 @@
 			listed++
 		}
 	}
-	before := d.gatewayCount.count
-	gateways := d.gatewayCount.hear(now, listed)
-	if gateways != before {
-		d.common.Log.Info("gateways share what upstreams bear", zap.Int("gateways", gateways), zap.Int("listed", listed))
+	gateways := d.gatewayCount.hear(now, listed, int(fleet.GetGateways()))
+	if previous == nil || gateways != previous.gateways {
+		d.common.Log.Info("gateways share what upstreams bear", zap.Int("gateways", gateways), zap.Int("listed", listed),
+			zap.Int64("recorded", fleet.GetGateways()))
 	}
 	d.budgets.Share(gateways)
 	d.table.Store(NewTable(previous, d.settings.Place, Sources{
--- a/dispatch/gatewaycount.go
+++ b/dispatch/gatewaycount.go
@@ -4,7 +4,8 @@
 
 const (
 	// settleTime is how long a gateway that has just started leaves cold upstreams
-	// alone: it does not know yet with how many others it shares them.
+	// alone when no count is recorded in the log: it does not know yet with how many
+	// others it shares them.
 	settleTime = 2 * time.Second
 	// shortListHold is how long gateways that are no longer listed still count. Lists
 	// are short for a moment when replicas have restarted together.
@@ -17,12 +18,16 @@
 type gatewayCount struct {
 	count   int
 	firstAt time.Time
+	// recorded is what the log says, 0 for nothing.
+	recorded int
 	// shortSince is since when fewer than count are listed, zero when they are not.
 	shortSince time.Time
 }
 
-// hear takes in how many gateways are listed and returns how many count.
-func (c *gatewayCount) hear(now time.Time, listed int) int {
+// hear takes in how many gateways are listed, and how many the log has recorded,
+// and returns how many count.
+func (c *gatewayCount) hear(now time.Time, listed, recorded int) int {
+	c.recorded = recorded
 	if c.firstAt.IsZero() {
 		c.firstAt = now
 	}
@@ -34,10 +39,13 @@
 	case now.Sub(c.shortSince) > shortListHold:
 		c.count, c.shortSince = listed, time.Time{}
 	}
-	return c.count
+	return max(c.count, recorded)
 }
 
 // settledAt is from when the count can be relied on.
 func (c *gatewayCount) settledAt() time.Time {
+	if c.recorded > 0 {
+		return c.firstAt
+	}
 	return c.firstAt.Add(settleTime)
 }
--- a/dispatch/gatewaycount_test.go
+++ b/dispatch/gatewaycount_test.go
@@ -23,7 +23,7 @@
 	}
 	var c gatewayCount
 	for _, s := range steps {
-		if got := c.hear(start.Add(s.at), s.listed); got != s.want {
+		if got := c.hear(start.Add(s.at), s.listed, 0); got != s.want {
 			t.Errorf("after %v with %d listed: %d gateways count, want %d", s.at, s.listed, got, s.want)
 		}
 	}
@@ -32,6 +32,22 @@
 	}
 }
 
+// All machines have come back together: a gateway that hears of few others knows
+// from the log how many there are, and serves by cold upstreams at once.
+func TestRecordedCountGivesTheShareAtOnce(t *testing.T) {
+	start := time.Unix(100, 0)
+	var c gatewayCount
+	if got := c.hear(start, 2, 44); got != 44 {
+		t.Errorf("gateways that count with 2 listed and 44 recorded = %d, want 44", got)
+	}
+	if got := c.settledAt(); !got.Equal(start) {
+		t.Errorf("settled at %v, want %v, at once", got, start)
+	}
+	if got := c.hear(start.Add(time.Second), 46, 44); got != 46 {
+		t.Errorf("gateways that count with 46 listed and 44 recorded = %d, want 46", got)
+	}
+}
+
 // A gateway that has just started and knows few others sends nothing to a cold
 // upstream, and serves by a warm one.
 func TestNewGatewayLeavesColdUpstreamsAlone(t *testing.T) {
--- a/ledger/fleet.go
+++ b/ledger/fleet.go
@@ -81,6 +81,17 @@
 	return &schema.Result{CommitIndex: s.applied}
 }
 
+// countGateways records how many gateways there are.
+func (s *State) countGateways(counted *schema.CountGateways) *schema.Result {
+	if counted.GetGateways() == s.fleet.GetGateways() {
+		return &schema.Result{CommitIndex: s.fleet.GetCommitIndex()}
+	}
+	next := s.nextFleet()
+	next.Gateways = counted.GetGateways()
+	s.fleet = next
+	return &schema.Result{CommitIndex: s.applied}
+}
+
 // dropOldest keeps the newest versions of a model.
 func dropOldest(versions []*schema.NamedVersion, model string) []*schema.NamedVersion {
 	kept := 0
@@ -108,5 +119,6 @@
 		PackedTraffic: s.fleet.GetPackedTraffic(),
 		Evacuated:     slices.Clone(s.fleet.GetEvacuated()),
 		Versions:      slices.Clone(s.fleet.GetVersions()),
+		Gateways:      s.fleet.GetGateways(),
 	}
 }
--- a/ledger/fleet_test.go
+++ b/ledger/fleet_test.go
@@ -128,8 +128,12 @@
 func TestFleetLastsThroughSnapshots(t *testing.T) {
 	m := newMachine(t)
 	m.publishTraffic(4, "document")
+	m.apply(&schema.Command{Action: &schema.Command_CountGateways{CountGateways: &schema.CountGateways{Gateways: 44}}})
 	m.evacuate("a", false)
 	m.nameVersion("m", 2)
+	if got := m.state.Fleet().GetGateways(); got != 44 {
+		t.Errorf("gateways recorded = %d, want 44", got)
+	}
 	snapshot, err := m.state.Snapshot(1)
 	if err != nil {
 		t.Fatalf("Snapshot() = %v", err)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -148,6 +148,8 @@
 		return s.evacuate(action.Evacuate)
 	case *schema.Command_NameVersion:
 		return s.nameVersion(action.NameVersion)
+	case *schema.Command_CountGateways:
+		return s.countGateways(action.CountGateways)
 	case *schema.Command_ReadTraffic:
 		return s.readTraffic()
 	}
--- a/replica/supervisor.go
+++ b/replica/supervisor.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"figbank"
+	"figbank/raft"
 	"figbank/schema"
 	"figbank/transport"
 	"figbank/voters"
@@ -108,6 +109,12 @@
 	}
 }
 
+// Leads tells whether this replica leads the log.
+func (s *Supervisor) Leads() bool {
+	r := s.current.Load()
+	return r != nil && r.Status().GetRole() == raft.Leader.String()
+}
+
 // NeedsSuccessor tells whether this replica votes while one of the known
 // replicas, which does not, could take its place.
 func (s *Supervisor) NeedsSuccessor(known []voters.Replica) bool {
