--- /dev/null
+++ b/dispatch/follow.go
@@ -0,0 +1,85 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"figbank"
+	"figbank/schema"
+	"figbank/traffic"
+)
+
+// follow builds a new table after changes, off the request path.
+func (d *Dispatcher) follow(ctx context.Context) {
+	for {
+		d.build()
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.rebuild:
+		}
+	}
+}
+
+func (d *Dispatcher) build() {
+	fleet := d.view.Fleet()
+	if fleet.GetTrafficNumber() == 0 {
+		return
+	}
+	previous := d.table.Load()
+	rules, err := d.rules(previous, fleet)
+	if err != nil {
+		d.common.Log.Error("traffic rules cannot be read, keeping the old ones", figbank.ErrorField(err))
+		return
+	}
+	now := d.common.Clock.Now()
+	d.noteNamed(fleet, now)
+	listed := 0
+	for _, member := range d.view.Members() {
+		if member.GetRole() == schema.MemberRole_MEMBER_ROLE_GATEWAY {
+			listed++
+		}
+	}
+	gateways := d.gatewayCount.hear(now, listed, int(fleet.GetGateways()))
+	if previous == nil || gateways != previous.gateways {
+		d.common.Log.Info("gateways share what upstreams bear", zap.Int("gateways", gateways), zap.Int("listed", listed),
+			zap.Int64("recorded", fleet.GetGateways()))
+	}
+	d.budgets.Share(gateways)
+	d.table.Store(NewTable(previous, d.settings.Place, Sources{
+		Fleet: fleet, Traffic: rules, Upstreams: d.view.Upstreams(), Named: d.named, Gateways: gateways,
+		SettledAt: d.gatewayCount.settledAt(), Now: now,
+	}))
+	if previous == nil || previous.Index != figbank.CommitIndex(fleet.GetCommitIndex()) {
+		d.common.Log.Info("fleet in force", zap.Uint64("commit", fleet.GetCommitIndex()), zap.Int64("rules", rules.Number()),
+			zap.Strings("evacuated", fleet.GetEvacuated()))
+	}
+}
+
+// rules reuses the compiled rules while their number stays.
+func (d *Dispatcher) rules(previous *Table, fleet *schema.Fleet) (*traffic.Table, error) {
+	if previous != nil && previous.Traffic.Number() == fleet.GetTrafficNumber() {
+		return previous.Traffic, nil
+	}
+	rules, err := traffic.UnpackRules(fleet.GetPackedTraffic())
+	if err != nil {
+		return nil, err
+	}
+	return traffic.NewTable(rules), nil
+}
+
+// noteNamed remembers when each version was named. Who hears late, for instance
+// after a restart, goes by the time of day for once.
+func (d *Dispatcher) noteNamed(fleet *schema.Fleet, now time.Time) {
+	for _, named := range fleet.GetVersions() {
+		version := Version{Model: named.GetModel(), Number: named.GetVersion()}
+		if _, found := d.named[version]; !found {
+			age := max(0, now.Round(0).Sub(time.Unix(0, named.GetNamedUnixNano())))
+			d.named[version] = now.Add(-age)
+			d.common.Log.Info("version named", zap.String("model", version.Model), zap.Int64("version", version.Number),
+				zap.Duration("age", age))
+		}
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -21,6 +21,8 @@
 	seed uint64
 }{
 	{name: "first", seed: 1},
+	// A process that was killed while it was asked to end was called a failed stop.
+	{name: "a kill during a stop", seed: 2},
 }
 
 const runLength = 10 * time.Second
