Stop also when asked to while starting

The program catches signals from its first line on, but waited only for those that fx hears, which listens once the start is over; one in between was lost. runApp waits for both now. TestStopDuringTheStartIsNotLost failed before (still running after 10 s). A place's crashes come one after the other now.

--- a/cmd/figbank/platform.go
+++ b/cmd/figbank/platform.go
@@ -35,7 +35,7 @@
 	wanted := ""
 	c.sub.AddPositionalValue(&wanted, "role", 1, true, "Role of the process: "+strings.Join(names, ", ")+".")
 	path := settingsFlag(c)
-	c.run = func(context.Context) error {
+	c.run = func(ctx context.Context) error {
 		if *path == "" {
 			*path = os.Getenv(settingsVariable)
 		}
@@ -47,7 +47,7 @@
 			if err != nil {
 				return err
 			}
-			return runApp(role.start(s, app.SettingsFile(*path)))
+			return runApp(ctx, role.start(s, app.SettingsFile(*path)))
 		}
 		return figbank.InvalidError{Subject: "arguments", Detail: "role must be one of " + strings.Join(names, ", ")}
 	}
--- a/cmd/figbank/processes.go
+++ b/cmd/figbank/processes.go
@@ -21,12 +21,12 @@
 func newGateway() *command {
 	c := &command{sub: newSub("gateway", "Run a gateway; with a DataFolder in its settings, a replica of the log too.")}
 	path := settingsFlag(c)
-	c.run = func(context.Context) error {
+	c.run = func(ctx context.Context) error {
 		s, err := settings.ReadGateway(*path)
 		if err != nil {
 			return err
 		}
-		return runApp(app.NewGateway(s))
+		return runApp(ctx, app.NewGateway(s))
 	}
 	return c
 }
@@ -34,12 +34,12 @@
 func newAgent() *command {
 	c := &command{sub: newSub("agent", "Run the agent beside an upstream.")}
 	path := settingsFlag(c)
-	c.run = func(context.Context) error {
+	c.run = func(ctx context.Context) error {
 		s, err := settings.ReadAgent(*path)
 		if err != nil {
 			return err
 		}
-		return runApp(app.NewAgent(s))
+		return runApp(ctx, app.NewAgent(s))
 	}
 	return c
 }
@@ -50,8 +50,9 @@
 	return &path
 }
 
-// runApp runs until a signal asks it to stop gracefully.
-func runApp(process *fx.App) error {
+// runApp runs until ctx ends, as it does with the first signal from the start of
+// the program on, or until the process ends itself.
+func runApp(ctx context.Context, process *fx.App) error {
 	if err := process.Err(); err != nil {
 		return figbank.Fail("figbank", "Start", err)
 	}
@@ -60,7 +61,11 @@
 	if err := process.Start(starting); err != nil {
 		return figbank.Fail("figbank", "Start", err)
 	}
-	ended := <-process.Wait()
+	ended := fx.ShutdownSignal{}
+	select {
+	case ended = <-process.Wait():
+	case <-ctx.Done():
+	}
 	stopping, cancel := context.WithTimeout(context.Background(), process.StopTimeout())
 	defer cancel()
 	if err := process.Stop(stopping); err != nil {
--- a/soak/world.go
+++ b/soak/world.go
@@ -69,9 +69,11 @@
 
 	// upstream is a place at which one incarnation after the other runs.
 	upstream struct {
-		config standin.Config
-		link   *Proxy
-		now    *standin.Upstream
+		// crashing is held while one incarnation ends and the next begins.
+		crashing sync.Mutex
+		config   standin.Config
+		link     *Proxy
+		now      *standin.Upstream
 	}
 )
 
@@ -255,6 +257,8 @@
 	w.mu.Lock()
 	u := w.upstreams[n]
 	w.mu.Unlock()
+	u.crashing.Lock()
+	defer u.crashing.Unlock()
 	u.now.Kill()
 	wall.sleep(down)
 	u.config.Version = 0
