--- a/soak/world.go
+++ b/soak/world.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -310,5 +309,5 @@
 	if err != nil {
 		return figbank.Fail("soak", "Listen", err)
 	}
-	return figbank.Fail("soak", "Listen", errors.Join(listener.Close()))
+	return figbank.Fail("soak", "Listen", listener.Close())
 }
