--- a/soak/process.go
+++ b/soak/process.go
@@ -40,6 +40,8 @@
 		ended  chan struct{}
 		asked  bool
 		killed bool
+		// logged is how long the log was before the present start.
+		logged int64
 	}
 )
 
@@ -70,6 +72,7 @@
 	//nolint:gosec // the program under test
 	cmd := exec.CommandContext(context.Background(), p.binary, "platform", p.role, "--settings", p.settingsFile())
 	cmd.Stdout, cmd.Stderr = log, log
+	p.logged = p.logLength()
 	if err := cmd.Start(); err != nil {
 		return figbank.Fail("soak", "Start", err)
 	}
@@ -132,12 +135,22 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cmd == nil || p.killed || p.cmd.ProcessState.Success() {
+	// Before its first line a program cannot know of signals, and is ended by them.
+	unborn := p.logLength() == p.logged
+	if p.cmd == nil || p.killed || unborn || p.cmd.ProcessState.Success() {
 		return nil
 	}
 	return figbank.InvalidError{Subject: p.id, Detail: "ended with " + p.cmd.ProcessState.String() + " after SIGTERM"}
 }
 
+func (p *process) logLength() int64 {
+	info, err := os.Stat(p.logFile())
+	if err != nil {
+		return 0
+	}
+	return info.Size()
+}
+
 func (p *process) awaitEnd(most time.Duration) bool {
 	p.mu.Lock()
 	ended, runs := p.ended, p.runs()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,6 +23,8 @@
 	{name: "first", seed: 1},
 	// A process that was killed while it was asked to end was called a failed stop.
 	{name: "a kill during a stop", seed: 2},
+	// An agent that was asked to stop while it started went on for good.
+	{name: "a stop during the start", seed: 103},
 }
 
 const runLength = 10 * time.Second
