A reload during the start ends no process

A platform process holds the signal from its first step on; the settings are read after that. TestReloadDuringTheStartEndsNothing: without the call the test's process is ended ('signal: hangup'), with it it passes.

--- a/cmd/figbank/platform.go
+++ b/cmd/figbank/platform.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 
 	"figbank"
 	"figbank/app"
@@ -36,6 +38,7 @@
 	c.sub.AddPositionalValue(&wanted, "role", 1, true, "Role of the process: "+strings.Join(names, ", ")+".")
 	path := settingsFlag(c)
 	c.run = func(ctx context.Context) error {
+		holdHangups()
 		if *path == "" {
 			*path = os.Getenv(settingsVariable)
 		}
@@ -53,3 +56,9 @@
 	}
 	return c
 }
+
+// holdHangups keeps a request to read the settings again from ending a process
+// that does not listen for it yet; the settings are read after this.
+func holdHangups() {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+}
--- a/cmd/figbank/processes_test.go
+++ b/cmd/figbank/processes_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -27,3 +29,14 @@
 		t.Fatal("the process has not ended")
 	}
 }
+
+// A process is told to read its settings again before it listens for that: soak
+// seed 208, a replica that was ended by it. Without the call this test's own
+// process is ended.
+func TestReloadDuringTheStartEndsNothing(t *testing.T) {
+	holdHangups()
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,6 +25,8 @@
 	{name: "a kill during a stop", seed: 2},
 	// An agent that was asked to stop while it started went on for good.
 	{name: "a stop during the start", seed: 103},
+	// A replica that was told to reload while it started was ended by that.
+	{name: "a reload during the start", seed: 208},
 }
 
 const runLength = 10 * time.Second
