Share what tests of the dispatcher and of keys repeat

Looked at besides: the pairs of places in generated code, in tables of tests and in locked setters, left as they are.

--- a/dispatch/crashing_test.go
+++ b/dispatch/crashing_test.go
@@ -11,13 +11,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-	"go.uber.org/zap"
-
 	"figbank"
-	"figbank/clock"
-	"figbank/crashers"
-	"figbank/retry"
 	"figbank/schema"
 	"figbank/traffic"
 )
@@ -55,10 +49,7 @@
 		t.Run(s.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				transport := &crashTransport{}
-				d := &Dispatcher{
-					common:    figbank.Common{Log: zap.NewNop(), Clock: clock.System{}, Scope: tally.NoopScope},
-					transport: transport, budgets: retry.NewBudgets(retry.Allowance{Percent: 20, Slack: 100}), crashers: crashers.NewSet(),
-				}
+				d := dispatcherOver(transport)
 				send := func(body string) error {
 					request := &Request{
 						ID: "r", Route: &traffic.Route{Route: &schema.Route{Kind: s.kind, MaxUpstreams: 2}, Target: time.Second}, Service: "s",
--- a/dispatch/takeback_test.go
+++ b/dispatch/takeback_test.go
@@ -56,6 +56,14 @@
 	return nil
 }
 
+// dispatcherOver is a dispatcher whose table the test sets.
+func dispatcherOver(transport Transport) *Dispatcher {
+	return &Dispatcher{
+		common:    figbank.Common{Log: zap.NewNop(), Clock: clock.System{}, Scope: tally.NoopScope},
+		transport: transport, budgets: retry.NewBudgets(retry.Allowance{Percent: 20, Slack: 100}), crashers: crashers.NewSet(),
+	}
+}
+
 // Requests wait at an upstream whose weights grow too old under them: one that
 // has not begun by then is taken back and goes elsewhere, one that has begun ends
 // where it is.
@@ -74,10 +82,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				transport := &slowTransport{delay: test.delay, began: time.Now()}
-				d := &Dispatcher{
-					common:    figbank.Common{Log: zap.NewNop(), Clock: clock.System{}, Scope: tally.NoopScope},
-					transport: transport, budgets: retry.NewBudgets(retry.Allowance{Percent: 20, Slack: 100}), crashers: crashers.NewSet(),
-				}
+				d := dispatcherOver(transport)
 				busy := &Load{}
 				for range 16 {
 					busy.begin()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -183,16 +183,22 @@
 	}
 }
 
+// wantNotRun sends a job under a key, which must be refused without having run.
+func (b *bench) wantNotRun(back *backend) {
+	b.t.Helper()
+	got := b.send(http.MethodPost, "/services/s/jobs", "k", "body")
+	if got.status != 503 || got.outcome != outcomeNotRun || back.runs.Load() != 0 {
+		b.t.Errorf("answer = %d, %s after %d runs, want 503, NotRun, 0 runs", got.status, got.outcome, back.runs.Load())
+	}
+}
+
 func TestMinoritySideDoesNotBook(t *testing.T) {
 	b := newBench(t, nil)
 	b.declare(plain(false))
 	back, service := newBackend(t, answerOK)
 	b.addAgent(service, 8)
 	b.proposer.SetDown(true)
-	got := b.send(http.MethodPost, "/services/s/jobs", "k", "body")
-	if got.status != 503 || got.outcome != outcomeNotRun || back.runs.Load() != 0 {
-		t.Errorf("answer = %d, %s after %d runs, want 503, NotRun, 0 runs", got.status, got.outcome, back.runs.Load())
-	}
+	b.wantNotRun(back)
 	b.proposer.SetDown(false)
 	if got := b.send(http.MethodPost, "/services/s/jobs", "k", "body"); got.status != 200 {
 		t.Errorf("answer after healing = %d, want 200", got.status)
@@ -296,14 +302,10 @@
 	back, service := newBackend(t, answerOK)
 	b.addAgent(service, 8)
 	b.proposer.SetLosing(true)
-	got := b.send(http.MethodPost, "/services/s/jobs", "k", "body")
-	if got.status != 503 || got.outcome != outcomeNotRun || back.runs.Load() != 0 {
-		t.Errorf("answer = %d, %s after %d runs, want 503, NotRun, 0 runs", got.status, got.outcome, back.runs.Load())
-	}
+	b.wantNotRun(back)
 	b.proposer.SetLosing(false)
 	b.await("an answer under the key", func() bool {
-		got = b.send(http.MethodPost, "/services/s/jobs", "k", "body")
-		return got.status == 200
+		return b.send(http.MethodPost, "/services/s/jobs", "k", "body").status == 200
 	})
 	if runs := back.runs.Load(); runs != 1 {
 		t.Errorf("runs = %d, want 1", runs)
