A refusal says that a request has not run only if all its attempts proved it

Cause: giveUp, endedError and the relay looked at the error of the last attempt. When a first upstream may have run a repeatable request and a second one proved that it did not, the caller was told that the request had not run.

Change: retry.Outcome collects all attempts, and both ways to upstreams take the reported error from it.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -56,14 +56,10 @@
 		TimeLeft: r.request.Deadline.Sub(now), LastEvent: r.lastEvent,
 	})
 	if err != nil {
-		if !errors.As(err, new(figbank.NotRunError)) {
-			r.sent++
-		}
 		r.recordFailure(ctx, target, err)
 		return err
 	}
 	defer answer.Body.Close()
-	r.sent++
 	r.upstream = target.ID
 	target.Load.recordReport(r.common.Clock.Now(), answer.Load)
 	err = r.forward(answer)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -230,12 +230,13 @@
 
 func TestGiveUpReportsNotRunOnlyIfNothingRan(t *testing.T) {
 	r := &run{request: &Request{}}
-	if err := r.giveUp(nil, figbank.NotRunError{Reason: figbank.ReasonQueueFull}); !errors.As(err, new(figbank.NotRunError)) {
+	full := figbank.NotRunError{Reason: figbank.ReasonQueueFull}
+	if err := r.giveUp(full); !errors.As(err, new(figbank.NotRunError)) {
 		t.Errorf("giveUp() without an attempt = %v, want NotRunError", err)
 	}
-	r.sent = 1
-	last := figbank.UnknownOutcomeError{Detail: "lost"}
-	if err := r.giveUp(last, figbank.NotRunError{Reason: figbank.ReasonNoUpstream}); errors.As(err, new(figbank.NotRunError)) {
+	r.outcome.Record(figbank.UnknownOutcomeError{Detail: "lost"})
+	r.outcome.Record(full)
+	if err := r.giveUp(full); errors.As(err, new(figbank.NotRunError)) {
 		t.Errorf("giveUp() after an attempt that may have run = %v, want no NotRunError", err)
 	}
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -36,8 +36,8 @@
 		response ResponseWriter
 		log      *zap.Logger
 		tried    map[figbank.UpstreamID]bool
-		// sent counts the upstreams that may have run the request.
-		sent int
+		// outcome collects whether the attempts may have run the request.
+		outcome retry.Outcome
 		// lastEvent is the id of the last event that the caller has received.
 		lastEvent string
 		// failedAnswer is a complete error answer of an upstream. It goes to the caller
@@ -64,22 +64,22 @@
 )
 
 func (r *run) serve(ctx context.Context) error {
-	var last error
 	for attempt := 1; ; attempt++ {
 		target, err := r.chooseTarget(attempt)
 		if err != nil {
-			return r.giveUp(last, err)
+			return r.giveUp(err)
 		}
 		r.sentAt = r.common.Clock.Now()
-		last = r.attempt(ctx, target)
-		if last == nil {
+		err = r.attempt(ctx, target)
+		r.outcome.Record(err)
+		if err == nil {
 			return nil
 		}
-		if ctx.Err() != nil || errors.As(last, new(figbank.CallerGoneError)) {
-			return r.endedError(ctx, last)
+		if ctx.Err() != nil || errors.As(err, new(figbank.CallerGoneError)) {
+			return r.endedError(ctx)
 		}
-		if !r.shouldRetry(attempt, target, last) {
-			return r.giveUp(last, last)
+		if !r.shouldRetry(attempt, target, err) {
+			return r.giveUp(err)
 		}
 	}
 }
@@ -165,7 +165,7 @@
 	if r.lastEvent != r.request.LastEvent && !r.request.Route.GetResumable() || attempt >= maxAttempts {
 		return false
 	}
-	if r.sent >= int(max(1, r.request.Route.GetMaxUpstreams())) && !errors.As(err, new(figbank.NotRunError)) {
+	if r.outcome.MayHaveRun() >= int(max(1, r.request.Route.GetMaxUpstreams())) && !errors.As(err, new(figbank.NotRunError)) {
 		return false
 	}
 	resumable := r.request.Route.Streamed() && r.request.Route.GetResumable()
@@ -178,39 +178,29 @@
 	return retried
 }
 
-// giveUp returns the result of a request that goes to no further upstream: a complete
-// error answer of an upstream if there is one, otherwise an error. If reason is a NotRunError
-// but an attempt may have run the request, giveUp returns last, the error of the last attempt.
-func (r *run) giveUp(last, reason error) error {
+// giveUp returns the result of a request that goes to no further upstream for the given
+// reason: a complete error answer of an upstream if there is one, otherwise an error.
+func (r *run) giveUp(reason error) error {
 	if r.failedAnswer != nil && !r.response.Started() {
 		return r.failedAnswer.writeTo(r.response)
 	}
-	if last == nil {
-		return reason
-	}
-	if r.sent > 0 && errors.As(reason, new(figbank.NotRunError)) {
-		return last
-	}
-	return reason
+	return r.outcome.Error(reason)
 }
 
 // endedError returns the error of a request that ended because its deadline passed or the
 // caller has gone.
-func (r *run) endedError(ctx context.Context, last error) error {
+func (r *run) endedError(ctx context.Context) error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return figbank.DeadlineError{NotSent: r.sent == 0}
-	}
-	if r.sent == 0 {
-		return figbank.NotRunError{Reason: figbank.ReasonCallerGone}
+		return figbank.DeadlineError{NotSent: r.outcome.MayHaveRun() == 0}
 	}
-	return last
+	return r.outcome.Error(figbank.NotRunError{Reason: figbank.ReasonCallerGone})
 }
 
 // logFinished logs the outcome of the request and counts it in the metrics.
 func (r *run) logFinished(err error) {
 	fields := []zap.Field{
 		zap.String("route", r.request.Route.GetName()), zap.String("upstream", string(r.upstream)),
-		zap.Int("sent", r.sent), zap.Duration("first", r.firstByteTime), zap.Duration("longestGap", r.longestGap),
+		zap.Int("sent", r.outcome.MayHaveRun()), zap.Duration("first", r.firstByteTime), zap.Duration("longestGap", r.longestGap),
 		zap.Duration("total", r.common.Clock.Now().Sub(r.request.ReceivedAt)),
 	}
 	outcome := "answered"
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -148,43 +147,33 @@
 	random := newRandom()
 	r.budget.Deposit()
 	deadline := r.common.Clock.Now().Add(r.settings.Deadline)
-	var last error
+	var outcome retry.Outcome
 	for number := 1; ; number++ {
 		candidate, err := r.scheduler.acquire(ctx, request.Workspace, route)
 		if err != nil {
-			return errorToReport(last, err)
+			return outcome.Error(err)
 		}
 		r.recordEvent("Routed", request, string(candidate.ID))
 		try := &attempt{relay: r, request: request, candidate: candidate, response: response, deadline: deadline}
-		last = try.run(ctx)
-		if last == nil {
+		err = try.run(ctx)
+		outcome.Record(err)
+		if err == nil {
 			return nil
 		}
-		action := retry.Decide(retry.Failure{Err: last, Repeatable: request.Repeatable, AnswerStarted: response.Started()}, r.budget)
+		action := retry.Decide(retry.Failure{Err: err, Repeatable: request.Repeatable, AnswerStarted: response.Started()}, r.budget)
 		if action == retry.GiveUp || !r.common.Clock.Now().Before(deadline) {
-			return last
+			return outcome.Error(err)
 		}
 		if action == retry.RetryElsewhere {
-			r.recordEvent("Retry", request, last.Error())
+			r.recordEvent("Retry", request, err.Error())
 			route.Tried = append(route.Tried, candidate.ID)
 			if !r.pause(ctx, retry.Delay(number, random)) {
-				return last
+				return outcome.Error(err)
 			}
 		}
 	}
 }
 
-// errorToReport chooses between attemptErr, the error of the last attempt, and
-// acquireErr, the reason why no other upstream could be acquired. The attempt's error
-// takes precedence, unless there was no attempt or the attempt proved that the request
-// did not run.
-func errorToReport(attemptErr, acquireErr error) error {
-	if attemptErr == nil || errors.As(attemptErr, new(figbank.NotRunError)) {
-		return acquireErr
-	}
-	return attemptErr
-}
-
 // refresh rebuilds the routing table. If live is nil, the known upstreams stay.
 func (r *Relay) refresh(live []*schema.Upstream) {
 	r.refreshMu.Lock()
