Bytes without end from an upstream are bounded in size and time

Cause: heads were read without a bound, so one faulty answer made a call allocate up to 6.8 GB within its 3 s (header line without end); an event of many short lines had no bound; the body of a refusal was awaited until the deadline.

Change: a connection bounds all heads of one answer to 64 KB; events to 256 KB in all; the body of a refusal is awaited for 50 ms.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -252,3 +252,32 @@
 		t.Errorf("Age() = %v, want 100ms", got)
 	}
 }
+
+// endlessReader repeats a text without end and counts the bytes that were read.
+type endlessReader struct {
+	text string
+	read int
+}
+
+func (e *endlessReader) Read(buffer []byte) (int, error) {
+	for i := range buffer {
+		buffer[i] = e.text[e.read%len(e.text)]
+		e.read++
+	}
+	return len(buffer), nil
+}
+
+// An event that does not end must not be collected in memory, whether it is one long line or
+// many short ones.
+func TestEndlessEventIsRefused(t *testing.T) {
+	for _, text := range []string{"a", "data: a\n"} {
+		source := &endlessReader{text: text}
+		_, _, err := newEventReader(source).next()
+		if !errors.As(err, new(figbank.ProtocolError)) {
+			t.Errorf("next() of %q without end = %v, want ProtocolError", text, err)
+		}
+		if want := maxEvent + 2*eventBuffer; source.read > want {
+			t.Errorf("next() of %q without end read %d bytes, want at most %d", text, source.read, want)
+		}
+	}
+}
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -10,9 +10,8 @@
 )
 
 const (
-	// maxEvent is the size in bytes from which an event is refused. The size is checked only
-	// while a line longer than eventBuffer is read.
-	maxEvent = 1 << 20
+	// maxEvent is the largest size of an event in bytes.
+	maxEvent = 256 << 10
 	// eventBuffer is the size of the read buffer in bytes. It holds a few typical events.
 	eventBuffer = 4 << 10
 )
@@ -38,10 +37,10 @@
 		line, err := r.reader.ReadSlice('\n')
 		r.event.Write(line)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && r.event.Len() < maxEvent:
-			continue
-		case errors.Is(err, bufio.ErrBufferFull):
+		case r.event.Len() > maxEvent:
 			return nil, "", figbank.ProtocolError{Detail: "event is too long"}
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
 		case errors.Is(err, io.EOF) && r.event.Len() > 0:
 			return nil, "", figbank.IncompleteAnswerError{Detail: "stream ended inside an event"}
 		case errors.Is(err, io.EOF):
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -22,6 +22,7 @@
 	pool    *Pool
 	address figbank.Address
 	netConn net.Conn
+	heads   *headLimiter
 	reader  *bufio.Reader
 	// keepAlive is how long the upstream keeps an idle connection open.
 	keepAlive time.Duration
@@ -30,7 +31,11 @@
 }
 
 func newConn(pool *Pool, address figbank.Address, netConn net.Conn) *conn {
-	return &conn{pool: pool, address: address, netConn: netConn, reader: bufio.NewReaderSize(netConn, readBufferBytes), keepAlive: defaultIdle}
+	heads := &headLimiter{source: netConn}
+	return &conn{
+		pool: pool, address: address, netConn: netConn, heads: heads, reader: bufio.NewReaderSize(heads, readBufferBytes),
+		keepAlive: defaultIdle,
+	}
 }
 
 func (c *conn) close() {
@@ -47,6 +52,12 @@
 	c.close()
 }
 
+// limitReadTime makes reads fail that last longer than d from now on, until the connection
+// is released.
+func (c *conn) limitReadTime(d time.Duration) {
+	_ = c.netConn.SetReadDeadline(c.pool.clock.Now().Add(d))
+}
+
 // release returns the connection to the pool. It closes the connection instead if
 // there are unread bytes that belong to no request, or if the upstream keeps idle
 // connections for too short a time.
@@ -55,6 +66,7 @@
 		c.close()
 		return
 	}
+	_ = c.netConn.SetReadDeadline(time.Time{})
 	c.reuseUntil = c.pool.clock.Now().Add(c.keepAlive - idleMargin)
 	c.pool.put(c)
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"figbank"
 )
@@ -16,8 +17,13 @@
 	// maxHeads limits how many heads are read for one request. All heads before the
 	// final response are informational (1xx).
 	maxHeads = 10
-	// maxDiscard is the maximum number of bytes of an unwanted response that Discard reads.
-	maxDiscard = 4 << 10
+	// maxHeadBytes limits the bytes that are read for one request until the head of the
+	// final response is complete.
+	maxHeadBytes = 64 << 10
+	// maxDiscard is the maximum number of bytes of an unwanted response that Discard reads,
+	// discardTimeout the time that it waits for them.
+	maxDiscard     = 4 << 10
+	discardTimeout = 50 * time.Millisecond
 )
 
 type (
@@ -98,8 +104,11 @@
 	return nil
 }
 
-// receiveHead reads the head of the final response and skips informational responses.
+// receiveHead reads the head of the final response and skips informational responses. All of
+// them together may have maxHeadBytes.
 func (c *conn) receiveHead(method string) (*http.Response, error) {
+	c.heads.begin(maxHeadBytes)
+	defer c.heads.end()
 	for range maxHeads {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -145,9 +154,12 @@
 	return content, nil
 }
 
-// Discard reads the rest of a response if it is short, so that the connection can
-// be reused, and closes the body.
+// Discard reads the rest of a response if it is short and arrives at once, so that the
+// connection can be reused, and closes the body.
 func Discard(answer *Answer) {
+	if b, isBody := answer.Body.(*body); isBody {
+		b.conn.limitReadTime(discardTimeout)
+	}
 	_, _ = io.CopyN(io.Discard, answer.Body, maxDiscard)
 	_ = answer.Body.Close()
 }
