--- a/app/platformgateway.go
+++ b/app/platformgateway.go
@@ -8,6 +8,7 @@
 	"figbank"
 	"figbank/dispatch"
 	"figbank/feed"
+	"figbank/httpserver"
 	"figbank/loadshare"
 	"figbank/platform"
 	"figbank/retry"
@@ -101,8 +102,7 @@
 		return err
 	}
 	handler := platform.NewFrontServer(common, d).Handler()
-	server := newHTTPServer(closeConnectionsWhen(stopping, handler))
-	server.IdleTimeout = idleTimeout
+	server := httpserver.New(closeConnectionsWhen(stopping, handler), func() httpserver.Limits { return callerLimits(d.Table()) })
 	go func() { _ = server.Serve(listener) }()
 	common.Log.Info("gateway: started", zap.String("callers", listener.Addr().String()))
 	lifecycle.Append(fx.StopHook(func(ctx context.Context) error {
@@ -120,6 +120,26 @@
 	return nil
 }
 
+// callerLimits returns the limits of callers by the traffic rules in table, which is nil before
+// the first rules. Where the rules set no limit, that of the other servers applies.
+func callerLimits(table *dispatch.Table) httpserver.Limits {
+	limits := httpserver.Limits{HeadBytes: maxHeader, HeadTime: headerTimeout, IdleTime: idleTimeout}
+	if table == nil {
+		return limits
+	}
+	rules := table.Traffic.CallerLimits()
+	if bytes := rules.GetMaxHeaderBytes(); bytes > 0 {
+		limits.HeadBytes = figbank.Bytes(bytes)
+	}
+	if ms := rules.GetHeaderTimeoutMilliseconds(); ms > 0 {
+		limits.HeadTime = time.Duration(ms) * time.Millisecond
+	}
+	if ms := rules.GetIdleTimeoutMilliseconds(); ms > 0 {
+		limits.IdleTime = time.Duration(ms) * time.Millisecond
+	}
+	return limits
+}
+
 // closeConnectionsWhen returns a handler that, once stopping is set, tells callers to close their
 // connections, so that they connect to another gateway.
 func closeConnectionsWhen(stopping *stopFlag, handler http.Handler) http.Handler {
--- a/traffic/table.go
+++ b/traffic/table.go
@@ -15,12 +15,11 @@
 type (
 	// Table is one set of traffic rules, indexed for look-ups. It is immutable.
 	Table struct {
-		rules     *schema.Traffic
-		routes    map[string][]*Route
-		keys      map[string]*Workspace
-		services  map[figbank.ServiceName]*schema.RoutedService
-		maxHeader figbank.Bytes
-		maxBody   figbank.Bytes
+		rules    *schema.Traffic
+		routes   map[string][]*Route
+		keys     map[string]*Workspace
+		services map[figbank.ServiceName]*schema.RoutedService
+		maxBody  figbank.Bytes
 	}
 
 	// Route is one routing rule with its derived durations and total weight.
@@ -50,9 +49,8 @@
 func NewTable(rules *schema.Traffic) *Table {
 	t := &Table{
 		rules: rules, routes: map[string][]*Route{}, keys: map[string]*Workspace{},
-		services:  map[figbank.ServiceName]*schema.RoutedService{},
-		maxHeader: figbank.Bytes(rules.GetLimits().GetMaxHeaderBytes()),
-		maxBody:   figbank.Bytes(rules.GetLimits().GetMaxBodyBytes()),
+		services: map[figbank.ServiceName]*schema.RoutedService{},
+		maxBody:  figbank.Bytes(rules.GetLimits().GetMaxBodyBytes()),
 	}
 	for _, rule := range rules.GetRoutes() {
 		t.routes[rule.GetHost()] = append(t.routes[rule.GetHost()], newRoute(rule))
@@ -100,9 +98,9 @@
 	return t.maxBody
 }
 
-// MaxHeader returns the largest request head that callers may send, 0 for no limit.
-func (t *Table) MaxHeader() figbank.Bytes {
-	return t.maxHeader
+// CallerLimits returns the limits of what callers may send, nil when the rules have none.
+func (t *Table) CallerLimits() *schema.CallerLimits {
+	return t.rules.GetLimits()
 }
 
 // RequiresKeys reports whether routes that are not public need a key.
