Cold limits count work of before a failure; refused orders are repeated with pauses

Cause of TestRandomFaults: Limiter.fits admitted a call whenever no call was admitted since the last failure, so 12 late failures let 15 calls into a cold engine of limit 4. Besides, the measure's engine restarted in zero time, which the limiter's trust in a confirmed incarnation (10 ms) rules out; calls on their way then reached the new one. Cause of the orders without pause: each refused order changes the announced state, and that change started the next order at once.

Change: fits counts the work of before a failure; a restart in the measure takes 20 ms; failed reconciliations are repeated after a growing, jittered delay (backoff).

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -283,3 +283,25 @@
 		t.Errorf("queue is not empty after its last request: %d", queue.Len())
 	}
 }
+
+// An upstream restarts while it holds a full load, and the calls that it has lost fail one after
+// the other. Each failure makes the new incarnation suspect again. The calls that are admitted in
+// between must all fit within the cold limit together.
+func TestLateFailuresAdmitNoMoreThanTheColdLimit(t *testing.T) {
+	const first, failures = 4, 12
+	limiter := NewLimiter(first, 32)
+	limiter.ConfirmIncarnation(noon, limiter.Epoch(), "old")
+	limiter.Suspect()
+	limiter.ConfirmIncarnation(noon, limiter.Epoch(), "new")
+	admitted := 0
+	for range failures {
+		limiter.Suspect()
+		for permit, _ := limiter.Acquire(noon, 1); permit != nil; permit, _ = limiter.Acquire(noon, 1) {
+			admitted++
+		}
+		limiter.ConfirmIncarnation(noon, limiter.Epoch(), "new")
+	}
+	if admitted != first {
+		t.Errorf("calls admitted to the cold incarnation = %d, want %d", admitted, first)
+	}
+}
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -222,14 +222,15 @@
 
 // fits reports whether work of this cost may be admitted. The caller holds mu.
 func (l *Limiter) fits(cost figbank.Cost) bool {
-	if l.inUse() == 0 {
-		return true
+	earlier, earlierLimit := figbank.Cost(0), l.ceiling
+	if l.suspectRamp != nil {
+		// A suspect upstream that has not restarted still holds the earlier work as well.
+		earlier, earlierLimit = l.suspectRamp.inUse, l.suspectRamp.limit
 	}
-	if l.inUse()+cost > l.limit() {
-		return false
+	if l.inUse()+earlier == 0 {
+		return true
 	}
-	// A suspect upstream that has not restarted still holds the earlier work as well.
-	return l.suspectRamp == nil || l.suspectRamp.inUse+l.ramp.inUse+cost <= l.suspectRamp.limit
+	return l.inUse()+cost <= l.limit() && l.inUse()+earlier+cost <= earlierLimit
 }
 
 func (l *Limiter) limit() figbank.Cost {
--- a/agent/reconcile.go
+++ b/agent/reconcile.go
@@ -10,12 +10,17 @@
 	"figbank/schema"
 	"figbank/weights"
 
+	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 )
 
 const (
 	// reconcileInterval is the time between reconciliations if nothing changes.
 	reconcileInterval = time.Second
+	// firstRetryDelay and maxRetryDelay bound the delay before a declaration whose reconciliation
+	// failed is reconciled again, without its jitter.
+	firstRetryDelay = 200 * time.Millisecond
+	maxRetryDelay   = 10 * time.Second
 	// grantRetryDelay is the delay between requests for a grant.
 	grantRetryDelay = 500 * time.Millisecond
 	// grantTimeout limits the time to request a grant from all gateways in turn.
@@ -33,11 +38,18 @@
 	case <-ctx.Done():
 		return
 	}
+	retries := newRetryDelays()
 	for ctx.Err() == nil {
 		changed := a.changed.wait()
+		var err error
 		if desired := a.desired(); desired != nil {
-			a.reconcile(ctx, desired)
+			err = a.reconcile(ctx, desired)
 		}
+		if err != nil {
+			a.awaitRetry(ctx, retries.NextBackOff())
+			continue
+		}
+		retries.Reset()
 		select {
 		case <-ctx.Done():
 		case <-changed:
@@ -46,6 +58,24 @@
 	}
 }
 
+// newRetryDelays returns the delays between failed reconciliations. They grow, so that an engine
+// that refuses its order is not asked without pause.
+func newRetryDelays() *backoff.ExponentialBackOff {
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval, delays.MaxInterval = firstRetryDelay, maxRetryDelay
+	delays.Reset()
+	return delays
+}
+
+// awaitRetry waits for the delay, but no longer than until the configuration changes.
+func (a *Agent) awaitRetry(ctx context.Context, delay time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-a.holder.Changed():
+	case <-a.common.Clock.After(delay):
+	}
+}
+
 // desired returns the current declaration of the service. It returns nil if the declaration names
 // no manifest or excludes this failure domain, or if the upstream is leaving.
 func (a *Agent) desired() *schema.Accepted {
@@ -58,8 +88,8 @@
 }
 
 // reconcile fetches the declared version, switches the engine to it and deletes old versions. It
-// stops when another declaration replaces desired.
-func (a *Agent) reconcile(ctx context.Context, desired *schema.Accepted) {
+// stops without an error when another declaration replaces desired.
+func (a *Agent) reconcile(ctx context.Context, desired *schema.Accepted) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	a.group.Go(func() { a.cancelWhenReplaced(ctx, cancel, desired) })
@@ -71,9 +101,11 @@
 	if err == nil {
 		err = a.weights.Store.Retain([]figbank.ManifestDigest{digest}, a.settings.VersionsKept)
 	}
-	if err != nil && ctx.Err() == nil {
-		a.common.Log.Warn("applying the declared version failed, will retry", zap.String("manifest", string(digest)), figbank.ErrorField(err))
+	if err == nil || ctx.Err() != nil {
+		return nil
 	}
+	a.common.Log.Warn("applying the declared version failed, will retry", zap.String("manifest", string(digest)), figbank.ErrorField(err))
+	return err
 }
 
 // cancelWhenReplaced calls cancel once another declaration is in force.
--- a/measure/engine.go
+++ b/measure/engine.go
@@ -28,6 +28,10 @@
 	pieceTime = 5 * time.Millisecond
 	pieceSize = 256
 	doneEvent = "data: [DONE]\n\n"
+	// restartTime is how long an engine that restarts is unreachable. Limiters rely on it: no
+	// process restarts in less than the time for which they trust an incarnation that they have
+	// just confirmed.
+	restartTime = 20 * time.Millisecond
 )
 
 type (
@@ -44,8 +48,10 @@
 		// restarted is closed and replaced at each restart.
 		restarted chan struct{}
 		down      bool
-		running   int64
-		limit     int64
+		// reachableAt is when the last restart has ended.
+		reachableAt time.Time
+		running     int64
+		limit       int64
 		// completed counts the completed calls since the limit last changed.
 		completed      int64
 		overloads      int
@@ -135,7 +141,7 @@
 func (e *Engine) Status(context.Context) (*schema.EngineStatus, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.down {
+	if e.unreachable() {
 		return nil, figbank.NotRunError{Reason: figbank.ReasonUnreachable}
 	}
 	status := &schema.EngineStatus{Incarnation: strconv.Itoa(e.incarnation), Ready: true, Running: e.running}
@@ -181,7 +187,7 @@
 func (e *Engine) begin(call callBody) (restarted chan struct{}, incarnation int, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.down {
+	if e.unreachable() {
 		return nil, 0, figbank.NotRunError{Reason: figbank.ReasonUnreachable}
 	}
 	if e.firstCallAt.IsZero() {
@@ -237,10 +243,16 @@
 	}
 }
 
+// unreachable reports whether calls cannot reach the engine now. The caller holds e.mu.
+func (e *Engine) unreachable() bool {
+	return e.down || virtual.Now().Before(e.reachableAt)
+}
+
 // restart starts a new, cold incarnation. The caller holds e.mu.
 func (e *Engine) restart() {
 	if e.restarted != nil {
 		close(e.restarted)
+		e.reachableAt = virtual.Now().Add(restartTime)
 	}
 	e.restarted = make(chan struct{})
 	e.incarnation++
