measure: a new version spreads over shaped links in virtual time

The measure runs the real fetchers and servers of 30, 100 and 300 hosts over links as in the large fleet.

--- a/fake/network.go
+++ b/fake/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -33,6 +34,9 @@
 		conns            map[*memoryConn]struct{}
 		// sent counts the bytes that each process has sent.
 		sent map[figbank.Address]int64
+		// rates and links limit the throughput. links is nil while there is no limit.
+		rates Rates
+		links map[linkKey]*Link
 	}
 
 	memoryListener struct {
@@ -293,17 +297,28 @@
 // Write sends bytes. It never blocks.
 func (c *memoryConn) Write(p []byte) (int, error) {
 	c.network.count(c.from, len(p))
-	due := c.network.clock.Now().Add(c.network.delay(c.from, c.to))
+	sent := 0
+	for part := range slices.Chunk(p, shapedPiece) {
+		if err := c.writePiece(part); err != nil {
+			return sent, err
+		}
+		sent += len(part)
+	}
+	return sent, nil
+}
+
+func (c *memoryConn) writePiece(p []byte) error {
+	due := c.network.arrival(c.from, c.to, len(p)).Add(c.network.delay(c.from, c.to))
 	d := c.out
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closed {
-		return 0, net.ErrClosed
+		return net.ErrClosed
 	}
 	d.last = later(d.last, due)
 	d.pieces = append(d.pieces, piece{bytes: append([]byte(nil), p...), due: d.last})
 	d.notify()
-	return len(p), nil
+	return nil
 }
 
 // Close closes both directions of the connection. The other end can still read the bytes on
--- a/measure/measure_test.go
+++ b/measure/measure_test.go
@@ -86,6 +86,23 @@
 	}
 }
 
+// TestMeasureWeights checks how a new version spreads over the hosts of one large fleet.
+// FIGBANK_BASELINE adds larger ones.
+func TestMeasureWeights(t *testing.T) {
+	hosts := []int{30, 100}
+	if os.Getenv("FIGBANK_BASELINE") != "" {
+		hosts = append(hosts, 300)
+	}
+	clearTimerPools()
+	synctest.Test(t, func(t *testing.T) {
+		report := Weights(hosts...)
+		report.Print(t.Output())
+		for _, figure := range report.OutOfBounds() {
+			t.Errorf("out of bounds: %s", figure)
+		}
+	})
+}
+
 // TestRandomFaults runs random calls and faults in a Cluster and fails if a guarantee is
 // violated. All steps are drawn before the bubble starts, because rapid ends a failing check
 // on the goroutine that draws.
