Weights: chunks leave the origin one after the other, transfers are finished, links are used at once

Cause, as traced in virtual time: a host followed 24 of 100 hosts at random and took a chunk that others held for one that nobody had; turns at the origin passed while it was still sending; a busy peer counted as a failure although the chunk spread; all chunks left the origin together, the first no sooner than the last; the time in a busy peer's queue counted as a slow link. A newer version threw the transfer of the older one away, and the next fetch began while the old one still used the fetcher.

Change: hosts follow those that bring chunks into their region; the origin is asked in the order of the chunks, paced by its published rate; new chunks are reported when they arrive; a link counts as wide until a chunk was slow, measured from its first part on; rollout.Choose finishes an older version that can still serve, and loads it only if the newest is not expected in time; hosts wait for peers that are known to hold a version.

--- a/figbank.go
+++ b/figbank.go
@@ -12,6 +12,9 @@
 	"figbank/schema"
 )
 
+// Megabit is a megabit in bytes.
+const Megabit Bytes = 1e6 / 8
+
 type (
 	// ProcessID names one figbank process in a deployment.
 	ProcessID string
@@ -40,7 +43,7 @@
 	CommitIndex uint64
 	// Term is an election term of the replicated log.
 	Term uint64
-	// Bytes is a size in bytes.
+	// Bytes is a size in bytes, or a rate in bytes per second.
 	Bytes int64
 	// Cost is an amount of work, in cost units; see routing.CostOf.
 	Cost int64
--- a/rollout/versions.go
+++ b/rollout/versions.go
@@ -1,6 +1,11 @@
 package rollout
 
-import "figbank/schema"
+import (
+	"cmp"
+	"slices"
+
+	"figbank/schema"
+)
 
 // Newest returns the newest version named for a model, or nil if there is none.
 func Newest(versions []*schema.NamedVersion, model string) *schema.NamedVersion {
@@ -13,6 +18,18 @@
 	return newest
 }
 
+// Newer returns the versions named for a model that are newer than number, in ascending order.
+func Newer(versions []*schema.NamedVersion, model string, number int64) []*schema.NamedVersion {
+	var newer []*schema.NamedVersion
+	for _, version := range versions {
+		if version.GetModel() == model && version.GetVersion() > number {
+			newer = append(newer, version)
+		}
+	}
+	slices.SortFunc(newer, func(a, b *schema.NamedVersion) int { return cmp.Compare(a.GetVersion(), b.GetVersion()) })
+	return newer
+}
+
 // OldestAfter returns the oldest version named for a model that is newer than number, or nil if
 // there is none. Of all newer versions, its time limit for requests on older weights ends first.
 func OldestAfter(versions []*schema.NamedVersion, model string, number int64) *schema.NamedVersion {
--- a/settings/check.go
+++ b/settings/check.go
@@ -11,7 +11,6 @@
 const (
 	// heartbeatsPerElection is the smallest allowed ratio of ElectionTimeout to HeartbeatInterval.
 	heartbeatsPerElection = 3
-	bytesPerMegabit       = 1e6 / 8
 	percent               = 100
 )
 
@@ -72,7 +71,7 @@
 // WeightBandwidth returns how many bytes of weights per second may pass over the host's
 // link in each direction; 0 means no limit.
 func WeightBandwidth(w *schema.WeightSettings) figbank.Bytes {
-	return figbank.Bytes(w.GetLinkRate() * bytesPerMegabit * float64(w.GetLinkShare()) / percent)
+	return figbank.Bytes(w.GetLinkRate() * float64(figbank.Megabit) * float64(w.GetLinkShare()) / percent)
 }
 
 // RegionsOf returns the region of each failure domain.
--- a/staging/fetch.go
+++ b/staging/fetch.go
@@ -9,21 +9,29 @@
 	"go.uber.org/zap"
 
 	"figbank"
+	"figbank/transfer"
 	"figbank/weights"
 )
 
 // startFetch fetches a version to this host in the background, and retries until the version is
-// complete. It does nothing if a fetch was started earlier and not canceled.
-func (s *Stager) startFetch(ctx context.Context, source Source) {
+// complete. It does nothing if a fetch was started earlier and not canceled. A canceled fetch ends
+// before the new one begins, since both use the same fetcher.
+func (s *Stager) startFetch(ctx context.Context, wanted target) {
 	if s.fetching.cancel != nil {
 		return
 	}
+	previous, source := s.fetching.ended, wanted.fetch
 	ctx, cancel := context.WithCancel(ctx)
-	s.fetching = fetchJob{source: source, cancel: cancel}
+	ended := make(chan struct{})
+	s.fetching = fetchJob{source: source, startedAt: s.common.Clock.Now(), cancel: cancel, ended: ended}
 	go func() {
+		defer close(ended)
+		if previous != nil {
+			<-previous
+		}
 		for ctx.Err() == nil {
-			err := s.fetch(ctx, source)
-			if err == nil {
+			err := s.fetch(ctx, wanted)
+			if err == nil || ctx.Err() != nil {
 				return
 			}
 			s.common.Log.Warn("fetching weights failed", zap.Int64("version", source.Version), figbank.ErrorField(err))
@@ -48,10 +56,11 @@
 	if s.fetching.cancel != nil {
 		s.fetching.cancel()
 	}
-	s.fetching = fetchJob{}
+	s.fetching = fetchJob{ended: s.fetching.ended}
 }
 
-func (s *Stager) fetch(ctx context.Context, source Source) error {
+func (s *Stager) fetch(ctx context.Context, wanted target) error {
+	source := wanted.fetch
 	began := s.common.Clock.Now()
 	digests, err := s.origin.Digests(ctx, source)
 	if err != nil {
@@ -65,7 +74,9 @@
 	if err != nil {
 		return err
 	}
-	version, err := s.fetcher.FetchWithManifest(withSource(ctx, source), content, digest)
+	version, err := s.fetcher.FetchKnown(withSource(ctx, source), transfer.Want{
+		Manifest: content, Digest: digest, OriginRate: wanted.originRate, HeldByPeers: s.servedElsewhere(source.Version),
+	})
 	if err != nil {
 		return err
 	}
--- a/staging/stager.go
+++ b/staging/stager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,14 +81,22 @@
 
 	// fetchJob describes a fetch that was started. It is zero if there is none.
 	fetchJob struct {
-		source Source
-		cancel context.CancelFunc
+		source    Source
+		startedAt time.Time
+		cancel    context.CancelFunc
+		// ended is closed when the fetch no longer uses the fetcher.
+		ended chan struct{}
 	}
 
-	// target describes the version that the engine should serve.
+	// target describes the version that the engine should load next.
 	target struct {
 		source Source
 		layers int64
+		// fetch is the version that this host should fetch, which differs from source while an
+		// engine loads an older version before the newest one has arrived.
+		fetch Source
+		// originRate is the bytes per second of the origin's link, 0 if unknown.
+		originRate figbank.Bytes
 	}
 )
 
@@ -134,10 +143,13 @@
 // step decides on the next action and carries it out. If the action is a switch, step
 // waits until the switch has ended or failed.
 func (s *Stager) step(ctx context.Context, report Report) {
-	wanted, known := s.target()
-	if known && s.fetching.source != wanted.source {
+	wanted, known := s.target(report)
+	if known && s.fetching.source != wanted.fetch {
 		s.cancelFetch()
 	}
+	if known && s.heldVersion(wanted.fetch) == nil {
+		s.startFetch(ctx, wanted)
+	}
 	held := s.heldVersion(wanted.source)
 	input := DecisionInput{
 		Known: known, Loaded: report.Loaded.GetVersion(), Wanted: wanted.source.Version,
@@ -148,19 +160,17 @@
 		input.MaySwitch = s.maySwitch(wanted, input.Loaded)
 	}
 	switch Decide(input) {
-	case ActionFetch, ActionSeed:
-		s.startFetch(ctx, wanted.source)
 	case ActionDrain:
 		s.drain(report)
 	case ActionSwitch:
 		s.switchTo(ctx, wanted, held, input.Loaded > 0)
-	case ActionWait:
+	case ActionWait, ActionFetch, ActionSeed:
 	}
 }
 
-// target returns the version that the engine should serve. It returns false if the origin or model
-// of that version is not known yet.
-func (s *Stager) target() (target, bool) {
+// target returns the versions that the engine should load next and that this host should fetch. It
+// returns false if the origin or model is not known yet.
+func (s *Stager) target(report Report) (target, bool) {
 	fleet := s.view.Fleet()
 	if s.rules == nil || s.rules.GetNumber() != fleet.GetTrafficNumber() {
 		s.rules = s.readRules(fleet)
@@ -169,19 +179,58 @@
 	for _, service := range s.rules.GetServices() {
 		if service.GetOrigin() != "" {
 			wanted.source.Address = figbank.Address(service.GetOrigin())
+			wanted.originRate = figbank.Bytes(service.GetOriginBytesPerSecond())
 		}
 		if service.GetName() == string(s.settings.Service) {
 			wanted.source.Model = service.GetEngine().GetModel()
 			wanted.layers = service.GetEngine().GetLayers()
 		}
 	}
-	wanted.source.Version = firstVersion
-	if named := rollout.Newest(fleet.GetVersions(), wanted.source.Model); named != nil {
-		wanted.source.Version = named.GetVersion()
-	}
+	choice := s.choose(fleet.GetVersions(), wanted.source, report.Loaded.GetVersion())
+	wanted.fetch = wanted.source
+	wanted.source.Version, wanted.fetch.Version = choice.Load, choice.Fetch
 	return wanted, wanted.source.Address != "" && wanted.source.Model != ""
 }
 
+// choose decides between the versions named for the model of source that are newer than the
+// loaded one. Without any, it returns the loaded version, or firstVersion if there is none.
+func (s *Stager) choose(named []*schema.NamedVersion, source Source, loaded int64) rollout.Choice {
+	newer := rollout.Newer(named, source.Model, loaded)
+	if len(newer) == 0 {
+		number := max(loaded, firstVersion)
+		return rollout.Choice{Fetch: number, Load: number}
+	}
+	now := s.common.Clock.Now()
+	var candidates []rollout.Candidate
+	for i, version := range newer {
+		source.Version = version.GetVersion()
+		candidate := rollout.Candidate{Number: version.GetVersion(), Newest: i == len(newer)-1, Held: s.heldVersion(source) != nil}
+		if !candidate.Newest {
+			candidate.ServableFor = s.servableFor(newer[i+1], now)
+		}
+		candidates = append(candidates, candidate)
+	}
+	loadedFor := time.Duration(0)
+	if loaded > 0 {
+		loadedFor = s.servableFor(newer[0], now)
+	}
+	transfer := rollout.Transfer{Version: s.fetching.source.Version, Share: s.heldShare(), Elapsed: now.Sub(s.fetching.startedAt)}
+	return rollout.Choose(candidates, transfer, loadedFor)
+}
+
+// servableFor returns how much longer requests may begin on versions older than next.
+func (s *Stager) servableFor(next *schema.NamedVersion, now time.Time) time.Duration {
+	return s.settings.VersionTime - now.Sub(time.Unix(0, next.GetNamedUnixNano()))
+}
+
+// servedElsewhere reports whether another upstream of the service serves a version.
+func (s *Stager) servedElsewhere(version int64) bool {
+	return slices.ContainsFunc(s.view.Upstreams(), func(upstream registry.Upstream) bool {
+		return upstream.Record.GetService() == string(s.settings.Service) && upstream.Loaded.GetVersion() == version &&
+			upstream.Record.GetAddress() != s.settings.Member.GetUpstream()
+	})
+}
+
 // maySwitch reports whether rollout.MaySwitch lets this engine switch now, given the upstreams of
 // the same failure domain. If operators have named no version newer than the loaded one, the time
 // since 1970 is passed instead, so the engine may switch.
--- a/swarm/order.go
+++ b/swarm/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -18,18 +19,25 @@
 	}
 }
 
-// turnsPassed returns how many turns have passed. A host may fetch a chunk once as many turns have
-// passed as there are hosts before it in the chunk's order. A turn passes with each StallTime
-// without progress in the region. In OneCopy mode, a turn also passes with each idleTurn since this
-// host ran out of fetches to start, and the larger of the two counts applies.
-func (p *Plan) turnsPassed(now time.Time) int {
+// turnsPassed returns how many turns of a chunk have passed. A host may fetch a chunk once as many
+// turns have passed as there are hosts before it in the chunk's order. A turn passes with each
+// StallTime without progress in the region. In OneCopy mode, a turn also passes with each idleTurn
+// in which this host had no fetch to start, no first copy of any chunk became known, and the origin
+// should have sent the chunk. The larger of the two counts applies.
+func (p *Plan) turnsPassed(chunk figbank.ChunkIndex, now time.Time) int {
 	turns := int(now.Sub(p.lastProgress) / p.settings.StallTime)
 	if p.settings.OneCopy && !p.idleSince.IsZero() {
-		turns = max(turns, int(now.Sub(p.idleSince)/idleTurn))
+		since := later(later(p.idleSince, p.lastFirstCopy), p.originTurn(chunk+1))
+		turns = max(turns, int(now.Sub(since)/idleTurn))
 	}
 	return turns
 }
 
+// originTurn returns when the origin has had the time to send the chunks before this one.
+func (p *Plan) originTurn(chunk figbank.ChunkIndex) time.Time {
+	return p.originRetryAt.Add(time.Duration(chunk) * p.settings.OriginGap)
+}
+
 // markPeersFailed records that, from the given time, a chunk counts as one that its holders fail to
 // deliver. Of several such times, the earliest is kept.
 func (p *Plan) markPeersFailed(chunk figbank.ChunkIndex, from time.Time) {
@@ -93,3 +101,42 @@
 func rendezvousHash(id figbank.ProcessID, chunk int) uint64 {
 	return xxhash.Sum64String(string(id) + "/" + strconv.Itoa(chunk))
 }
+
+// FirstHosts returns the hosts that bring chunks to this one, without itself: for each chunk the
+// first host of its region in the chunk's order, and, where this host is that one, the first
+// host of all regions. The updates of these hosts show what can be fetched.
+func FirstHosts(self Peer, peers []Peer, chunks int) []Peer {
+	var firsts []Peer
+	for chunk := range chunks {
+		inRegion := firstHost(peers, chunk, func(p Peer) bool { return p.Region == self.Region })
+		if inRegion.ID == self.ID {
+			inRegion = firstHost(peers, chunk, func(Peer) bool { return true })
+		}
+		if inRegion.ID != self.ID && !slices.Contains(firsts, inRegion) {
+			firsts = append(firsts, inRegion)
+		}
+	}
+	return firsts
+}
+
+// firstHost returns the first of the eligible hosts in a chunk's order.
+func firstHost(peers []Peer, chunk int, eligible func(Peer) bool) Peer {
+	var first Peer
+	var highest uint64
+	for _, peer := range peers {
+		if !eligible(peer) {
+			continue
+		}
+		if hash := rendezvousHash(peer.ID, chunk); first.ID == "" || hash > highest {
+			first, highest = peer, hash
+		}
+	}
+	return first
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/swarm/plan.go
+++ b/swarm/plan.go
@@ -45,6 +45,8 @@
 	// busyWait is the delay from a holder's busy answer until the requested chunk counts as one
 	// that its holders failed to deliver.
 	busyWait = 500 * time.Millisecond
+	// A chunk that spreadCopies peers hold spreads further even if one of them is busy.
+	spreadCopies = 3
 	// narrowTurns is how many additional turns a host waits before it fetches from the origin
 	// while its link has reduced bandwidth.
 	narrowTurns = 8
@@ -103,6 +105,9 @@
 		// OneCopy is set if each chunk is to leave the origin once in total, rather than
 		// once for each region.
 		OneCopy bool
+		// OriginGap is the time that the origin takes to send one chunk at the full rate of its
+		// link, 0 if that rate is unknown.
+		OriginGap time.Duration
 	}
 
 	// Plan holds one host's view of one transfer and decides which fetch to start
@@ -120,6 +125,8 @@
 		// lastProgress is when a host of this region last got a chunk of which no other
 		// copy was known, in any region. At first, it is when the plan was created.
 		lastProgress time.Time
+		// lastFirstCopy is when a chunk of which no copy was known became known, in any region.
+		lastFirstCopy time.Time
 		// idleSince is when this host ran out of fetches to start. It is zero after a fetch
 		// was started.
 		idleSince time.Time
@@ -228,7 +235,11 @@
 			continue
 		}
 		p.copies[chunk]++
-		if holder.distance != otherRegion && p.copies[chunk] == 1 && !p.have[chunk] {
+		if p.copies[chunk] > 1 || p.have[chunk] {
+			continue
+		}
+		p.lastFirstCopy = now
+		if holder.distance != otherRegion {
 			p.lastProgress = now
 		}
 	}
@@ -252,7 +263,7 @@
 	p.missing--
 	delete(p.peersFailedAt, chunk)
 	if p.copies[chunk] == 0 {
-		p.lastProgress = now
+		p.lastProgress, p.lastFirstCopy = now, now
 	}
 }
 
@@ -296,7 +307,9 @@
 			p.countCopies()
 		}
 	case FailureBusy:
-		p.markPeersFailed(fetch.Chunk, now.Add(busyWait))
+		if p.copies[fetch.Chunk] < spreadCopies {
+			p.markPeersFailed(fetch.Chunk, now.Add(busyWait))
+		}
 		source.retryAt = now.Add(busyDelay)
 	case FailureUnreachable:
 		p.markPeersFailed(fetch.Chunk, now)
@@ -330,16 +343,20 @@
 }
 
 // nextFromOrigin picks a chunk that this host may fetch from the origin now, because enough turns
-// have passed for its rank. If peers hold the chunk, turnsForHolders more turns must have passed,
+// have passed for its rank. The chunks are fetched one after the other: a chunk that leaves the
+// origin at the full rate of its link can be passed on while the origin sends the next one. If peers hold the chunk, turnsForHolders more turns must have passed,
 // unless the peers failed to deliver the chunk.
 func (p *Plan) nextFromOrigin(now time.Time) (Fetch, bool) {
 	if p.originInFlight >= max(1, p.settings.InFlight/originSlotDivisor) || now.Before(p.originRetryAt) {
 		return Fetch{}, false
 	}
-	turns := p.turnsPassed(now)
 	for chunk, rank := range p.originRank {
 		index := figbank.ChunkIndex(chunk)
-		if p.wants(index) && (rank+p.extraTurns+p.turnsForHolders(index) <= turns || rank+p.extraTurns <= p.turnsSincePeersFailed(index, now)) {
+		if !p.wants(index) || now.Before(p.originTurn(index)) {
+			continue
+		}
+		rank += p.extraTurns
+		if rank+p.turnsForHolders(index) <= p.turnsPassed(index, now) || rank <= p.turnsSincePeersFailed(index, now) {
 			return Fetch{Chunk: index}, true
 		}
 	}
--- a/swarm/select.go
+++ b/swarm/select.go
@@ -57,10 +57,9 @@
 // it is this host's turn to fetch from another region.
 func (p *Plan) nextFromOtherRegion(now time.Time) (Fetch, bool) {
 	ready := p.readyPeers(now, otherRegion, false)
-	turns := p.turnsPassed(now)
 	for chunk, rank := range p.regionRank {
 		index := figbank.ChunkIndex(chunk)
-		if rank > turns || p.copies[chunk] == 0 || !p.wants(index) || p.heldInRegion(index) || !anyHolds(ready, chunk) {
+		if rank > p.turnsPassed(index, now) || p.copies[chunk] == 0 || !p.wants(index) || p.heldInRegion(index) || !anyHolds(ready, chunk) {
 			continue
 		}
 		source := p.nearestHolder(ready, chunk)
--- a/transfer/fetcher.go
+++ b/transfer/fetcher.go
@@ -29,11 +29,15 @@
 	// maxManifest limits the size of a manifest from a peer.
 	maxManifest figbank.Bytes = 64 << 20
 	inboxLength               = 256
+	// holdersTime is how long a host waits for peers that are known to hold the version to
+	// report its chunks, before it turns to the origin.
+	holdersTime = 5 * time.Second
 	// narrowLinkShare is the percentage of its estimated rate that weights may use on a link
 	// with reduced bandwidth.
 	narrowLinkShare = 60
 	percent         = 100
-	// maxFollowedPeers limits the number of peers whose chunks a host follows.
+	// maxFollowedPeers limits the number of peers whose chunks a host follows, without those
+	// that bring chunks into its region.
 	maxFollowedPeers = 24
 )
 
@@ -63,6 +67,18 @@
 		Link *Link
 	}
 
+	// Want describes a version whose manifest is known.
+	Want struct {
+		// Manifest is the manifest's bytes, Digest their digest.
+		Manifest []byte
+		Digest   figbank.ManifestDigest
+		// OriginRate is the bytes per second of the origin's link, 0 if unknown.
+		OriginRate figbank.Bytes
+		// HeldByPeers is set if peers are known to hold the version, even if they have not
+		// reported its chunks yet.
+		HeldByPeers bool
+	}
+
 	// Origin fetches from a server that stores every version of the weights.
 	Origin interface {
 		// Manifest fetches a manifest's bytes. The caller verifies them.
@@ -135,24 +151,24 @@
 	if err != nil {
 		return nil, err
 	}
-	return f.FetchWithManifest(ctx, content, digest)
+	return f.FetchKnown(ctx, Want{Manifest: content, Digest: digest})
 }
 
-// FetchWithManifest is like Fetch, for a version whose manifest is already known: content is the
-// manifest's bytes. It does not wait until the list of peers is stable.
-func (f *Fetcher) FetchWithManifest(ctx context.Context, content []byte, digest figbank.ManifestDigest) (*weights.Version, error) {
-	if version := f.store.Version(digest); version != nil {
+// FetchKnown is like Fetch, for a version whose manifest is already known. It does not wait until
+// the list of peers is stable.
+func (f *Fetcher) FetchKnown(ctx context.Context, want Want) (*weights.Version, error) {
+	if version := f.store.Version(want.Digest); version != nil {
 		return version, nil
 	}
-	partial, err := f.store.Begin(content, digest)
+	partial, err := f.store.Begin(want.Manifest, want.Digest)
 	if err != nil {
 		return nil, err
 	}
 	f.active.set(partial)
 	defer f.active.set(nil)
-	f.event("Begun", "", string(digest))
+	f.event("Begun", "", string(want.Digest))
 	for {
-		if err := f.fetchChunks(ctx, partial); err != nil {
+		if err := f.fetchChunks(ctx, partial, want); err != nil {
 			return nil, err
 		}
 		version, err := partial.Finalize()
@@ -162,7 +178,7 @@
 			continue
 		}
 		if err == nil {
-			f.event("Whole", "", string(digest))
+			f.event("Whole", "", string(want.Digest))
 		}
 		return version, err
 	}
@@ -184,14 +200,14 @@
 }
 
 // fetchChunks fetches the missing chunks until all are on disk.
-func (f *Fetcher) fetchChunks(ctx context.Context, partial *weights.PartialVersion) error {
+func (f *Fetcher) fetchChunks(ctx context.Context, partial *weights.PartialVersion, want Want) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	now := f.common.Clock.Now()
 	plan := swarm.NewPlan(swarm.Settings{
 		Self: f.settings.Self, Chunks: len(partial.Version().Manifest.GetChunks()),
-		InFlight: f.settings.MaxInFlight, StallTime: f.settings.StallTime, OriginDelay: f.settings.OriginDelay,
-		OneCopy: f.settings.OneCopy,
+		InFlight: f.settings.MaxInFlight, StallTime: f.settings.StallTime, OriginDelay: f.originDelay(want),
+		OneCopy: f.settings.OneCopy, OriginGap: originGap(partial, want.OriginRate),
 	}, f.random, now)
 	for _, index := range partial.Held() {
 		plan.MarkHeld(index, now)
@@ -215,6 +231,22 @@
 	return nil
 }
 
+// originDelay returns the time before the first fetch from the origin.
+func (f *Fetcher) originDelay(want Want) time.Duration {
+	if want.HeldByPeers {
+		return max(holdersTime, f.settings.OriginDelay)
+	}
+	return f.settings.OriginDelay
+}
+
+// originGap returns the time that the origin takes to send one chunk, 0 if unknown.
+func originGap(partial *weights.PartialVersion, rate figbank.Bytes) time.Duration {
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(largestChunk(partial)) / float64(rate) * float64(time.Second))
+}
+
 // largestChunk returns the size of the largest chunk. The rate limit must allow bursts of that
 // size. A larger burst would fill the link's queue and so delay answers to callers.
 func largestChunk(partial *weights.PartialVersion) figbank.Bytes {
@@ -231,7 +263,7 @@
 func (f *Fetcher) updatePeers(ctx context.Context, plan *swarm.Plan, partial *weights.PartialVersion, followed map[figbank.Address]context.CancelFunc, inbox chan<- planUpdate) <-chan struct{} {
 	peers, changed := f.peers()
 	plan.SetPeers(peers)
-	wanted := f.peersToFollow(peers)
+	wanted := f.peersToFollow(peers, len(partial.Version().Manifest.GetChunks()))
 	for address, stop := range followed {
 		if !slices.ContainsFunc(wanted, func(p swarm.Peer) bool { return p.Address == address }) {
 			stop()
@@ -249,17 +281,18 @@
 	return changed
 }
 
-// peersToFollow picks the peers whose chunks this host follows, at most maxFollowedPeers. If there
-// are more, it picks those with the highest rendezvous hash for this host, so that different hosts
-// follow different peers.
-func (f *Fetcher) peersToFollow(peers []swarm.Peer) []swarm.Peer {
-	others := slices.DeleteFunc(slices.Clone(peers), func(p swarm.Peer) bool { return p.ID == f.settings.Self.ID })
-	if len(others) <= maxFollowedPeers {
-		return others
-	}
+// peersToFollow picks the peers whose chunks this host follows: those that bring chunks into its
+// region, and others of its region, at most maxFollowedPeers of them. If there are more, it picks
+// those with the highest rendezvous hash for this host, so that different hosts follow different
+// peers.
+func (f *Fetcher) peersToFollow(peers []swarm.Peer, chunks int) []swarm.Peer {
+	followed := swarm.FirstHosts(f.settings.Self, peers, chunks)
+	others := slices.DeleteFunc(slices.Clone(peers), func(p swarm.Peer) bool {
+		return p.ID == f.settings.Self.ID || p.Region != f.settings.Self.Region || slices.Contains(followed, p)
+	})
 	key := figbank.ManifestDigest(f.settings.Self.ID)
 	slices.SortFunc(others, func(a, b swarm.Peer) int { return cmp.Compare(rendezvousHash(b.ID, key), rendezvousHash(a.ID, key)) })
-	return others[:maxFollowedPeers]
+	return append(followed, others[:min(maxFollowedPeers, len(others))]...)
 }
 
 func (f *Fetcher) startFetches(ctx context.Context, plan *swarm.Plan, partial *weights.PartialVersion, inbox chan<- planUpdate) {
@@ -277,20 +310,21 @@
 }
 
 // adaptToLink returns whether the link has reduced bandwidth, and how many chunks may be in flight.
-// It also adapts the rate limit. While the link's state is unknown, the rate limit stays as it is,
-// and only one chunk may be in flight.
+// It also adapts the rate limit. A link that has shown nothing yet is used like a wide one. After a
+// slow chunk, only one chunk may be in flight until the state is known.
 func (f *Fetcher) adaptToLink() (narrow bool, inFlight int) {
 	state, rate := f.settings.Link.State()
 	if state != f.linkState {
 		f.linkState = state
-		f.common.Log.Info("link state changed", zap.Bool("narrow", state == LinkNarrow), zap.Int64("bytesPerSecond", int64(rate)))
+		f.common.Log.Info("link state changed", zap.Stringer("state", state), zap.Int64("bytesPerSecond", int64(rate)))
 	}
 	switch state {
 	case LinkNarrow:
 		f.pacer.setRate(rate * narrowLinkShare / percent)
 		return true, 1
-	case LinkUnknown:
+	case LinkSuspect:
 		return false, 1
+	case LinkUnknown, LinkWide:
 	}
 	f.pacer.setRate(f.settings.Rate)
 	return false, f.settings.MaxInFlight
@@ -332,6 +366,7 @@
 		f.event("BadChunk", chunkName(fetch), string(fetch.Peer))
 		return err
 	}
+	f.active.notify()
 	f.event("Chunk", chunkName(fetch), string(fetch.Peer))
 	f.common.Scope.Counter("chunks").Inc(1)
 	return nil
@@ -341,25 +376,31 @@
 func (f *Fetcher) fetchTimed(ctx context.Context, fetch swarm.Fetch, partial *weights.PartialVersion, length figbank.Bytes) ([]byte, error) {
 	began := f.common.Clock.Now()
 	concurrent := f.inProgress.Add(1)
-	content, err := f.fetchContent(ctx, fetch, partial, length)
+	answer, err := f.fetchContent(ctx, fetch, partial, length)
 	concurrent = max(concurrent, f.inProgress.Add(-1)+1)
 	took := f.common.Clock.Now().Sub(began)
-	switch {
-	case err != nil && took < f.settings.StallTime/2:
+	if err != nil {
 		// A fetch that failed early, for example because the peer refused it, shows nothing
 		// about the link. A fetch that failed late counts as a slow chunk.
-	case fetch.Peer == "":
+		if took >= f.settings.StallTime/2 && fetch.Peer != "" {
+			f.settings.Link.observe(length, took, int(concurrent))
+		}
+		return nil, err
+	}
+	if fetch.Peer == "" {
 		f.settings.Link.observeOrigin(length, took, int(concurrent))
-	default:
-		f.settings.Link.observe(length, took, int(concurrent))
+		return answer.content, nil
 	}
-	return content, err
+	bytes, transferTime := answer.afterFirstPart(took)
+	f.settings.Link.observe(bytes, transferTime, int(concurrent))
+	return answer.content, nil
 }
 
-func (f *Fetcher) fetchContent(ctx context.Context, fetch swarm.Fetch, partial *weights.PartialVersion, length figbank.Bytes) ([]byte, error) {
+func (f *Fetcher) fetchContent(ctx context.Context, fetch swarm.Fetch, partial *weights.PartialVersion, length figbank.Bytes) (*received, error) {
 	if fetch.Peer == "" {
 		f.common.Scope.Counter("origin_bytes").Inc(int64(length))
-		return f.origin.Chunk(ctx, partial.Version(), fetch.Chunk)
+		content, err := f.origin.Chunk(ctx, partial.Version(), fetch.Chunk)
+		return &received{content: content}, err
 	}
 	request := &schema.ChunkRequest{
 		Manifest: string(partial.Version().Digest), Chunk: uint32(fetch.Chunk), BytesPerSecond: int64(f.settings.Link.RequestRate()),
--- a/transfer/link.go
+++ b/transfer/link.go
@@ -22,15 +22,19 @@
 	sampleLifetime = 3 * time.Second
 	// A chunk is fast if its rate is at least the link's nominal rate divided by narrowRatio.
 	narrowRatio = 4
-	// Unless the link is known to have its full bandwidth, chunks are requested at its nominal
-	// rate divided by requestRatio.
+	// After a slow chunk, unless the link is known to have its full bandwidth, chunks are
+	// requested at its nominal rate divided by requestRatio.
 	requestRatio = 2
 )
 
 // The states of a link.
 const (
-	// LinkUnknown means that too few chunks were transferred lately for an estimate.
+	// LinkUnknown means that too few chunks were transferred lately for an estimate, and
+	// that none of them was slow.
 	LinkUnknown LinkState = iota
+	// LinkSuspect means that a chunk was slow, but that there are too few samples for an
+	// estimate.
+	LinkSuspect
 	// LinkWide means that the link has about its nominal bandwidth.
 	LinkWide
 	// LinkNarrow means that the link has far less than its nominal bandwidth.
@@ -58,6 +62,11 @@
 	}
 )
 
+// String names the state for the log.
+func (s LinkState) String() string {
+	return [...]string{"Unknown", "Suspect", "Wide", "Narrow"}[s]
+}
+
 // NewLink returns an estimator for a link of the given nominal rate in bytes per second. A nominal
 // rate of 0 means unknown. The state is then always LinkWide.
 func NewLink(clock figbank.Clock, nominal figbank.Bytes) *Link {
@@ -94,10 +103,12 @@
 // bandwidth may be reduced, a chunk sent at full speed would delay the callers' requests behind it.
 // The returned rate is still high enough for a link with full bandwidth to be recognized.
 func (l *Link) RequestRate() figbank.Bytes {
-	if state, _ := l.State(); state == LinkWide {
-		return 0
+	switch state, _ := l.State(); state {
+	case LinkSuspect, LinkNarrow:
+		return l.nominal / requestRatio
+	case LinkUnknown, LinkWide:
 	}
-	return l.nominal / requestRatio
+	return 0
 }
 
 func (l *Link) addSample(rate figbank.Bytes) {
@@ -131,6 +142,8 @@
 		return LinkWide, best
 	case fresh >= minNarrowSamples:
 		return LinkNarrow, best
+	case fresh > fast:
+		return LinkSuspect, best
 	}
 	return LinkUnknown, best
 }
--- a/transfer/peers.go
+++ b/transfer/peers.go
@@ -128,9 +128,9 @@
 	}
 	for _, peer := range sameRegion {
 		request := &schema.ManifestRequest{Manifest: string(digest)}
-		content, err := f.receiveParts(ctx, peer.Address, schema.StreamKind_STREAM_KIND_MANIFEST, request, maxManifest)
-		if err == nil && weights.DigestOf(content) == digest {
-			return content
+		answer, err := f.receiveParts(ctx, peer.Address, schema.StreamKind_STREAM_KIND_MANIFEST, request, maxManifest)
+		if err == nil && weights.DigestOf(answer.content) == digest {
+			return answer.content
 		}
 	}
 	return nil
@@ -152,7 +152,7 @@
 // receiveParts sends a request and joins the parts of the answer. It returns a
 // PeerRefusedError if the peer refuses the request, and a CorruptError if the parts have
 // more than limit bytes.
-func (f *Fetcher) receiveParts(ctx context.Context, address figbank.Address, kind schema.StreamKind, request proto.Message, limit figbank.Bytes) ([]byte, error) {
+func (f *Fetcher) receiveParts(ctx context.Context, address figbank.Address, kind schema.StreamKind, request proto.Message, limit figbank.Bytes) (*received, error) {
 	stream, err := f.pool.Open(ctx, address, kind)
 	if err != nil {
 		return nil, err
@@ -162,7 +162,7 @@
 	if err := stream.Send(request); err != nil {
 		return nil, err
 	}
-	content := make([]byte, 0, min(limit, weights.ChunkSize))
+	answer := &received{content: make([]byte, 0, min(limit, weights.ChunkSize))}
 	for {
 		part := &schema.ChunkPart{}
 		if err := stream.Receive(part); err != nil {
@@ -171,13 +171,13 @@
 		if part.GetBusy() || part.GetMissing() {
 			return nil, figbank.WrapError("transfer", "PeerRefused", PeerRefusedError{Busy: part.GetBusy()})
 		}
-		content = append(content, part.GetData()...)
-		if figbank.Bytes(len(content)) > limit {
+		answer.add(f.common.Clock.Now(), part.GetData())
+		if figbank.Bytes(len(answer.content)) > limit {
 			detail := "peer sent more than " + strconv.FormatInt(int64(limit), 10) + " bytes"
 			return nil, figbank.CorruptError{Subject: "answer", Detail: detail}
 		}
 		if part.GetLast() {
-			return content, nil
+			return answer, nil
 		}
 	}
 }
--- a/transfer/server.go
+++ b/transfer/server.go
@@ -19,8 +19,11 @@
 	partSize = 64 << 10
 	// pacedPartSize replaces partSize for messages that are sent at a limited rate.
 	pacedPartSize = 8 << 10
-	// haveInterval is how often the server looks for new chunks to report to a peer.
+	// haveInterval is the shortest time between two reports of new chunks to a peer.
 	haveInterval = 20 * time.Millisecond
+	// linkInterval is how often the server looks whether the state of its link has changed, or
+	// a version has been added to the store, while it has no new chunks to report.
+	linkInterval = 200 * time.Millisecond
 	// slotWait is how long a request for a chunk waits for a free slot.
 	slotWait = 150 * time.Millisecond
 	// receiveTimeout limits how long the server keeps a slot after it sent a chunk, until the
@@ -156,10 +159,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go cancelOnClose(cancel, stream)
-	ticks, stop := s.common.Clock.Tick(haveInterval)
-	defer stop()
 	sent, sentNarrow := map[figbank.ChunkIndex]bool{}, false
 	for {
+		changed := s.active.wait()
 		update := s.haveUpdate(digest, sent)
 		state, _ := s.link.State()
 		update.Narrow = state == LinkNarrow
@@ -169,14 +171,30 @@
 				return
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if !s.awaitChange(ctx, changed) {
 			return
-		case <-ticks:
 		}
 	}
 }
 
+// awaitChange waits until there may be something new to report to a peer. Chunks that arrive
+// soon after each other are reported together. awaitChange returns false when ctx has ended.
+func (s *Server) awaitChange(ctx context.Context, changed <-chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-s.common.Clock.After(linkInterval):
+		return true
+	case <-changed:
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-s.common.Clock.After(haveInterval):
+		return true
+	}
+}
+
 // haveUpdate returns an update with the chunks that are not in sent yet, and adds them
 // to sent.
 func (s *Server) haveUpdate(digest figbank.ManifestDigest, sent map[figbank.ChunkIndex]bool) *schema.HaveUpdate {
