--- a/agent/agent.go
+++ b/agent/agent.go
@@ -175,8 +175,8 @@
 	if a.weights.Store.Version(figbank.ManifestDigest(declared.GetManifest())) != nil {
 		record.WholeManifest = declared.GetManifest()
 	}
-	held, total := a.weights.Active.Progress()
-	record.ChunksWhole, record.ChunksTotal = int64(held), int64(total)
+	progress := a.weights.Active.Progress()
+	record.ChunksWhole, record.ChunksTotal = int64(progress.Held), int64(progress.Total)
 }
 
 func (a *Agent) incarnation() figbank.Incarnation {
--- a/app/platformagent.go
+++ b/app/platformagent.go
@@ -92,7 +92,7 @@
 	}
 	stager := staging.New(common, staging.Settings{
 		Member: member, Service: figbank.ServiceName(s.GetNode().GetService()),
-		VersionTime: s.GetBounds().GetVersionTime().AsDuration(),
+		VersionTime: s.GetBounds().GetVersionTime().AsDuration(), Bandwidth: settings.WeightBandwidth(w),
 	}, platform.NewEngine(connections, figbank.Address(s.GetNode().GetUpstream())), platform.NewOrigin(connections),
 		view, subscriber, store, active, newFetcher)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/app/platformgateway.go
+++ b/app/platformgateway.go
@@ -11,6 +11,7 @@
 	"figbank/httpserver"
 	"figbank/loadshare"
 	"figbank/platform"
+	"figbank/reservation"
 	"figbank/retry"
 	"figbank/schema"
 	"figbank/settings"
@@ -65,7 +66,8 @@
 }
 
 // shareLoad exchanges reports with other gateways. A report tells how many requests a gateway
-// has in flight at each upstream, and which requests crash upstreams.
+// has in flight at each upstream, and which requests crash upstreams. It also lets gateways
+// reserve places at upstreams with each other.
 func shareLoad(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, d *dispatch.Dispatcher,
 	view *feed.View, pool *transport.Pool, recorder *timeline.Recorder, meter *transport.Meter,
 ) error {
@@ -73,9 +75,13 @@
 	if err != nil {
 		return err
 	}
-	share := loadshare.New(common, d, view, pool, memberOf(s, schema.MemberRole_MEMBER_ROLE_GATEWAY))
+	self := memberOf(s, schema.MemberRole_MEMBER_ROLE_GATEWAY)
+	share := loadshare.New(common, d, view, pool, self)
+	keeper := reservation.NewKeeper(common.Clock, d.Table)
+	d.UseReserver(reservation.NewClient(common, pool, view, keeper, self))
 	server := transport.NewServer(common, listener, transport.Handlers{
 		schema.StreamKind_STREAM_KIND_LOAD:    share.Serve,
+		schema.StreamKind_STREAM_KIND_RESERVE: keeper.Serve,
 		schema.StreamKind_STREAM_KIND_INSPECT: recorder.Serve,
 	}, transport.WithMeter(meter))
 	ctx, cancel := context.WithCancel(context.Background())
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -48,6 +48,7 @@
 func (r *run) attempt(ctx context.Context, target *Target) error {
 	target.Load.begin()
 	defer target.Load.end()
+	defer r.endPlace()
 	now := r.common.Clock.Now()
 	ctx, stop := r.cancelWhenOld(ctx, target)
 	defer stop()
@@ -219,6 +220,9 @@
 		r.hasBegun = true
 		close(r.began)
 		now := r.common.Clock.Now()
+		if r.place != nil {
+			r.place.Begun()
+		}
 		r.load.late.record(now, now.Sub(r.sentAt), r.predicted)
 		r.drift(r.request.Service).record(now, now.Sub(r.sentAt), r.predicted)
 	}
@@ -227,6 +231,14 @@
 	}
 }
 
+// endPlace gives the place of the current attempt back.
+func (r *run) endPlace() {
+	if r.place != nil {
+		r.place.End()
+		r.place = nil
+	}
+}
+
 // recordEvent records the arrival of an event and updates the longest pause.
 func (r *run) recordEvent() {
 	now := r.common.Clock.Now()
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -83,6 +83,42 @@
 		Send(ctx context.Context, request *Request, attempt Attempt) (*Answer, error)
 	}
 
+	// Reserver asks for places at upstreams, which all gateways share. It must be safe for
+	// concurrent use.
+	Reserver interface {
+		// Reserve returns false if it is unknown whether there is a place.
+		Reserve(ctx context.Context, target *Target, request PlaceRequest) (PlaceAnswer, bool)
+	}
+
+	// PlaceRequest asks for a place for a request.
+	PlaceRequest struct {
+		Service      figbank.ServiceName
+		PromptTokens int
+		// Allowed is the longest time until the answer begins.
+		Allowed time.Duration
+		// Lifetime is the time until the request's deadline.
+		Lifetime time.Duration
+	}
+
+	// PlaceAnswer tells whether a place was granted.
+	PlaceAnswer struct {
+		Granted bool
+		// Predicted is the predicted time until the answer begins, by the keeper's counts.
+		Predicted time.Duration
+		// Outstanding is how many places were taken before.
+		Outstanding int
+		// Place is the granted place.
+		Place Place
+	}
+
+	// Place is a place that was granted. Its methods do not block.
+	Place interface {
+		// Begun reports that the answer has begun.
+		Begun()
+		// End gives the place back. It must be called exactly once.
+		End()
+	}
+
 	// ResponseWriter writes the answer to the caller.
 	ResponseWriter interface {
 		// Head sends status and headers. Length is -1 when it is unknown.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -31,6 +31,8 @@
 		table     atomic.Pointer[Table]
 		budgets   *retry.Budgets
 		crashers  *crashers.Set
+		// reserver is nil while this gateway shares no places with others.
+		reserver atomic.Pointer[Reserver]
 		// drifts maps a figbank.ServiceName to its *drift.
 		drifts  sync.Map
 		rebuild chan struct{}
@@ -78,6 +80,11 @@
 	return d.table.Load()
 }
 
+// UseReserver makes the dispatcher reserve a place before it sends a request.
+func (d *Dispatcher) UseReserver(reserver Reserver) {
+	d.reserver.Store(&reserver)
+}
+
 // Crashers returns the requests that are suspected of crashing upstreams.
 func (d *Dispatcher) Crashers() *crashers.Set {
 	return d.crashers
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -19,6 +20,9 @@
 	// maxAttempts bounds how many upstreams one request is sent to, including those
 	// that prove that they did not run it.
 	maxAttempts = 4
+	// maxReservations bounds how many keepers one attempt asks for a place. Load counts that lag
+	// point many gateways to the same upstreams, so the first ones may all refuse.
+	maxReservations = 6
 	// crashersRetryAfter is the retry delay sent to callers whose request is refused
 	// because it crashes upstreams.
 	crashersRetryAfter = 30 * time.Second
@@ -55,6 +59,8 @@
 		// began is closed, and hasBegun set, once the answer to the current attempt begins.
 		began    chan struct{}
 		hasBegun bool
+		// place is the place that was reserved for the current attempt, nil if there is none.
+		place Place
 		// load is the load of the current attempt's upstream.
 		load *Load
 		// upstream is the last upstream that answered.
@@ -65,7 +71,7 @@
 
 func (r *run) serve(ctx context.Context) error {
 	for attempt := 1; ; attempt++ {
-		target, err := r.chooseTarget(attempt)
+		target, err := r.chooseTarget(ctx, attempt)
 		if err != nil {
 			return r.giveUp(err)
 		}
@@ -93,8 +99,8 @@
 }
 
 // chooseTarget chooses an upstream, or returns a NotRunError with the reason why no upstream
-// may take the request. It counts the request against the upstream's cold limit.
-func (r *run) chooseTarget(attempt int) (*Target, error) {
+// may take the request.
+func (r *run) chooseTarget(ctx context.Context, attempt int) (*Target, error) {
 	now := r.common.Clock.Now()
 	if r.crashers.Refuses(now, r.fingerprint) {
 		r.log.Info("refused", zap.String("reason", string(figbank.ReasonCrashesUpstreams)), zap.Int("attempt", attempt))
@@ -102,6 +108,32 @@
 	}
 	table := r.table.Load()
 	targets, candidates := r.candidates(table, now)
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // spreads load, no secret
+	for asked := 0; ; asked++ {
+		now = r.common.Clock.Now()
+		demand := r.demand(now, attempt)
+		decision := placement.Decide(demand, candidates, random)
+		if decision.Index < 0 || asked > maxReservations {
+			r.log.Info("refused", zap.String("reason", string(decision.Reason)), zap.Duration("retryAfter", decision.RetryAfter),
+				zap.Int("candidates", len(candidates)), zap.Int("asked", asked), zap.Int("attempt", attempt), zap.Uint64("table", uint64(table.Index)))
+			return nil, figbank.NotRunError{Reason: decision.Reason, RetryAfter: decision.RetryAfter}
+		}
+		target := targets[decision.Index]
+		if !r.reserve(ctx, target, &candidates[decision.Index], demand) {
+			continue
+		}
+		r.predicted = cmp.Or(candidates[decision.Index].Known, decision.Predicted)
+		r.log.Info("placed", zap.String("upstream", string(target.ID)), zap.Int("attempt", attempt),
+			zap.Int("prompt", r.request.PromptTokens), zap.Int("outstanding", candidates[decision.Index].Outstanding),
+			zap.Duration("loadAge", target.Load.Age(now)), zap.Bool("reserved", r.place != nil), zap.Int("asked", asked),
+			zap.Duration("predicted", r.predicted), zap.Duration("late", target.Load.late.current(now)), zap.Float64("drift", demand.Drift),
+			zap.Int64("version", target.Version), zap.Int("candidates", len(candidates)), zap.Uint64("table", uint64(table.Index)))
+		return target, nil
+	}
+}
+
+// demand describes the request as placement needs it.
+func (r *run) demand(now time.Time, attempt int) placement.Demand {
 	demand := placement.Demand{
 		PromptTokens: r.request.PromptTokens, LatencyTarget: r.request.Route.LatencyTarget,
 		TimeLeft: r.request.Deadline.Sub(now), Drift: r.drift(r.request.Service).factor(now),
@@ -109,22 +141,38 @@
 	if attempt == 1 {
 		demand.Waited = now.Sub(r.request.ReceivedAt)
 	}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // spreads load, no secret
-	decision := placement.Decide(demand, candidates, random)
-	if decision.Index < 0 {
-		r.log.Info("refused", zap.String("reason", string(decision.Reason)), zap.Duration("retryAfter", decision.RetryAfter),
-			zap.Int("candidates", len(candidates)), zap.Int("attempt", attempt), zap.Uint64("table", uint64(table.Index)))
-		return nil, figbank.NotRunError{Reason: decision.Reason, RetryAfter: decision.RetryAfter}
-	}
-	target := targets[decision.Index]
-	target.countCold(now)
-	r.predicted = decision.Predicted
-	r.log.Info("placed", zap.String("upstream", string(target.ID)), zap.Int("attempt", attempt),
-		zap.Int("prompt", r.request.PromptTokens), zap.Int("outstanding", candidates[decision.Index].Outstanding),
-		zap.Duration("loadAge", target.Load.Age(now)), zap.Duration("predicted", decision.Predicted),
-		zap.Duration("late", target.Load.late.current(now)), zap.Float64("drift", demand.Drift),
-		zap.Int64("version", target.Version), zap.Int("candidates", len(candidates)), zap.Uint64("table", uint64(table.Index)))
-	return target, nil
+	return demand
+}
+
+// reserve takes a place at the target. If its keeper refuses, reserve stores what the keeper
+// knows in the candidate and returns false. If no keeper answers, the target is used without a
+// place, within this gateway's share of a cold target's rate.
+func (r *run) reserve(ctx context.Context, target *Target, candidate *placement.Candidate, demand placement.Demand) bool {
+	now := r.common.Clock.Now()
+	reserver := r.reserver.Load()
+	if reserver == nil {
+		target.countCold(now)
+		return true
+	}
+	answer, known := (*reserver).Reserve(ctx, target, PlaceRequest{
+		Service: r.request.Service, PromptTokens: r.request.PromptTokens,
+		Allowed: demand.Allowed() - candidate.Delay, Lifetime: demand.TimeLeft,
+	})
+	if !known {
+		candidate.Full = !target.allowsCold(now)
+		if !candidate.Full {
+			target.countCold(now)
+		}
+		return !candidate.Full
+	}
+	candidate.Known, candidate.Outstanding = answer.Predicted+candidate.Delay, answer.Outstanding
+	if !answer.Granted {
+		// The keeper of a cold upstream may refuse although the answer would begin in time.
+		candidate.Full = candidate.Known <= demand.Allowed()
+		return false
+	}
+	r.place = answer.Place
+	return true
 }
 
 // candidates returns the upstreams that may take the request. The second slice holds, at the
@@ -133,6 +181,7 @@
 	allowed, restricted := traffic.AllowedRegions(r.request.Route, r.request.Workspace)
 	var targets []*Target
 	var candidates []placement.Candidate
+	reserver := r.reserver.Load()
 	for _, target := range table.Targets(r.request.Service) {
 		if r.tried[target.ID] || target.Engine != nil && target.Model != r.request.Model {
 			continue
@@ -152,7 +201,7 @@
 		targets = append(targets, target)
 		candidates = append(candidates, placement.Candidate{
 			Outstanding: outstanding, Slots: target.Slots, Engine: target.Engine,
-			SameDomain: target.SameDomain, Delay: delay, Penalty: target.Load.Penalty() + late, Full: !target.allowsCold(now),
+			SameDomain: target.SameDomain, Delay: delay, Penalty: target.Load.Penalty() + late, Full: reserver == nil && !target.allowsCold(now),
 		})
 	}
 	return targets, candidates
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -52,6 +52,7 @@
 		BornUnixMilli int64
 		Address       figbank.Address
 		Region        figbank.Region
+		FailureDomain figbank.FailureDomain
 		// SameDomain is set when the upstream is in the gateway's own failure domain.
 		SameDomain bool
 		Slots      int
@@ -72,6 +73,9 @@
 		// upstream.
 		ColdUntil     time.Time
 		ColdPerSecond float64
+		// ColdRate is the upstream's limit while it is cold, in requests per second of all
+		// gateways together.
+		ColdRate float64
 		// ColdFrom is the time from which this gateway knows its share. Until then it sends
 		// nothing to a cold upstream.
 		ColdFrom time.Time
@@ -180,7 +184,7 @@
 	domain := figbank.FailureDomain(record.GetFailureDomain())
 	target := &Target{
 		ID: key.id, BornUnixMilli: key.born, Address: figbank.Address(record.GetAddress()),
-		Region: location.Regions[domain], SameDomain: domain == location.FailureDomain, Slots: int(record.GetSlots()),
+		Region: location.Regions[domain], FailureDomain: domain, SameDomain: domain == location.FailureDomain, Slots: int(record.GetSlots()),
 		Model: upstream.Loaded.GetModel(), Version: upstream.Loaded.GetVersion(),
 		Silent:      record.GetState() == schema.InstanceState_INSTANCE_STATE_SILENT,
 		Connections: t.connectionShare(service.GetMaxConnections()), Load: load,
@@ -188,12 +192,23 @@
 	if cold := record.GetColdMilliseconds(); cold > 0 && service.GetColdRequestsPerSecond() > 0 {
 		target.ColdUntil = sources.Now.Add(time.Duration(cold) * time.Millisecond)
 		target.ColdFrom = sources.SettledAt
+		target.ColdRate = service.GetColdRequestsPerSecond()
 		target.ColdPerSecond = service.GetColdRequestsPerSecond() / float64(t.gateways)
 	}
 	target.OldAfter, target.OldAfterWall = oldAfter(location, sources, target)
 	return target
 }
 
+// Find returns an incarnation of an upstream that runs a service, or nil.
+func (t *Table) Find(service figbank.ServiceName, id figbank.UpstreamID, bornUnixMilli int64) *Target {
+	for _, target := range t.services[service] {
+		if target.ID == id && target.BornUnixMilli == bornUnixMilli {
+			return target
+		}
+	}
+	return nil
+}
+
 // connectionShare returns this gateway's share of the connections that an upstream
 // accepts. It is at least 1 when there is a limit, since 0 stands for no limit.
 func (t *Table) connectionShare(connections int64) int64 {
--- a/latency/latency.go
+++ b/latency/latency.go
@@ -73,13 +73,23 @@
 // prompt tokens. Outstanding is the number of requests that the engine already has,
 // running or waiting.
 func (p *Predictor) TimeToFirstEvent(outstanding, prompt int) time.Duration {
-	slots := max(1, p.Slots())
-	running := min(outstanding+1, slots)
-	predicted := p.PromptTime(prompt) + time.Duration(passesToFirst*float64(p.EventInterval(running)))
 	// Prompts of requests that arrived just before are processed first. This is assumed to
 	// take the time of one usual prompt when all slots are in use, and proportionally less
 	// when fewer are.
-	predicted += p.PromptTime(int(p.model.GetUsualPromptTokens())) * time.Duration(running) / time.Duration(slots)
+	slots := max(1, p.Slots())
+	usual := int(p.model.GetUsualPromptTokens())
+	return p.TimeToFirstEventBehind(outstanding, usual*min(outstanding+1, slots)/slots, prompt)
+}
+
+// TimeToFirstEventBehind is like TimeToFirstEvent for an engine that has still to process
+// pendingTokens of the prompts of other requests.
+func (p *Predictor) TimeToFirstEventBehind(outstanding, pendingTokens, prompt int) time.Duration {
+	slots := max(1, p.Slots())
+	running := min(outstanding+1, slots)
+	predicted := p.PromptTime(prompt) + time.Duration(passesToFirst*float64(p.EventInterval(running)))
+	if usual := int(p.model.GetUsualPromptTokens()); usual > 0 {
+		predicted += time.Duration(float64(p.PromptTime(usual)) * float64(pendingTokens) / float64(usual))
+	}
 	if waiting := outstanding - slots + 1; waiting > 0 {
 		predicted += p.CompletionInterval() * time.Duration(waiting)
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -6,6 +6,7 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -37,6 +38,10 @@
 	Candidate struct {
 		// Outstanding is the number of requests that the upstream holds, running or waiting.
 		Outstanding int
+		// PendingTokens is the length of the prompts that an engine has still to process. It is
+		// used only if Exact is set.
+		PendingTokens int
+		Exact         bool
 		// Slots is the number of requests that it runs at once. It is used only without Engine.
 		Slots int
 		// Engine predicts the upstream's latencies, nil for services without an engine.
@@ -48,6 +53,9 @@
 		// Penalty is added to the upstream's cost, but not to its predicted time. It is above 0
 		// when the upstream has failed or has been late.
 		Penalty time.Duration
+		// Known is the predicted time that the keeper of the upstream's places has told, 0 if it
+		// was not asked.
+		Known time.Duration
 		// Full upstreams have no capacity left for this gateway and are never chosen.
 		Full bool
 	}
@@ -91,7 +99,7 @@
 		if candidate.Full {
 			continue
 		}
-		predicted := predict(demand, candidate)
+		predicted := cmp.Or(candidate.Known, Predict(demand.PromptTokens, candidate))
 		cost := predicted + candidate.Penalty + time.Duration(random.Int64N(int64(maxJitter)))
 		if !candidate.SameDomain {
 			cost += spillCost
@@ -103,21 +111,28 @@
 	if best < 0 {
 		return refuse(figbank.ReasonNoUpstream, noUpstreamWait, random)
 	}
-	limit := min(demand.LatencyTarget, demand.TimeLeft)
-	expected := time.Duration(float64(bestPredicted) * max(1, demand.Drift))
-	if excess := demand.Waited + expected - limit; excess > 0 {
+	if excess := bestPredicted - demand.Allowed(); excess > 0 {
 		return refuse(figbank.ReasonQueueFull, excess, random)
 	}
 	return Decision{Index: best, Predicted: bestPredicted}
 }
 
-// predict returns the predicted time to the candidate's first byte or event. Without an
+// Allowed returns the longest predicted time with which the request is placed.
+func (d Demand) Allowed() time.Duration {
+	left := min(d.LatencyTarget, d.TimeLeft) - d.Waited
+	return time.Duration(float64(left) / max(1, d.Drift))
+}
+
+// Predict returns the predicted time to the candidate's first byte or event. Without an
 // engine model, the time grows in proportion to the candidate's requests, by
 // plainServiceTime/4 for as many requests as it has slots. If no slot is free, the wait for
 // one is added.
-func predict(demand Demand, candidate Candidate) time.Duration {
-	if candidate.Engine != nil {
-		return candidate.Engine.TimeToFirstEvent(candidate.Outstanding, demand.PromptTokens) + candidate.Delay
+func Predict(promptTokens int, candidate Candidate) time.Duration {
+	switch {
+	case candidate.Engine != nil && candidate.Exact:
+		return candidate.Engine.TimeToFirstEventBehind(candidate.Outstanding, candidate.PendingTokens, promptTokens) + candidate.Delay
+	case candidate.Engine != nil:
+		return candidate.Engine.TimeToFirstEvent(candidate.Outstanding, promptTokens) + candidate.Delay
 	}
 	slots := max(1, candidate.Slots)
 	waiting := max(0, candidate.Outstanding-slots+1)
--- /dev/null
+++ b/reservation/book.go
@@ -0,0 +1,181 @@
+// Package reservation lets the gateways share the places of an upstream. One gateway of the
+// upstream's failure domain keeps them: the others ask it for a place right before they send a
+// request. It is designed for a load that rises to saturation within a second, while many
+// gateways choose at the same moment: by load counts that lag, all of them would choose the same
+// upstream, and the requests would wait in its queue, where nothing can move or refuse them.
+//
+// A gateway that cannot ask the keeper goes by its own counts.
+package reservation
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"figbank"
+)
+
+const (
+	// coldShare is the share of a cold upstream's rate that its keeper hands out, and coldBurst
+	// the number of places that it may hand out at once. While gateways disagree about the
+	// keeper, two of them hand out places.
+	coldShare = 0.75
+	coldBurst = 2
+)
+
+type (
+	// Key identifies one incarnation of an upstream.
+	Key struct {
+		Upstream      figbank.UpstreamID
+		BornUnixMilli int64
+	}
+
+	// Ticket identifies a request: the stream on which a gateway asks, and the request's id on
+	// that stream.
+	Ticket struct {
+		Stream uint64
+		ID     uint64
+	}
+
+	// Ask asks for a place.
+	Ask struct {
+		Key          Key
+		PromptTokens int
+		// Allowed is the longest time until the answer begins.
+		Allowed time.Duration
+		// Lifetime is how long the place may be held.
+		Lifetime time.Duration
+		// ColdPerSecond is the rate that the upstream can handle while it is cold, 0 if it is
+		// warm.
+		ColdPerSecond float64
+		// Predict returns the time until the answer begins on an upstream with the given number
+		// of requests, whose prompts of pendingTokens in all are still to be read.
+		Predict func(outstanding, pendingTokens int) time.Duration
+	}
+
+	// Verdict is the answer to an Ask.
+	Verdict struct {
+		Granted bool
+		// Predicted is the predicted time until the answer begins.
+		Predicted time.Duration
+		// Outstanding is the number of places that were taken before.
+		Outstanding int
+	}
+
+	// Book holds which places of upstreams are taken. It is not safe for concurrent use.
+	Book struct {
+		accounts map[Key]*account
+		// places holds the account of each ticket.
+		places map[Ticket]*account
+	}
+
+	// account holds the places of one upstream.
+	account struct {
+		key  Key
+		held map[Ticket]*place
+		cold *rate.Limiter
+	}
+
+	place struct {
+		// pendingTokens is the length of the prompt until the answer has begun, then 0.
+		pendingTokens int
+		expires       time.Time
+	}
+)
+
+// NewBook returns a book in which no places are taken.
+func NewBook() *Book {
+	return &Book{accounts: map[Key]*account{}, places: map[Ticket]*account{}}
+}
+
+// Reserve takes a place if the answer is predicted to begin in the allowed time and a cold
+// upstream's rate permits it.
+func (b *Book) Reserve(now time.Time, ticket Ticket, ask Ask) Verdict {
+	a := b.account(now, ask.Key)
+	outstanding, pending := len(a.held), a.pendingTokens()
+	verdict := Verdict{Predicted: ask.Predict(outstanding, pending), Outstanding: outstanding}
+	if verdict.Predicted > ask.Allowed || !a.allowsCold(now, ask.ColdPerSecond) {
+		return verdict
+	}
+	verdict.Granted = true
+	b.hold(now, a, ticket, ask)
+	return verdict
+}
+
+// Hold takes a place for a request that has been sent already.
+func (b *Book) Hold(now time.Time, ticket Ticket, ask Ask) {
+	b.hold(now, b.account(now, ask.Key), ticket, ask)
+}
+
+// Begin records that the answer to a request has begun.
+func (b *Book) Begin(ticket Ticket) {
+	if a, found := b.places[ticket]; found {
+		a.held[ticket].pendingTokens = 0
+	}
+}
+
+// End frees the place of a request.
+func (b *Book) End(ticket Ticket) {
+	a, found := b.places[ticket]
+	if !found {
+		return
+	}
+	delete(b.places, ticket)
+	delete(a.held, ticket)
+	if len(a.held) == 0 && a.cold == nil {
+		delete(b.accounts, a.key)
+	}
+}
+
+// EndStream frees the places of all requests of a stream.
+func (b *Book) EndStream(stream uint64) {
+	for ticket := range b.places {
+		if ticket.Stream == stream {
+			b.End(ticket)
+		}
+	}
+}
+
+// account returns the account of an upstream, without places that have expired. The first call
+// for an upstream creates it.
+func (b *Book) account(now time.Time, key Key) *account {
+	a, found := b.accounts[key]
+	if !found {
+		a = &account{key: key, held: map[Ticket]*place{}}
+		b.accounts[key] = a
+	}
+	for ticket, held := range a.held {
+		if now.After(held.expires) {
+			delete(a.held, ticket)
+			delete(b.places, ticket)
+		}
+	}
+	return a
+}
+
+func (b *Book) hold(now time.Time, a *account, ticket Ticket, ask Ask) {
+	a.held[ticket] = &place{pendingTokens: ask.PromptTokens, expires: now.Add(ask.Lifetime)}
+	b.places[ticket] = a
+}
+
+func (a *account) pendingTokens() int {
+	sum := 0
+	for _, held := range a.held {
+		sum += held.pendingTokens
+	}
+	return sum
+}
+
+// allowsCold counts one request against the rate of a cold upstream, and reports whether the
+// rate permits it. A perSecond of 0 means that the upstream is warm.
+func (a *account) allowsCold(now time.Time, perSecond float64) bool {
+	if perSecond <= 0 {
+		a.cold = nil
+		return true
+	}
+	limit := rate.Limit(coldShare * perSecond)
+	if a.cold == nil {
+		a.cold = rate.NewLimiter(limit, coldBurst)
+	}
+	return a.cold.AllowN(now, 1)
+}
--- /dev/null
+++ b/reservation/keeper.go
@@ -0,0 +1,116 @@
+package reservation
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"figbank"
+	"figbank/dispatch"
+	"figbank/placement"
+	"figbank/schema"
+	"figbank/transport"
+)
+
+// Keeper keeps the places of those upstreams for which other gateways ask this one. It is safe
+// for concurrent use.
+type Keeper struct {
+	clock figbank.Clock
+	// table returns the current table, which may be nil.
+	table func() *dispatch.Table
+
+	mu      sync.Mutex
+	book    *Book
+	streams uint64
+}
+
+// NewKeeper returns a keeper that looks up upstreams in the current table.
+func NewKeeper(clock figbank.Clock, table func() *dispatch.Table) *Keeper {
+	return &Keeper{clock: clock, table: table, book: NewBook()}
+}
+
+// Serve answers one gateway until its stream ends. Then the places that it holds are free.
+func (k *Keeper) Serve(_ context.Context, _ figbank.ProcessID, stream *transport.Stream) {
+	id := k.openStream()
+	defer k.closeStream(id)
+	for {
+		message := &schema.Reservation{}
+		if err := stream.Receive(message); err != nil {
+			return
+		}
+		answer := k.handle(id, message)
+		if answer == nil {
+			continue
+		}
+		if err := stream.Send(answer); err != nil {
+			return
+		}
+	}
+}
+
+// openStream returns an id for the requests of one gateway.
+func (k *Keeper) openStream() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.streams++
+	return k.streams
+}
+
+func (k *Keeper) closeStream(id uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.book.EndStream(id)
+}
+
+// handle carries out a message. Only a message of the kind ASK has an answer.
+func (k *Keeper) handle(stream uint64, message *schema.Reservation) *schema.ReservationAnswer {
+	ticket := Ticket{Stream: stream, ID: message.GetId()}
+	now := k.clock.Now()
+	ask, known := k.newAsk(now, message)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch message.GetKind() {
+	case schema.ReservationKind_RESERVATION_KIND_ASK:
+		verdict := Verdict{}
+		if known {
+			verdict = k.book.Reserve(now, ticket, ask)
+		}
+		return &schema.ReservationAnswer{
+			Id: message.GetId(), Granted: verdict.Granted, PredictedMicroseconds: verdict.Predicted.Microseconds(), Outstanding: int64(verdict.Outstanding),
+		}
+	case schema.ReservationKind_RESERVATION_KIND_HOLD:
+		k.book.Hold(now, ticket, ask)
+	case schema.ReservationKind_RESERVATION_KIND_BEGUN:
+		k.book.Begin(ticket)
+	case schema.ReservationKind_RESERVATION_KIND_END, schema.ReservationKind_RESERVATION_KIND_UNSPECIFIED:
+		k.book.End(ticket)
+	}
+	return nil
+}
+
+// newAsk decodes a message. It returns false if this gateway does not know the upstream.
+func (k *Keeper) newAsk(now time.Time, message *schema.Reservation) (Ask, bool) {
+	ask := Ask{
+		Key:          Key{Upstream: figbank.UpstreamID(message.GetUpstream()), BornUnixMilli: message.GetBornUnixMilli()},
+		PromptTokens: int(message.GetPromptTokens()),
+		Allowed:      time.Duration(message.GetAllowedMicroseconds()) * time.Microsecond,
+		Lifetime:     time.Duration(message.GetLifetimeMicroseconds()) * time.Microsecond,
+	}
+	table := k.table()
+	if table == nil {
+		return ask, false
+	}
+	target := table.Find(figbank.ServiceName(message.GetService()), ask.Key.Upstream, ask.Key.BornUnixMilli)
+	if target == nil {
+		return ask, false
+	}
+	if now.Before(target.ColdUntil) {
+		ask.ColdPerSecond = target.ColdRate
+	}
+	ask.Predict = func(outstanding, pendingTokens int) time.Duration {
+		return placement.Predict(ask.PromptTokens, placement.Candidate{
+			Outstanding: outstanding, PendingTokens: pendingTokens, Exact: true, Slots: target.Slots, Engine: target.Engine,
+		})
+	}
+	return ask, true
+}
--- a/rollout/choose.go
+++ b/rollout/choose.go
@@ -8,7 +8,11 @@
 	minServiceTime = 2 * time.Second
 	// minKeptShare is the share of a version that must be on a host, so that its transfer is
 	// finished although a newer version has been named.
-	minKeptShare = 0.25
+	minKeptShare = 0.1
+	// copySlowdown is how much longer a transfer is expected to take than the host's link
+	// needs. A transfer without a new chunk for stalledTime is not expected to end.
+	copySlowdown = 1.5
+	stalledTime  = 1500 * time.Millisecond
 	// switchTime is how long the upstreams of a failure domain take to switch one after the
 	// other, once the version is on their hosts.
 	switchTime = 2500 * time.Millisecond
@@ -30,10 +34,12 @@
 	Transfer struct {
 		// Version is 0 if nothing is fetched.
 		Version int64
-		// Share is the share of the version that is on the host, from 0 to 1. Elapsed is the
-		// time since the fetch was started.
-		Share   float64
-		Elapsed time.Duration
+		// Share is the share of the version that is on the host, from 0 to 1.
+		Share float64
+		// IdleFor is the time since the last chunk arrived or, if none has, since the start.
+		IdleFor time.Duration
+		// CopyTime is the time that the host's link needs for a whole copy.
+		CopyTime time.Duration
 	}
 
 	// Choice says which version a host fetches, and which one its engine loads next.
@@ -81,12 +87,8 @@
 	return !candidate.Held && t.Share >= minKeptShare && t.endsWithin(candidate.ServableFor-minServiceTime)
 }
 
-// endsWithin reports whether the transfer, at its pace so far, ends within d. A transfer without
-// progress does not.
+// endsWithin reports whether the transfer is expected to end within d.
 func (t Transfer) endsWithin(d time.Duration) bool {
-	if t.Share <= 0 {
-		return false
-	}
-	left := time.Duration(float64(t.Elapsed) * (1 - t.Share) / t.Share)
-	return left <= d
+	left := time.Duration(float64(t.CopyTime) * (1 - t.Share) * copySlowdown)
+	return t.IdleFor < stalledTime && left <= d
 }
--- a/staging/stager.go
+++ b/staging/stager.go
@@ -51,6 +51,9 @@
 		// VersionTime is how long requests may still begin on older weights after an
 		// operator has named a new version.
 		VersionTime time.Duration
+		// Bandwidth is the bytes of weights per second that this host may receive, 0 for no
+		// limit.
+		Bandwidth figbank.Bytes
 	}
 
 	// Stager manages the weights of one engine. Start it with Run.
@@ -155,7 +158,7 @@
 		Known: known, Loaded: report.Loaded.GetVersion(), Wanted: wanted.source.Version,
 		Layers: report.Loaded.GetLayers(), AllLayers: wanted.layers, Busy: report.Busy, Held: held != nil,
 	}
-	input.HeldShare = s.heldShare()
+	input.HeldShare = s.active.Progress().Share()
 	if known && input.Loaded != input.Wanted {
 		input.MaySwitch = s.maySwitch(wanted, input.Loaded)
 	}
@@ -214,8 +217,21 @@
 	if loaded > 0 {
 		loadedFor = s.servableFor(newer[0], now)
 	}
-	transfer := rollout.Transfer{Version: s.fetching.source.Version, Share: s.heldShare(), Elapsed: now.Sub(s.fetching.startedAt)}
-	return rollout.Choose(candidates, transfer, loadedFor)
+	return rollout.Choose(candidates, s.transfer(now), loadedFor)
+}
+
+// transfer describes the fetch that is under way.
+func (s *Stager) transfer(now time.Time) rollout.Transfer {
+	progress := s.active.Progress()
+	changedAt := progress.ChangedAt
+	if changedAt.Before(s.fetching.startedAt) {
+		changedAt = s.fetching.startedAt
+	}
+	transfer := rollout.Transfer{Version: s.fetching.source.Version, Share: progress.Share(), IdleFor: now.Sub(changedAt)}
+	if rate := s.settings.Bandwidth; rate > 0 {
+		transfer.CopyTime = time.Duration(float64(progress.Size) / float64(rate) * float64(time.Second))
+	}
+	return transfer
 }
 
 // servableFor returns how much longer requests may begin on versions older than next.
@@ -259,16 +275,6 @@
 		record.GetState() == schema.InstanceState_INSTANCE_STATE_READY && upstream.Loaded.GetVersion() > 0
 }
 
-// heldShare returns which share of the version that is being fetched is on this host, from 0 to 1.
-// It returns 0 if no version is being fetched.
-func (s *Stager) heldShare() float64 {
-	held, total := s.active.Progress()
-	if total == 0 {
-		return 0
-	}
-	return float64(held) / float64(total)
-}
-
 // drain takes the engine out of service before the wanted weights are complete on this host. It
 // does this at most once for each version.
 func (s *Stager) drain(report Report) {
@@ -276,7 +282,7 @@
 		return
 	}
 	s.drainedAt = s.common.Clock.Now()
-	s.common.Log.Info("engine is draining", zap.Float64("heldShare", s.heldShare()), zap.Int64("running", report.Running))
+	s.common.Log.Info("engine is draining", zap.Float64("heldShare", s.active.Progress().Share()), zap.Int64("running", report.Running))
 	s.publish(report, true)
 }
 
--- a/transfer/active.go
+++ b/transfer/active.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"figbank"
 	"figbank/weights"
@@ -15,6 +16,17 @@
 	// changed is closed when another chunk or version can be served. It is nil while nobody
 	// waits.
 	changed chan struct{}
+	// changedAt is when the newest chunk arrived.
+	changedAt time.Time
+}
+
+// Progress describes a version that is being fetched.
+type Progress struct {
+	// Held is how many of the Total chunks are on disk.
+	Held, Total int
+	Size        figbank.Bytes
+	// ChangedAt is when the newest chunk arrived. It may be older than the fetch.
+	ChangedAt time.Time
 }
 
 func (a *Active) set(partial *weights.PartialVersion) {
@@ -24,10 +36,11 @@
 	a.signal()
 }
 
-// notify reports that another chunk of the version is on disk.
-func (a *Active) notify() {
+// notify reports that another chunk of the version is on disk since now.
+func (a *Active) notify(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.changedAt = now
 	a.signal()
 }
 
@@ -58,13 +71,23 @@
 	return nil
 }
 
-// Progress returns how many chunks of the version being fetched are on disk, and how many chunks
-// the version has. Both are 0 if no version is being fetched.
-func (a *Active) Progress() (held, total int) {
+// Progress describes the version being fetched. It is zero if there is none.
+func (a *Active) Progress() Progress {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.partial == nil {
-		return 0, 0
+		return Progress{}
+	}
+	manifest := a.partial.Version().Manifest
+	return Progress{
+		Held: a.partial.Count(), Total: len(manifest.GetChunks()), Size: weights.Size(manifest), ChangedAt: a.changedAt,
+	}
+}
+
+// Share returns the share of the version that is on disk, from 0 to 1.
+func (p Progress) Share() float64 {
+	if p.Total == 0 {
+		return 0
 	}
-	return a.partial.Count(), len(a.partial.Version().Manifest.GetChunks())
+	return float64(p.Held) / float64(p.Total)
 }
--- a/transfer/fetcher.go
+++ b/transfer/fetcher.go
@@ -366,7 +366,7 @@
 		f.event("BadChunk", chunkName(fetch), string(fetch.Peer))
 		return err
 	}
-	f.active.notify()
+	f.active.notify(f.common.Clock.Now())
 	f.event("Chunk", chunkName(fetch), string(fetch.Peer))
 	f.common.Scope.Counter("chunks").Inc(1)
 	return nil
