Weights: more chunks in flight on wide links, no wait for holders of a version named just now

Cause: three chunks in flight did not fill a wide link while peers were busy; hosts waited 0.2 s for holders that a new version cannot have.

--- a/measure/weights.go
+++ b/measure/weights.go
@@ -24,8 +24,8 @@
 	wholeTimeout = time.Minute
 	// linkShare is the share of a host's link that weights may use.
 	linkShare      = 0.8
-	chunksInFlight = 3
-	chunksServed   = 2
+	chunksInFlight = 6
+	chunksServed   = 3
 	weightsStall   = 1500 * time.Millisecond
 	holdersDelay   = 200 * time.Millisecond
 	// originPiece is the number of bytes that the origin sends to one host before it turns to
@@ -160,7 +160,7 @@
 		group.Go(func() {
 			// Hosts hear of the version within one round of their feeds.
 			sleep(time.Duration(rand.New(rand.NewPCG(seedOf(i), 1)).Int64N(int64(100 * time.Millisecond)))) //nolint:gosec // a fixed sequence
-			if _, err := host.fetcher.FetchKnown(ctx, transfer.Want{Manifest: content, Digest: digest, OriginRate: shape.OriginRate}); err != nil {
+			if _, err := host.fetcher.FetchKnown(ctx, transfer.Want{Manifest: content, Digest: digest, OriginRate: shape.OriginRate, New: true}); err != nil {
 				panic(err)
 			}
 			spread.Times[i] = since(began)
--- a/staging/fetch.go
+++ b/staging/fetch.go
@@ -62,6 +62,7 @@
 func (s *Stager) fetch(ctx context.Context, wanted target) error {
 	source := wanted.fetch
 	began := s.common.Clock.Now()
+	isNew := s.namedWithin(source, newVersionTime)
 	digests, err := s.origin.Digests(ctx, source)
 	if err != nil {
 		return err
@@ -76,6 +77,7 @@
 	}
 	version, err := s.fetcher.FetchKnown(withSource(ctx, source), transfer.Want{
 		Manifest: content, Digest: digest, OriginRate: wanted.originRate, HeldByPeers: s.servedElsewhere(source.Version),
+		New: isNew,
 	})
 	if err != nil {
 		return err
--- a/staging/stager.go
+++ b/staging/stager.go
@@ -38,6 +38,9 @@
 	// versionsKept is how many complete versions stay on disk in addition to the newest one.
 	versionsKept = 1
 	retryDelay   = 300 * time.Millisecond
+	// newVersionTime is how long after its naming no host can hold a version yet, if all hosts hear
+	// of it at about the same time.
+	newVersionTime = 500 * time.Millisecond
 	// firstVersion is the version to serve if operators have named no version for the model.
 	firstVersion = 1
 )
@@ -239,6 +242,16 @@
 	return s.settings.VersionTime - now.Sub(time.Unix(0, next.GetNamedUnixNano()))
 }
 
+// namedWithin reports whether operators named a version no longer ago than d.
+func (s *Stager) namedWithin(source Source, d time.Duration) bool {
+	for _, named := range s.view.Fleet().GetVersions() {
+		if named.GetModel() == source.Model && named.GetVersion() == source.Version {
+			return s.common.Clock.Now().Sub(time.Unix(0, named.GetNamedUnixNano())) < d
+		}
+	}
+	return false
+}
+
 // servedElsewhere reports whether another upstream of the service serves a version.
 func (s *Stager) servedElsewhere(version int64) bool {
 	return slices.ContainsFunc(s.view.Upstreams(), func(upstream registry.Upstream) bool {
--- a/transfer/fetcher.go
+++ b/transfer/fetcher.go
@@ -32,6 +32,8 @@
 	// holdersTime is how long a host waits for peers that are known to hold the version to
 	// report its chunks, before it turns to the origin.
 	holdersTime = 5 * time.Second
+	// unknownInFlight is how many chunks may be in flight while nothing is known about the link.
+	unknownInFlight = 2
 	// narrowLinkShare is the percentage of its estimated rate that weights may use on a link
 	// with reduced bandwidth.
 	narrowLinkShare = 60
@@ -46,7 +48,7 @@
 	Settings struct {
 		Self swarm.Peer
 		// MaxInFlight is the maximum number of chunks that are fetched at once while the
-		// link has its full bandwidth. Otherwise, chunks are fetched one at a time.
+		// link has its full bandwidth.
 		MaxInFlight int
 		// StallTime is how long the region may go without a new chunk before the next host
 		// fetches from the origin. A host that has no manifest after this time asks the
@@ -77,6 +79,8 @@
 		// HeldByPeers is set if peers are known to hold the version, even if they have not
 		// reported its chunks yet.
 		HeldByPeers bool
+		// New is set if no peer can hold the version yet, because it was named just now.
+		New bool
 	}
 
 	// Origin fetches from a server that stores every version of the weights.
@@ -233,8 +237,11 @@
 
 // originDelay returns the time before the first fetch from the origin.
 func (f *Fetcher) originDelay(want Want) time.Duration {
-	if want.HeldByPeers {
+	switch {
+	case want.HeldByPeers:
 		return max(holdersTime, f.settings.OriginDelay)
+	case want.New:
+		return 0
 	}
 	return f.settings.OriginDelay
 }
@@ -310,8 +317,9 @@
 }
 
 // adaptToLink returns whether the link has reduced bandwidth, and how many chunks may be in flight.
-// It also adapts the rate limit. A link that has shown nothing yet is used like a wide one. After a
-// slow chunk, only one chunk may be in flight until the state is known.
+// It also adapts the rate limit. A link that has shown nothing yet is used at its full rate, but by
+// fewer chunks at once: if it is narrow after all, they must not delay callers' requests for long.
+// After a slow chunk, only one chunk may be in flight until the state is known.
 func (f *Fetcher) adaptToLink() (narrow bool, inFlight int) {
 	state, rate := f.settings.Link.State()
 	if state != f.linkState {
@@ -324,7 +332,10 @@
 		return true, 1
 	case LinkSuspect:
 		return false, 1
-	case LinkUnknown, LinkWide:
+	case LinkUnknown:
+		f.pacer.setRate(f.settings.Rate)
+		return false, min(unknownInFlight, f.settings.MaxInFlight)
+	case LinkWide:
 	}
 	f.pacer.setRate(f.settings.Rate)
 	return false, f.settings.MaxInFlight
