Members, the origin's wait and written settings: three faults found by reading

Cause: a member whose failure domain, region, service or upstream changed counted as the same; a later failure shortened the wait that the origin had asked for; settings of 0 or no were not written and read back as their defaults.

Change: members are compared whole, the later time to ask the origin again is kept, a zero is written where the default is another value.

--- a/feed/members.go
+++ b/feed/members.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"figbank"
 	"figbank/schema"
 	"figbank/transport"
@@ -98,7 +100,7 @@
 }
 
 // updateSubscriber stores a subscriber's new description of itself. It returns false and stores
-// nothing if the subscriber is unknown, or if sameMember finds no difference.
+// nothing if the subscriber is unknown, or if nothing has changed.
 func (r *memberTable) updateSubscriber(member *schema.Member) bool {
 	subscriber, found := r.subscribers[figbank.ProcessID(member.GetId())]
 	if !found || sameMember(subscriber.member, member) {
@@ -181,9 +183,7 @@
 	slices.Sort(update.GoneMembers)
 }
 
-// sameMember reports whether a and b have the same id, role, address, replica id and
-// leaving flag. It ignores the other fields.
+// sameMember reports whether a and b describe a process in the same way.
 func sameMember(a, b *schema.Member) bool {
-	return a.GetId() == b.GetId() && a.GetRole() == b.GetRole() && a.GetAddress() == b.GetAddress() &&
-		a.GetReplicaId() == b.GetReplicaId() && a.GetLeaving() == b.GetLeaving()
+	return proto.Equal(a, b)
 }
--- a/feed/members_test.go
+++ b/feed/members_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"figbank/schema"
+
+	"google.golang.org/protobuf/proto"
 )
 
 func gatewayNamed(id, address string) *schema.Member {
@@ -70,6 +72,32 @@
 	}
 }
 
+// A process that restarts in another failure domain, or for another service, keeps its id. All who
+// know it must hear of the change.
+func TestChangedMemberIsANewOne(t *testing.T) {
+	before := &schema.Member{Id: "a", Role: schema.MemberRole_MEMBER_ROLE_AGENT, Address: "1", FailureDomain: "z", Region: "r", Service: "s", Upstream: "u"}
+	changes := []struct {
+		name   string
+		change func(*schema.Member)
+	}{
+		{name: "failure domain", change: func(m *schema.Member) { m.FailureDomain = "y" }},
+		{name: "region", change: func(m *schema.Member) { m.Region = "q" }},
+		{name: "service", change: func(m *schema.Member) { m.Service = "t" }},
+		{name: "upstream", change: func(m *schema.Member) { m.Upstream = "v" }},
+	}
+	for _, c := range changes {
+		t.Run(c.name, func(t *testing.T) {
+			after := proto.CloneOf(before)
+			c.change(after)
+			update := &schema.FeedUpdate{}
+			fillDifference(update, map[string]*schema.Member{"a": before}, map[string]*schema.Member{"a": after})
+			if got := update.GetMembers(); len(got) != 1 {
+				t.Errorf("members to report = %v, want the changed one", got)
+			}
+		})
+	}
+}
+
 // Agents learn of agents and replicas, not of gateways.
 func TestSubscribersGetMembersOfTheirOwnRole(t *testing.T) {
 	r := newMemberTable()
--- a/inifile/write.go
+++ b/inifile/write.go
@@ -38,7 +38,8 @@
 	fields := section.Descriptor().Fields()
 	for i := range fields.Len() {
 		field := fields.Get(i)
-		if section.Has(field) {
+		// A zero value must be written where the default is another one.
+		if section.Has(field) || isScalar(field) && RuleOf(field).GetDefault() != "" {
 			fmt.Fprintf(text, "%s = %s\n", field.Name(), valueText(field, section.Get(field)))
 		}
 	}
@@ -65,3 +66,8 @@
 		return value.String()
 	}
 }
+
+// isScalar reports whether a field always has a value. Lists and durations may have none.
+func isScalar(field protoreflect.FieldDescriptor) bool {
+	return !field.IsList() && field.Kind() != protoreflect.MessageKind
+}
--- /dev/null
+++ b/reservation/book_test.go
@@ -0,0 +1,182 @@
+package reservation
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	slots   = 8
+	allowed = 400 * time.Millisecond
+)
+
+var noon = time.Unix(1_700_000_000, 0)
+
+// predict is the time until an answer begins on an upstream with 8 slots: 20 ms for each prompt of
+// 1,000 tokens that is read before, and 150 ms for each request that waits.
+func predict(outstanding, pendingTokens int) time.Duration {
+	waiting := max(0, outstanding-slots+1)
+	return 100*time.Millisecond + time.Duration(pendingTokens)*20*time.Microsecond + time.Duration(waiting)*150*time.Millisecond
+}
+
+func newAsk(key Key) Ask {
+	return Ask{Key: key, PromptTokens: 1000, Allowed: allowed, Lifetime: 6 * time.Second, Predict: predict}
+}
+
+// Twenty gateways choose the same upstream within 0.3 s, since by their counts it has places left.
+// Only as many as can begin in time get a place. The others are refused at once, and can still go
+// elsewhere.
+func TestManyGatewaysChooseTheSameUpstream(t *testing.T) {
+	const gateways = 20
+	book := NewBook()
+	granted := 0
+	for i := range gateways {
+		ticket := Ticket{Stream: uint64(i)}
+		now := noon.Add(time.Duration(i) * 300 * time.Millisecond / gateways)
+		verdict := book.Reserve(now, ticket, newAsk(Key{Upstream: "u"}))
+		if verdict.Granted != (verdict.Predicted <= allowed) {
+			t.Errorf("ask %d: granted = %v although the answer is predicted to begin after %v", i, verdict.Granted, verdict.Predicted)
+		}
+		if verdict.Granted {
+			granted++
+			book.Begin(ticket)
+		}
+	}
+	if want := slots + 2; granted != want {
+		t.Errorf("granted places = %d, want %d: all slots, and two that wait 300 ms at most", granted, want)
+	}
+}
+
+// Requests that arrive together must wait until the prompts of those before them are read.
+func TestPendingPromptsCount(t *testing.T) {
+	book := NewBook()
+	key := Key{Upstream: "u"}
+	first := book.Reserve(noon, Ticket{ID: 1}, newAsk(key))
+	second := book.Reserve(noon, Ticket{ID: 2}, newAsk(key))
+	if got, want := second.Predicted-first.Predicted, 20*time.Millisecond; got != want {
+		t.Errorf("second request is predicted %v later, want %v", got, want)
+	}
+	book.Begin(Ticket{ID: 1})
+	book.Begin(Ticket{ID: 2})
+	if third := book.Reserve(noon, Ticket{ID: 3}, newAsk(key)); third.Predicted != first.Predicted {
+		t.Errorf("predicted time once both prompts are read = %v, want %v", third.Predicted, first.Predicted)
+	}
+}
+
+func TestPlacesAreFreed(t *testing.T) {
+	key := Key{Upstream: "u"}
+	scenarios := []struct {
+		name string
+		free func(*Book) time.Time
+	}{
+		{name: "the request ends", free: func(b *Book) time.Time { b.End(Ticket{Stream: 1, ID: 1}); return noon }},
+		{name: "the gateway's stream ends", free: func(b *Book) time.Time { b.EndStream(1); return noon }},
+		{name: "the request's time ends", free: func(*Book) time.Time { return noon.Add(7 * time.Second) }},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			book := NewBook()
+			book.Reserve(noon, Ticket{Stream: 1, ID: 1}, newAsk(key))
+			now := s.free(book)
+			if got := book.Reserve(now, Ticket{Stream: 2, ID: 1}, newAsk(key)).Outstanding; got != 0 {
+				t.Errorf("places that are taken = %d, want 0", got)
+			}
+		})
+	}
+}
+
+// While gateways disagree about the keeper, two of them hand out places of a cold upstream. Together
+// they must stay within one and a half times its rate and five more, in any second.
+func TestColdRateHoldsWithTwoKeepers(t *testing.T) {
+	for _, perSecond := range []float64{5, 14, 36} {
+		books := []*Book{NewBook(), NewBook()}
+		var sent []time.Time
+		for ms := range 5000 {
+			now := noon.Add(time.Duration(ms) * time.Millisecond)
+			for _, book := range books {
+				ask := newAsk(Key{Upstream: "u"})
+				ask.ColdPerSecond = perSecond
+				ticket := Ticket{ID: uint64(ms)}
+				if book.Reserve(now, ticket, ask).Granted {
+					book.End(ticket)
+					sent = append(sent, now)
+				}
+			}
+		}
+		most := 0
+		for i := range sent {
+			inWindow := 0
+			for _, at := range sent[i:] {
+				if at.Sub(sent[i]) < time.Second {
+					inWindow++
+				}
+			}
+			most = max(most, inWindow)
+		}
+		if want := int(perSecond*1.5) + 5; most > want {
+			t.Errorf("requests in one second at %v a second = %d, want at most %d", perSecond, most, want)
+		}
+		if got, least := len(sent), int(2*5*perSecond*coldShare); got < least {
+			t.Errorf("requests in five seconds at %v a second = %d, want at least %d: places are not lost", perSecond, got, least)
+		}
+	}
+}
+
+// The book is compared with a plain set of the requests that hold a place.
+func TestBookMatchesSet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		book := NewBook()
+		held := map[Key]map[Ticket]bool{}
+		keys := []Key{{Upstream: "a"}, {Upstream: "a", BornUnixMilli: 1}, {Upstream: "b"}}
+		drawTicket := func(t *rapid.T) Ticket {
+			return Ticket{Stream: rapid.Uint64Range(1, 3).Draw(t, "stream"), ID: rapid.Uint64Range(1, 5).Draw(t, "id")}
+		}
+		drop := func(drop func(Ticket) bool) {
+			for _, tickets := range held {
+				for ticket := range tickets {
+					if drop(ticket) {
+						delete(tickets, ticket)
+					}
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"reserve": func(t *rapid.T) {
+				key, ticket := rapid.SampledFrom(keys).Draw(t, "key"), drawTicket(t)
+				drop(func(other Ticket) bool { return other == ticket })
+				book.End(ticket)
+				verdict := book.Reserve(noon, ticket, newAsk(key))
+				if want := len(held[key]); verdict.Outstanding != want {
+					t.Fatalf("places that are taken = %d, want %d", verdict.Outstanding, want)
+				}
+				if !verdict.Granted {
+					return
+				}
+				if held[key] == nil {
+					held[key] = map[Ticket]bool{}
+				}
+				held[key][ticket] = true
+			},
+			"begin": func(t *rapid.T) { book.Begin(drawTicket(t)) },
+			"end": func(t *rapid.T) {
+				ticket := drawTicket(t)
+				book.End(ticket)
+				drop(func(o Ticket) bool { return o == ticket })
+			},
+			"end stream": func(t *rapid.T) {
+				s := drawTicket(t).Stream
+				book.EndStream(s)
+				drop(func(o Ticket) bool { return o.Stream == s })
+			},
+		})
+		sum := 0
+		for _, tickets := range held {
+			sum += len(tickets)
+		}
+		if got := len(book.places); got != sum {
+			t.Errorf("places in the book = %d, want %d", got, sum)
+		}
+	})
+}
--- a/swarm/plan.go
+++ b/swarm/plan.go
@@ -293,7 +293,7 @@
 func (p *Plan) FetchFailed(fetch Fetch, failure Failure, wait time.Duration, now time.Time) {
 	p.endFetch(fetch)
 	if fetch.Peer == "" {
-		p.originRetryAt = now.Add(max(wait, originDelay))
+		p.originRetryAt = later(p.originRetryAt, now.Add(max(wait, originDelay)))
 		return
 	}
 	source, found := p.peers[fetch.Peer]
--- a/swarm/plan_test.go
+++ b/swarm/plan_test.go
@@ -373,3 +373,21 @@
 		})
 	}
 }
+
+// A host fetches two chunks from the origin at once. The origin asks it to wait after the first, and
+// fails the second. The shorter wait after that must not replace the longer one.
+func TestLaterFailureDoesNotShortenTheWait(t *testing.T) {
+	now := time.Unix(1000, 0)
+	plan := NewPlan(Settings{Self: Peer{ID: "h"}, Chunks: 4, InFlight: 4, StallTime: stallTime}, rand.New(rand.NewPCG(1, 1)), now)
+	first, _ := plan.Next(now)
+	second, _ := plan.Next(now)
+	const wait = 10 * time.Second
+	plan.FetchFailed(first, FailureBusy, wait, now)
+	plan.FetchFailed(second, FailureUnreachable, 0, now)
+	if fetch, found := plan.Next(now.Add(wait - time.Millisecond)); found {
+		t.Errorf("Next() before the origin's wait has ended = %+v, want none", fetch)
+	}
+	if _, found := plan.Next(now.Add(wait)); !found {
+		t.Error("Next() after the origin's wait = none, want a fetch from the origin")
+	}
+}
