A closed session no longer lets its readers spin

Cause: yamux wakes the readers of all streams when a session is closed, then waits for the goroutine that reads from the connection; until that one has run, the readers spin. On a host with one processor they keep it from running.

Change: a session ends by closing its connection, so that only the reading goroutine shuts it down, whoever closes it; its keep-alive does the same.

--- a/transport/pool.go
+++ b/transport/pool.go
@@ -53,7 +53,7 @@
 	// waiting for it when its context ends, while another goroutine dials.
 	peer struct {
 		lock    chan struct{}
-		session *yamux.Session
+		session *session
 	}
 )
 
@@ -150,7 +150,7 @@
 }
 
 // session returns the session to one process. It dials if there is no open session.
-func (p *Pool) session(ctx context.Context, address figbank.Address) (*yamux.Session, error) {
+func (p *Pool) session(ctx context.Context, address figbank.Address) (*session, error) {
 	entry, err := p.peer(address)
 	if err != nil {
 		return nil, err
@@ -170,9 +170,8 @@
 	if err != nil {
 		return nil, figbank.WrapError("transport", "Dial", err, "address", address)
 	}
-	session, err := yamux.Client(conn, sessionConfig())
+	session, err := newSession(p.common.Clock, conn, yamux.Client)
 	if err != nil {
-		_ = conn.Close()
 		return nil, figbank.WrapError("transport", "Session", err, "address", address)
 	}
 	entry.session = session
@@ -202,7 +201,7 @@
 	return p.closed
 }
 
-func closeSession(session *yamux.Session) {
+func closeSession(session *session) {
 	if session != nil {
 		_ = session.Close()
 	}
@@ -216,7 +215,8 @@
 func sessionConfig() *yamux.Config {
 	config := yamux.DefaultConfig()
 	config.AcceptBacklog = acceptBacklog
-	config.KeepAliveInterval = keepAliveInterval
+	// A session has a keep-alive of its own.
+	config.EnableKeepAlive = false
 	config.ConnectionWriteTimeout = writeTimeout
 	config.StreamCloseTimeout = closeTimeout
 	config.MaxStreamWindowSize = streamWindow
--- a/transport/server.go
+++ b/transport/server.go
@@ -66,9 +66,8 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	session, err := yamux.Server(conn, sessionConfig())
+	session, err := newSession(s.common.Clock, conn, yamux.Server)
 	if err != nil {
-		_ = conn.Close()
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -7,6 +7,8 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -187,3 +189,39 @@
 		}
 	})
 }
+
+// Many streams wait for messages when their session is closed, on a host with one processor. All
+// of them must fail at once: a reader that spins until the session has shut down keeps the other
+// goroutines from running.
+func TestStreamsOfAClosedSessionFailAtOnce(t *testing.T) {
+	const streams, most = 60, 200 * time.Millisecond
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	for _, side := range []string{"pool", "server"} {
+		t.Run(side, func(t *testing.T) {
+			served := make(chan struct{}, streams)
+			pool, address, server := newPair(t, func(ctx context.Context, _ figbank.ProcessID, _ *Stream) {
+				served <- struct{}{}
+				<-ctx.Done()
+			})
+			var group sync.WaitGroup
+			for range streams {
+				stream, err := pool.Open(context.Background(), address, kind)
+				if err != nil {
+					t.Fatal(err)
+				}
+				group.Go(func() { _ = stream.Receive(&schema.InspectAnswer{}) })
+				<-served
+			}
+			began := time.Now()
+			if side == "pool" {
+				pool.Drop(address)
+			} else {
+				server.Close()
+			}
+			group.Wait()
+			if took := time.Since(began); took > most {
+				t.Errorf("the streams failed within %v, want at most %v", took, most)
+			}
+		})
+	}
+}
