transfer, staging: files that had grown are split; an unchanged list of peers costs nothing

Cause: each change of the view made every agent sort and hash all peers again.

Change: the list is compared first. Following peers, fetching one chunk and choosing the version have files of their own.

--- a/transfer/fetcher.go
+++ b/transfer/fetcher.go
@@ -1,17 +1,14 @@
 package transfer
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"figbank"
-	"figbank/origin"
 	"figbank/schema"
 	"figbank/swarm"
 	"figbank/transport"
@@ -38,9 +35,6 @@
 	// with reduced bandwidth.
 	narrowLinkShare = 60
 	percent         = 100
-	// maxFollowedPeers limits the number of peers whose chunks a host follows, without those
-	// that bring chunks into its region.
-	maxFollowedPeers = 24
 )
 
 type (
@@ -218,7 +212,7 @@
 	}
 	f.pacer.setBurst(largestChunk(partial))
 	inbox := make(chan planUpdate, inboxLength)
-	followed := map[figbank.Address]context.CancelFunc{}
+	followed := &followedPeers{stops: map[figbank.Address]context.CancelFunc{}}
 	changed := f.updatePeers(ctx, plan, partial, followed, inbox)
 	for !plan.Complete() {
 		f.startFetches(ctx, plan, partial, inbox)
@@ -264,44 +258,6 @@
 	return figbank.Bytes(largest)
 }
 
-// updatePeers passes the current list of peers to the plan, and starts and stops the
-// goroutines that follow them. It returns a channel that is closed when the list
-// changes.
-func (f *Fetcher) updatePeers(ctx context.Context, plan *swarm.Plan, partial *weights.PartialVersion, followed map[figbank.Address]context.CancelFunc, inbox chan<- planUpdate) <-chan struct{} {
-	peers, changed := f.peers()
-	plan.SetPeers(peers)
-	wanted := f.peersToFollow(peers, len(partial.Version().Manifest.GetChunks()))
-	for address, stop := range followed {
-		if !slices.ContainsFunc(wanted, func(p swarm.Peer) bool { return p.Address == address }) {
-			stop()
-			delete(followed, address)
-		}
-	}
-	for _, peer := range wanted {
-		if _, found := followed[peer.Address]; found {
-			continue
-		}
-		followCtx, stop := context.WithCancel(ctx) //nolint:gosec // stopped when the peer leaves the list, or with ctx
-		followed[peer.Address] = stop
-		go f.followPeer(followCtx, peer, partial, inbox)
-	}
-	return changed
-}
-
-// peersToFollow picks the peers whose chunks this host follows: those that bring chunks into its
-// region, and others of its region, at most maxFollowedPeers of them. If there are more, it picks
-// those with the highest rendezvous hash for this host, so that different hosts follow different
-// peers.
-func (f *Fetcher) peersToFollow(peers []swarm.Peer, chunks int) []swarm.Peer {
-	followed := swarm.FirstHosts(f.settings.Self, peers, chunks)
-	others := slices.DeleteFunc(slices.Clone(peers), func(p swarm.Peer) bool {
-		return p.ID == f.settings.Self.ID || p.Region != f.settings.Self.Region || slices.Contains(followed, p)
-	})
-	key := figbank.ManifestDigest(f.settings.Self.ID)
-	slices.SortFunc(others, func(a, b swarm.Peer) int { return cmp.Compare(rendezvousHash(b.ID, key), rendezvousHash(a.ID, key)) })
-	return append(followed, others[:min(maxFollowedPeers, len(others))]...)
-}
-
 func (f *Fetcher) startFetches(ctx context.Context, plan *swarm.Plan, partial *weights.PartialVersion, inbox chan<- planUpdate) {
 	plan.SetLink(f.adaptToLink())
 	for {
@@ -358,67 +314,6 @@
 	}
 }
 
-// fetch fetches one chunk and writes it to disk.
-func (f *Fetcher) fetch(ctx context.Context, fetch swarm.Fetch, partial *weights.PartialVersion) error {
-	ctx, cancel := context.WithTimeout(ctx, f.settings.StallTime)
-	defer cancel()
-	length := figbank.Bytes(weights.ChunkLength(partial.Version().Manifest.GetChunks()[fetch.Chunk]))
-	if err := f.pacer.wait(ctx, length); err != nil {
-		return err
-	}
-	content, err := f.fetchTimed(ctx, fetch, partial, length)
-	if err != nil {
-		if failure, _ := classify(err); failure == swarm.FailureBusy {
-			f.pacer.refund(length)
-		}
-		return err
-	}
-	if err := partial.Put(fetch.Chunk, content); err != nil {
-		f.event("BadChunk", chunkName(fetch), string(fetch.Peer))
-		return err
-	}
-	f.active.notify(f.common.Clock.Now())
-	f.event("Chunk", chunkName(fetch), string(fetch.Peer))
-	f.common.Scope.Counter("chunks").Inc(1)
-	return nil
-}
-
-// fetchTimed fetches a chunk and reports the duration to the estimate of the link.
-func (f *Fetcher) fetchTimed(ctx context.Context, fetch swarm.Fetch, partial *weights.PartialVersion, length figbank.Bytes) ([]byte, error) {
-	began := f.common.Clock.Now()
-	concurrent := f.inProgress.Add(1)
-	answer, err := f.fetchContent(ctx, fetch, partial, length)
-	concurrent = max(concurrent, f.inProgress.Add(-1)+1)
-	took := f.common.Clock.Now().Sub(began)
-	if err != nil {
-		// A fetch that failed early, for example because the peer refused it, shows nothing
-		// about the link. A fetch that failed late counts as a slow chunk.
-		if took >= f.settings.StallTime/2 && fetch.Peer != "" {
-			f.settings.Link.observe(length, took, int(concurrent))
-		}
-		return nil, err
-	}
-	if fetch.Peer == "" {
-		f.settings.Link.observeOrigin(length, took, int(concurrent))
-		return answer.content, nil
-	}
-	bytes, transferTime := answer.afterFirstPart(took)
-	f.settings.Link.observe(bytes, transferTime, int(concurrent))
-	return answer.content, nil
-}
-
-func (f *Fetcher) fetchContent(ctx context.Context, fetch swarm.Fetch, partial *weights.PartialVersion, length figbank.Bytes) (*received, error) {
-	if fetch.Peer == "" {
-		f.common.Scope.Counter("origin_bytes").Inc(int64(length))
-		content, err := f.origin.Chunk(ctx, partial.Version(), fetch.Chunk)
-		return &received{content: content}, err
-	}
-	request := &schema.ChunkRequest{
-		Manifest: string(partial.Version().Digest), Chunk: uint32(fetch.Chunk), BytesPerSecond: int64(f.settings.Link.RequestRate()),
-	}
-	return f.receiveParts(ctx, fetch.Address, schema.StreamKind_STREAM_KIND_CHUNK, request, length)
-}
-
 func (f *Fetcher) event(name, chunk, detail string) {
 	f.common.Recorder.Record(&schema.Event{Part: "transfer", Name: name, Chunk: chunk, Detail: detail})
 }
@@ -433,22 +328,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// classify converts the error of a fetch to a Failure for the plan. It also returns how long the
-// source asked to wait before the next attempt, or 0 if it did not ask.
-func classify(err error) (swarm.Failure, time.Duration) {
-	var limited origin.RateLimitedError
-	var corrupt figbank.CorruptError
-	var refused PeerRefusedError
-	switch {
-	case errors.As(err, &limited):
-		return swarm.FailureBusy, limited.RetryAfter
-	case errors.As(err, &corrupt):
-		return swarm.FailureCorrupt, 0
-	case errors.As(err, &refused) && refused.Busy:
-		return swarm.FailureBusy, 0
-	case errors.As(err, &refused):
-		return swarm.FailureMissing, 0
-	}
-	return swarm.FailureUnreachable, 0
-}
--- a/transfer/peers.go
+++ b/transfer/peers.go
@@ -29,61 +29,6 @@
 	return "peer does not have the requested content"
 }
 
-// followPeer sends updates on the chunks that a peer holds to inbox, until the peer
-// holds all of them or ctx ends. It opens the stream again after failures.
-func (f *Fetcher) followPeer(ctx context.Context, peer swarm.Peer, partial *weights.PartialVersion, inbox chan<- planUpdate) {
-	for ctx.Err() == nil {
-		complete := f.followPeerOnce(ctx, peer, partial, inbox)
-		if complete {
-			return
-		}
-		sendUpdate(ctx, inbox, planUpdate{peer: peer.ID, lost: true})
-		select {
-		case <-ctx.Done():
-		case <-f.common.Clock.After(retryDelay):
-		}
-	}
-}
-
-// followPeerOnce reads updates over one stream. It returns true once the peer holds
-// every chunk, and false if the stream fails.
-func (f *Fetcher) followPeerOnce(ctx context.Context, peer swarm.Peer, partial *weights.PartialVersion, inbox chan<- planUpdate) bool {
-	stream, err := f.pool.Open(ctx, peer.Address, schema.StreamKind_STREAM_KIND_HAVE)
-	if err != nil {
-		return false
-	}
-	defer stream.Close()
-	defer stream.CloseWhenDone(ctx)()
-	version := partial.Version()
-	if err := stream.Send(&schema.HaveRequest{Manifest: string(version.Digest)}); err != nil {
-		return false
-	}
-	for {
-		update := &schema.HaveUpdate{}
-		if err := stream.Receive(update); err != nil {
-			return false
-		}
-		sendUpdate(ctx, inbox, planUpdate{peer: peer.ID, narrow: update.GetNarrow(), chunks: chunksOf(update, len(version.Manifest.GetChunks()))})
-		if update.GetWhole() {
-			return true
-		}
-	}
-}
-
-func chunksOf(update *schema.HaveUpdate, total int) []figbank.ChunkIndex {
-	var chunks []figbank.ChunkIndex
-	if update.GetWhole() {
-		for i := range total {
-			chunks = append(chunks, figbank.ChunkIndex(i))
-		}
-		return chunks
-	}
-	for _, chunk := range update.GetChunks() {
-		chunks = append(chunks, figbank.ChunkIndex(chunk))
-	}
-	return chunks
-}
-
 // fetchManifest fetches a manifest's bytes from a peer or the origin. If this host has the highest
 // rendezvous hash for the manifest in its region, or still has no manifest after StallTime, it asks
 // the origin before the peers. Otherwise it asks only peers. It tries again until ctx ends.
