--- a/staging/fetch.go
+++ b/staging/fetch.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"figbank"
+	"figbank/swarm"
 	"figbank/transfer"
 	"figbank/weights"
 )
@@ -63,6 +64,9 @@
 	source := wanted.fetch
 	began := s.common.Clock.Now()
 	isNew := s.namedWithin(source, newVersionTime)
+	if isNew && !s.awaitDigestsTurn(ctx, wanted.chunks) {
+		return figbank.WrapError("staging", "Canceled", ctx.Err())
+	}
 	digests, err := s.origin.Digests(ctx, source)
 	if err != nil {
 		return err
@@ -88,6 +92,22 @@
 	return nil
 }
 
+// awaitDigestsTurn lets those hosts ask the origin first for the digests of a new version that
+// bring its chunks to the others. The origin accepts fewer connections than there are hosts. It
+// returns false if ctx ends.
+func (s *Stager) awaitDigestsTurn(ctx context.Context, chunks int) bool {
+	list, _ := s.peers.list()
+	if swarm.BringsChunks(s.peers.selfPeer(), list, chunks) {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-s.common.Clock.After(jitter(digestsDelay)):
+		return true
+	}
+}
+
 // reuseStaged reads the pieces that are already staged at the engine and stores those that belong
 // to the version. It stops when more than maxMismatches pieces were unusable. It returns how many
 // chunks of the version are then on disk. If the version was complete before, it returns 0.
--- a/staging/sources.go
+++ b/staging/sources.go
@@ -77,14 +77,23 @@
 		if member.GetRole() != schema.MemberRole_MEMBER_ROLE_AGENT || member.GetService() != p.self.GetService() {
 			continue
 		}
-		list = append(list, swarm.Peer{
-			ID: figbank.ProcessID(member.GetId()), Address: figbank.Address(member.GetAddress()),
-			Region: figbank.Region(member.GetRegion()), FailureDomain: figbank.FailureDomain(member.GetFailureDomain()),
-		})
+		list = append(list, peerOf(member))
 	}
 	return list, changed
 }
 
+// selfPeer returns this agent as the others list it.
+func (p *peerList) selfPeer() swarm.Peer {
+	return peerOf(p.self)
+}
+
+func peerOf(member *schema.Member) swarm.Peer {
+	return swarm.Peer{
+		ID: figbank.ProcessID(member.GetId()), Address: figbank.Address(member.GetAddress()),
+		Region: figbank.Region(member.GetRegion()), FailureDomain: figbank.FailureDomain(member.GetFailureDomain()),
+	}
+}
+
 // readRules unpacks the traffic rules of a fleet. It returns nil if there are none
 // or they cannot be unpacked.
 func (s *Stager) readRules(fleet *schema.Fleet) *schema.Traffic {
--- a/staging/stager.go
+++ b/staging/stager.go
@@ -40,6 +40,9 @@
 	// newVersionTime is how long after its naming no host can hold a version yet, if all hosts hear
 	// of it at about the same time.
 	newVersionTime = 500 * time.Millisecond
+	// digestsDelay is how long hosts that bring no chunk from the origin wait, on average, before
+	// they ask it for the digests of a new version.
+	digestsDelay = 600 * time.Millisecond
 	// firstVersion is the version to serve if operators have named no version for the model.
 	firstVersion = 1
 )
@@ -69,6 +72,7 @@
 		store      *weights.Store
 		active     *transfer.Active
 		fetcher    *transfer.Fetcher
+		peers      *peerList
 
 		// state is the state that was published last.
 		state    *schema.EngineState
@@ -100,8 +104,10 @@
 		// fetch is the version that this host should fetch, which differs from source while an
 		// engine loads an older version before the newest one has arrived.
 		fetch Source
-		// originRate is the bytes per second of the origin's link, 0 if unknown.
+		// originRate is the bytes per second of the origin's link, 0 if unknown. chunks is the
+		// number of chunks of each version of the model.
 		originRate figbank.Bytes
+		chunks     int
 	}
 )
 
@@ -118,7 +124,8 @@
 		},
 		held: map[Source]*weights.Version{},
 	}
-	s.fetcher = newFetcher(newPieceOrigin(origin), newPeerList(view, settings.Member).list)
+	s.peers = newPeerList(view, settings.Member)
+	s.fetcher = newFetcher(newPieceOrigin(origin), s.peers.list)
 	return s
 }
 
--- a/staging/target.go
+++ b/staging/target.go
@@ -26,6 +26,7 @@
 		if service.GetName() == string(s.settings.Service) {
 			wanted.source.Model = service.GetEngine().GetModel()
 			wanted.layers = service.GetEngine().GetLayers()
+			wanted.chunks = int(service.GetEngine().GetChunks())
 		}
 	}
 	choice := s.choose(fleet.GetVersions(), wanted.source, report.Loaded.GetVersion())
--- a/swarm/order.go
+++ b/swarm/order.go
@@ -119,6 +119,17 @@
 	return firsts
 }
 
+// BringsChunks reports whether a host is the first of all hosts in the order of some chunk, so that
+// others wait for what it fetches from the origin.
+func BringsChunks(self Peer, peers []Peer, chunks int) bool {
+	for chunk := range chunks {
+		if firstHost(peers, chunk, func(Peer) bool { return true }).ID == self.ID {
+			return true
+		}
+	}
+	return false
+}
+
 // firstHost returns the first of the eligible hosts in a chunk's order.
 func firstHost(peers []Peer, chunk int, eligible func(Peer) bool) Peer {
 	var first Peer
--- a/swarm/plan_test.go
+++ b/swarm/plan_test.go
@@ -391,3 +391,29 @@
 		t.Error("Next() after the origin's wait = none, want a fetch from the origin")
 	}
 }
+
+// Each chunk has one host that brings it, whichever host is asked, and the hosts that bring chunks
+// into a region are followed by all others there.
+func TestHostsThatBringChunks(t *testing.T) {
+	sim := newSimulation(60, 3)
+	bringing := map[figbank.ProcessID]bool{}
+	for _, peer := range sim.peers {
+		bringing[peer.ID] = BringsChunks(peer, sim.peers, 48)
+	}
+	for chunk := range 48 {
+		first := firstHost(sim.peers, chunk, func(Peer) bool { return true })
+		if !bringing[first.ID] {
+			t.Errorf("host %s does not know that it brings chunk %d", first.ID, chunk)
+		}
+		for _, peer := range sim.peers {
+			inRegion := firstHost(sim.peers, chunk, func(p Peer) bool { return p.Region == peer.Region })
+			followed := FirstHosts(peer, sim.peers, 48)
+			if peer.ID != inRegion.ID && !slices.Contains(followed, inRegion) {
+				t.Errorf("host %s does not follow %s, which brings chunk %d into its region", peer.ID, inRegion.ID, chunk)
+			}
+			if peer.ID == inRegion.ID && peer.ID != first.ID && !slices.Contains(followed, first) {
+				t.Errorf("host %s, first of its region for chunk %d, does not follow %s", peer.ID, chunk, first.ID)
+			}
+		}
+	}
+}
