--- a/dispatch/reserve_test.go
+++ b/dispatch/reserve_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"figbank"
@@ -18,6 +19,8 @@
 	fakeReserver struct {
 		answers map[figbank.UpstreamID]PlaceAnswer
 		asked   []figbank.UpstreamID
+		// delay is how long the keepers take to answer.
+		delay time.Duration
 	}
 
 	// fakePlace counts how often a place was given back.
@@ -27,6 +30,7 @@
 )
 
 func (f *fakeReserver) Reserve(_ context.Context, target *Target, _ PlaceRequest) (PlaceAnswer, bool) {
+	time.Sleep(f.delay)
 	f.asked = append(f.asked, target.ID)
 	answer, known := f.answers[target.ID]
 	return answer, known
@@ -126,3 +130,22 @@
 		}
 	}
 }
+
+// Weights become too old for new requests while their keeper is asked. The request must not be sent
+// there any more, and the place must be given back.
+func TestWeightsThatEndWhileTheKeeperIsAskedAreNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const delay = 40 * time.Millisecond
+		place := &fakePlace{}
+		reserver := &fakeReserver{delay: delay, answers: map[figbank.UpstreamID]PlaceAnswer{"old": {Granted: true, Place: place}}}
+		ends := time.Now().Add(delay / 2)
+		transport := &scriptedTransport{script: []int{endAnswered}}
+		err := serveReserved(reserver, transport, &Target{ID: "old", Slots: 8, Load: &Load{}, OldAfter: ends, OldAfterWall: ends})
+		if transport.ran || !errors.As(err, new(figbank.NotRunError)) {
+			t.Errorf("Serve() = %v, sent: %v, want a refusal of a request that was not sent", err, transport.ran)
+		}
+		if place.ended != 1 {
+			t.Errorf("the place was given back %d times, want once", place.ended)
+		}
+	})
+}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -158,6 +158,15 @@
 		Service: r.request.Service, PromptTokens: r.request.PromptTokens,
 		Allowed: demand.Allowed() - candidate.Delay, Lifetime: demand.TimeLeft,
 	})
+	now = r.common.Clock.Now()
+	if !r.mayBegin(target, now, answer.Predicted) {
+		// Asking has taken time, and the target's weights may be too old by now.
+		if known && answer.Granted {
+			answer.Place.End()
+		}
+		candidate.Full = true
+		return false
+	}
 	if !known {
 		candidate.Full = !target.allowsCold(now)
 		if !candidate.Full {
@@ -175,6 +184,12 @@
 	return true
 }
 
+// mayBegin reports whether the target may get the request now, if its answer is predicted to begin
+// after the given time.
+func (r *run) mayBegin(target *Target, now time.Time, predicted time.Duration) bool {
+	return target.ready(now) && (target.Engine == nil || !target.tooOld(now.Add(predicted+target.Load.late.current(now))))
+}
+
 // candidates returns the upstreams that may take the request. The second slice holds, at the
 // same index, what placement needs to know of each.
 func (r *run) candidates(table *Table, now time.Time) ([]*Target, []placement.Candidate) {
@@ -186,7 +201,7 @@
 		if r.tried[target.ID] || target.Engine != nil && target.Model != r.request.Model {
 			continue
 		}
-		if restricted && !containsRegion(allowed, target.Region) || !target.ready(now) {
+		if restricted && !containsRegion(allowed, target.Region) {
 			continue
 		}
 		delay := otherDomainDelay
@@ -194,10 +209,14 @@
 			delay = sameDomainDelay
 		}
 		outstanding := target.Load.Outstanding(now)
-		late := target.Load.late.current(now)
-		if target.Engine != nil && target.tooOld(now.Add(target.Engine.TimeToFirstEvent(outstanding, r.request.PromptTokens)+late)) {
+		predicted := time.Duration(0)
+		if target.Engine != nil {
+			predicted = target.Engine.TimeToFirstEvent(outstanding, r.request.PromptTokens)
+		}
+		if !r.mayBegin(target, now, predicted) {
 			continue
 		}
+		late := target.Load.late.current(now)
 		targets = append(targets, target)
 		candidates = append(candidates, placement.Candidate{
 			Outstanding: outstanding, Slots: target.Slots, Engine: target.Engine,
--- a/swarm/order.go
+++ b/swarm/order.go
@@ -23,13 +23,18 @@
 // turns have passed as there are hosts before it in the chunk's order. A turn passes with each
 // StallTime without progress in the region. In OneCopy mode, a turn also passes with each idleTurn
 // in which this host had no fetch to start, no first copy of any chunk became known, and the origin
-// should have sent the chunk. The larger of the two counts applies.
+// should have sent the chunk. If no copy of the chunk is known although the origin should have sent
+// it, a turn passes with each firstCopyTurn, however busy this host is: the origin may be lost
+// before the other chunks have spread. The largest of these counts applies.
 func (p *Plan) turnsPassed(chunk figbank.ChunkIndex, now time.Time) int {
 	turns := int(now.Sub(p.lastProgress) / p.settings.StallTime)
 	if p.settings.OneCopy && !p.idleSince.IsZero() {
 		since := later(later(p.idleSince, p.lastFirstCopy), p.originTurn(chunk+1))
 		turns = max(turns, int(now.Sub(since)/idleTurn))
 	}
+	if p.settings.OneCopy && p.settings.OriginGap > 0 && p.copies[chunk] == 0 {
+		turns = max(turns, int(now.Sub(p.originTurn(chunk+1))/firstCopyTurn))
+	}
 	return turns
 }
 
--- a/swarm/plan.go
+++ b/swarm/plan.go
@@ -37,6 +37,9 @@
 	// while a host has no fetch to start. They are needed because the first hosts in the order
 	// may be slow while the region makes progress with other chunks.
 	idleTurn = 250 * time.Millisecond
+	// firstCopyTurn is the length of a turn for a chunk of which no copy is known. It is long
+	// enough for the news of a first copy to reach the other regions.
+	firstCopyTurn = 500 * time.Millisecond
 	// In OneCopy mode, a host waits these numbers of additional turns before it fetches from
 	// the origin a chunk that peers hold. otherRegionTurns applies if only peers in other
 	// regions hold the chunk, sameRegionTurns if a peer in its region does.
--- a/swarm/plan_test.go
+++ b/swarm/plan_test.go
@@ -1,6 +1,7 @@
 package swarm
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -417,3 +418,40 @@
 		}
 	}
 }
+
+// The first host of a chunk is dead. The second one has other chunks to fetch from peers all the
+// time. It must fetch the chunk from the origin soon all the same, since the origin may be lost.
+func TestBusyHostReplacesADeadFirstHost(t *testing.T) {
+	const gap, wanted = 25 * time.Millisecond, 3
+	sim := newSimulation(12, 1)
+	order := slices.SortedFunc(slices.Values(sim.peers), func(a, b Peer) int {
+		return cmp.Compare(rendezvousHash(b.ID, wanted), rendezvousHash(a.ID, wanted))
+	})
+	now := sim.now
+	plan := NewPlan(Settings{
+		Self: order[1], Chunks: chunks, InFlight: 2, StallTime: stallTime, OneCopy: true, OriginGap: gap,
+	}, rand.New(rand.NewPCG(1, 1)), now)
+	plan.SetPeers(sim.peers)
+	var held []figbank.ChunkIndex
+	for chunk := range figbank.ChunkIndex(chunks) {
+		if chunk != wanted {
+			held = append(held, chunk)
+		}
+	}
+	plan.AddPeerChunks(order[2].ID, held, now)
+	plan.AddPeerChunks(order[3].ID, held, now)
+	var running []Fetch
+	for ; now.Before(sim.now.Add(time.Second)); now = now.Add(fetchTime) {
+		for _, fetch := range running {
+			plan.FetchDone(fetch, now)
+		}
+		running = nil
+		for fetch, found := plan.Next(now); found; fetch, found = plan.Next(now) {
+			if fetch.Chunk == wanted && fetch.Peer == "" {
+				return
+			}
+			running = append(running, fetch)
+		}
+	}
+	t.Error("the chunk of the dead host was not fetched from the origin within a second")
+}
--- a/transfer/server.go
+++ b/transfer/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"figbank"
@@ -26,6 +27,8 @@
 	linkInterval = 200 * time.Millisecond
 	// slotWait is how long a request for a chunk waits for a free slot.
 	slotWait = 150 * time.Millisecond
+	// unprovenServed is how many chunks are served at once over a link that may be narrow.
+	unprovenServed = 2
 	// receiveTimeout limits how long the server keeps a slot after it sent a chunk, until the
 	// peer has received the chunk.
 	receiveTimeout = 2 * time.Second
@@ -102,7 +105,7 @@
 	if err := stream.Receive(request); err != nil {
 		return
 	}
-	if state, _ := s.link.State(); state == LinkNarrow && len(s.slots) > 0 {
+	if state, _ := s.link.State(); len(s.slots) >= s.servedAtOnce(state) {
 		_ = stream.Send(&schema.ChunkPart{Busy: true, Last: true})
 		return
 	}
@@ -137,6 +140,20 @@
 	s.link.observe(figbank.Bytes(len(content)), s.common.Clock.Now().Sub(began), concurrent)
 }
 
+// servedAtOnce returns how many chunks may be served at once. Many chunks at once on a narrow link
+// would delay the requests that use the same link, and an unproven link may be narrow.
+func (s *Server) servedAtOnce(state LinkState) int {
+	switch state {
+	case LinkNarrow:
+		return 1
+	case LinkUnknown, LinkSuspect:
+		return unprovenServed
+	case LinkWide:
+	}
+	// Further requests wait for a slot for a while.
+	return math.MaxInt
+}
+
 // awaitPeerDone waits until the peer closes its side of the stream, but at most receiveTimeout. The
 // peer closes it when it has received everything or has given up. Until then, bytes that were
 // written may still be in the link's queue, and the next chunk would queue behind them.
