transfer: fetches that wait for a busy peer do not share the link

A chunk's rate was multiplied by all fetches under way, also those that wait for a busy holder, so a narrow link looked wide, six chunks came at once, and a request waited 1.4 s behind them.

Change: only answers of which a part has arrived count.

--- a/transfer/chunk.go
+++ b/transfer/chunk.go
@@ -40,24 +40,22 @@
 // fetchTimed fetches a chunk and reports the duration to the estimate of the link.
 func (f *Fetcher) fetchTimed(ctx context.Context, fetch swarm.Fetch, partial *weights.PartialVersion, length figbank.Bytes) ([]byte, error) {
 	began := f.common.Clock.Now()
-	concurrent := f.inProgress.Add(1)
 	answer, err := f.fetchContent(ctx, fetch, partial, length)
-	concurrent = max(concurrent, f.inProgress.Add(-1)+1)
 	took := f.common.Clock.Now().Sub(began)
 	if err != nil {
 		// A fetch that failed early, for example because the peer refused it, shows nothing
 		// about the link. A fetch that failed late counts as a slow chunk.
 		if took >= f.settings.StallTime/2 && fetch.Peer != "" {
-			f.settings.Link.observe(length, took, int(concurrent))
+			f.settings.Link.observe(length, took, 1)
 		}
 		return nil, err
 	}
 	if fetch.Peer == "" {
-		f.settings.Link.observeOrigin(length, took, int(concurrent))
+		f.settings.Link.observeOrigin(length, took, 1)
 		return answer.content, nil
 	}
 	bytes, transferTime := answer.afterFirstPart(took)
-	f.settings.Link.observe(bytes, transferTime, int(concurrent))
+	f.settings.Link.observe(bytes, transferTime, answer.concurrent)
 	return answer.content, nil
 }
 
--- a/transfer/fetcher.go
+++ b/transfer/fetcher.go
@@ -95,8 +95,9 @@
 		pool     *transport.Pool
 		origin   Origin
 		pacer    *pacer
-		// inProgress counts the chunks that are being transferred.
-		inProgress atomic.Int64
+		// arriving counts the answers of which a part has arrived, but not yet the last one.
+		// Fetches that wait for a busy peer do not share the link.
+		arriving atomic.Int64
 		// linkState is the state of the link that was logged last.
 		linkState LinkState
 		peers     func() ([]swarm.Peer, <-chan struct{})
--- a/transfer/peers.go
+++ b/transfer/peers.go
@@ -108,6 +108,11 @@
 		return nil, err
 	}
 	answer := &received{content: make([]byte, 0, min(limit, weights.ChunkSize))}
+	defer func() {
+		if !answer.firstAt.IsZero() {
+			f.arriving.Add(-1)
+		}
+	}()
 	for {
 		part := &schema.ChunkPart{}
 		if err := stream.Receive(part); err != nil {
@@ -116,7 +121,10 @@
 		if part.GetBusy() || part.GetMissing() {
 			return nil, figbank.WrapError("transfer", "PeerRefused", PeerRefusedError{Busy: part.GetBusy()})
 		}
-		answer.add(f.common.Clock.Now(), part.GetData())
+		if answer.firstAt.IsZero() {
+			f.arriving.Add(1)
+		}
+		answer.add(f.common.Clock.Now(), part.GetData(), int(f.arriving.Load()))
 		if figbank.Bytes(len(answer.content)) > limit {
 			detail := "peer sent more than " + strconv.FormatInt(int64(limit), 10) + " bytes"
 			return nil, figbank.CorruptError{Subject: "answer", Detail: detail}
--- a/transfer/received.go
+++ b/transfer/received.go
@@ -13,10 +13,14 @@
 	// last part arrived.
 	firstBytes      int
 	firstAt, lastAt time.Time
+	// concurrent is the largest number of answers that arrived at the same time, with this one.
+	concurrent int
 }
 
-func (r *received) add(now time.Time, part []byte) {
-	if len(r.content) == 0 {
+// add appends a part that has arrived while the given number of answers share the link.
+func (r *received) add(now time.Time, part []byte, concurrent int) {
+	r.concurrent = max(r.concurrent, concurrent)
+	if r.firstAt.IsZero() {
 		r.firstAt, r.firstBytes = now, len(part)
 	}
 	r.lastAt = now
