--- a/transfer/chunk.go
+++ b/transfer/chunk.go
@@ -51,7 +51,7 @@
 		return nil, err
 	}
 	if fetch.Peer == "" {
-		f.settings.Link.observeOrigin(length, took, 1)
+		f.settings.Link.observeOrigin(length, took)
 		return answer.content, nil
 	}
 	bytes, transferTime := answer.afterFirstPart(took)
--- a/transfer/link.go
+++ b/transfer/link.go
@@ -83,10 +83,10 @@
 
 // observeOrigin records a chunk from the origin. Since the origin's own link may be
 // the bottleneck, only a fast chunk counts.
-func (l *Link) observeOrigin(length figbank.Bytes, took time.Duration, concurrent int) {
+func (l *Link) observeOrigin(length figbank.Bytes, took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if rate := linkRate(length, took, concurrent); rate >= l.nominal/narrowRatio {
+	if rate := linkRate(length, took, 1); rate >= l.nominal/narrowRatio {
 		l.addSample(rate)
 	}
 }
--- a/transfer/link_test.go
+++ b/transfer/link_test.go
@@ -74,13 +74,13 @@
 func TestSlowOriginChunksAreIgnored(t *testing.T) {
 	link := NewLink(&fixedClock{now: time.Unix(1000, 0)}, 1_000_000)
 	for range 3 {
-		link.observeOrigin(50_000, time.Second, 1)
+		link.observeOrigin(50_000, time.Second)
 	}
 	if got, _ := link.State(); got != LinkUnknown {
 		t.Errorf("state after slow chunks: got %v, want %v", got, LinkUnknown)
 	}
-	link.observeOrigin(50_000, 50*time.Millisecond, 1)
-	link.observeOrigin(50_000, 50*time.Millisecond, 1)
+	link.observeOrigin(50_000, 50*time.Millisecond)
+	link.observeOrigin(50_000, 50*time.Millisecond)
 	if got, _ := link.State(); got != LinkWide {
 		t.Errorf("state after fast chunks: got %v, want %v", got, LinkWide)
 	}
