dispatch: a request that too many keepers refuse is told why and when to return

Cause, found by reading the diff: when the last keeper that may be asked refused, the refusal had no reason and a Retry-After of 0, so callers came back at once.

Change: placement.Refuse gives the usual refusal. Choosing an upstream has a file of its own, and links to gateways that are gone are forgotten.

Result: TestRefusalByAllAskedKeepersTellsWhenToReturn fails without the change.

--- /dev/null
+++ b/dispatch/choose.go
@@ -0,0 +1,164 @@
+package dispatch
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"figbank"
+	"figbank/placement"
+	"figbank/traffic"
+)
+
+const (
+	// maxReservations bounds how many keepers one attempt asks for a place. Load counts that lag
+	// point many gateways to the same upstreams, so the first ones may all refuse.
+	maxReservations = 6
+	// sameDomainDelay is the assumed round-trip time within a failure domain, otherDomainDelay
+	// that between two failure domains.
+	sameDomainDelay  = time.Millisecond
+	otherDomainDelay = 6 * time.Millisecond
+)
+
+// chooseTarget chooses an upstream, or returns a NotRunError with the reason why no upstream
+// may take the request.
+func (r *run) chooseTarget(ctx context.Context, attempt int) (*Target, error) {
+	now := r.common.Clock.Now()
+	if r.crashers.Refuses(now, r.fingerprint) {
+		r.log.Info("refused", zap.String("reason", string(figbank.ReasonCrashesUpstreams)), zap.Int("attempt", attempt))
+		return nil, figbank.NotRunError{Reason: figbank.ReasonCrashesUpstreams, RetryAfter: crashersRetryAfter}
+	}
+	table := r.table.Load()
+	targets, candidates := r.candidates(table, now)
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // spreads load, no secret
+	for asked := 0; ; asked++ {
+		now = r.common.Clock.Now()
+		demand := r.demand(now, attempt)
+		decision := placement.Decide(demand, candidates, random)
+		if asked > maxReservations {
+			decision = placement.Refuse(figbank.ReasonQueueFull, 0, random)
+		}
+		if decision.Index < 0 {
+			r.log.Info("refused", zap.String("reason", string(decision.Reason)), zap.Duration("retryAfter", decision.RetryAfter),
+				zap.Int("candidates", len(candidates)), zap.Int("asked", asked), zap.Int("attempt", attempt), zap.Uint64("table", uint64(table.Index)))
+			return nil, figbank.NotRunError{Reason: decision.Reason, RetryAfter: decision.RetryAfter}
+		}
+		target := targets[decision.Index]
+		if !r.reserve(ctx, target, &candidates[decision.Index], demand) {
+			continue
+		}
+		r.predicted = cmp.Or(candidates[decision.Index].Known, decision.Predicted)
+		r.log.Info("placed", zap.String("upstream", string(target.ID)), zap.Int("attempt", attempt),
+			zap.Int("prompt", r.request.PromptTokens), zap.Int("outstanding", candidates[decision.Index].Outstanding),
+			zap.Duration("loadAge", target.Load.Age(now)), zap.Bool("reserved", r.place != nil), zap.Int("asked", asked),
+			zap.Duration("predicted", r.predicted), zap.Duration("late", target.Load.late.current(now)), zap.Float64("drift", demand.Drift),
+			zap.Int64("version", target.Version), zap.Int("candidates", len(candidates)), zap.Uint64("table", uint64(table.Index)))
+		return target, nil
+	}
+}
+
+// demand describes the request as placement needs it.
+func (r *run) demand(now time.Time, attempt int) placement.Demand {
+	demand := placement.Demand{
+		PromptTokens: r.request.PromptTokens, LatencyTarget: r.request.Route.LatencyTarget,
+		TimeLeft: r.request.Deadline.Sub(now), Drift: r.drift(r.request.Service).factor(now),
+	}
+	if attempt == 1 {
+		demand.Waited = now.Sub(r.request.ReceivedAt)
+	}
+	return demand
+}
+
+// reserve takes a place at the target. If its keeper refuses, reserve stores what the keeper
+// knows in the candidate and returns false. If no keeper answers, the target is used without a
+// place, within this gateway's share of a cold target's rate.
+func (r *run) reserve(ctx context.Context, target *Target, candidate *placement.Candidate, demand placement.Demand) bool {
+	now := r.common.Clock.Now()
+	reserver := r.reserver.Load()
+	if reserver == nil {
+		target.countCold(now)
+		return true
+	}
+	answer, known := (*reserver).Reserve(ctx, target, PlaceRequest{
+		Service: r.request.Service, PromptTokens: r.request.PromptTokens,
+		Allowed: demand.Allowed() - candidate.Delay, Lifetime: demand.TimeLeft,
+	})
+	now = r.common.Clock.Now()
+	if !r.mayBegin(target, now, answer.Predicted) {
+		// Asking has taken time, and the target's weights may be too old by now.
+		if known && answer.Granted {
+			answer.Place.End()
+		}
+		candidate.Full = true
+		return false
+	}
+	if !known {
+		candidate.Full = !target.allowsCold(now)
+		if !candidate.Full {
+			target.countCold(now)
+		}
+		return !candidate.Full
+	}
+	candidate.Known, candidate.Outstanding = answer.Predicted+candidate.Delay, answer.Outstanding
+	if !answer.Granted {
+		// The keeper of a cold upstream may refuse although the answer would begin in time.
+		candidate.Full = candidate.Known <= demand.Allowed()
+		return false
+	}
+	r.place = answer.Place
+	return true
+}
+
+// mayBegin reports whether the target may get the request now, if its answer is predicted to begin
+// after the given time.
+func (r *run) mayBegin(target *Target, now time.Time, predicted time.Duration) bool {
+	return target.ready(now) && (target.Engine == nil || !target.tooOld(now.Add(predicted+target.Load.late.current(now))))
+}
+
+// candidates returns the upstreams that may take the request. The second slice holds, at the
+// same index, what placement needs to know of each.
+func (r *run) candidates(table *Table, now time.Time) ([]*Target, []placement.Candidate) {
+	allowed, restricted := traffic.AllowedRegions(r.request.Route, r.request.Workspace)
+	var targets []*Target
+	var candidates []placement.Candidate
+	reserver := r.reserver.Load()
+	for _, target := range table.Targets(r.request.Service) {
+		if r.tried[target.ID] || target.Engine != nil && target.Model != r.request.Model {
+			continue
+		}
+		if restricted && !containsRegion(allowed, target.Region) {
+			continue
+		}
+		delay := otherDomainDelay
+		if target.SameDomain {
+			delay = sameDomainDelay
+		}
+		outstanding := target.Load.Outstanding(now)
+		predicted := time.Duration(0)
+		if target.Engine != nil {
+			predicted = target.Engine.TimeToFirstEvent(outstanding, r.request.PromptTokens)
+		}
+		if !r.mayBegin(target, now, predicted) {
+			continue
+		}
+		late := target.Load.late.current(now)
+		targets = append(targets, target)
+		candidates = append(candidates, placement.Candidate{
+			Outstanding: outstanding, Slots: target.Slots, Engine: target.Engine,
+			SameDomain: target.SameDomain, Delay: delay, Penalty: target.Load.Penalty() + late, Full: reserver == nil && !target.allowsCold(now),
+		})
+	}
+	return targets, candidates
+}
+
+func containsRegion(regions []string, region figbank.Region) bool {
+	for _, r := range regions {
+		if r == string(region) {
+			return true
+		}
+	}
+	return false
+}
--- a/dispatch/reserve_test.go
+++ b/dispatch/reserve_test.go
@@ -93,6 +93,26 @@
 	}
 }
 
+// More keepers refuse than one attempt asks, although other upstreams may be free. The caller must be
+// told why and when to come back.
+func TestRefusalByAllAskedKeepersTellsWhenToReturn(t *testing.T) {
+	reserver := &fakeReserver{answers: map[figbank.UpstreamID]PlaceAnswer{}}
+	var targets []*Target
+	for i := range 3 * maxReservations {
+		id := figbank.UpstreamID(fmt.Sprint(i))
+		targets = append(targets, &Target{ID: id, Slots: 8, Load: &Load{}})
+		reserver.answers[id] = PlaceAnswer{Predicted: 5 * time.Second, Outstanding: 20}
+	}
+	err := serveReserved(reserver, &scriptedTransport{}, targets...)
+	var notRun figbank.NotRunError
+	if !errors.As(err, &notRun) || notRun.Reason != figbank.ReasonQueueFull || notRun.RetryAfter <= 0 {
+		t.Errorf("Serve() = %#v, want a refusal for full queues with a time to return", err)
+	}
+	if got, most := len(reserver.asked), maxReservations+1; got > most {
+		t.Errorf("keepers asked = %d, want at most %d", got, most)
+	}
+}
+
 // A keeper that is frozen, dead or cut off must not stop requests: gateways then go by their own
 // counts, and send to a cold upstream only within their own share of its rate.
 func TestRequestIsServedWithoutKeeper(t *testing.T) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -109,10 +109,10 @@
 		}
 	}
 	if best < 0 {
-		return refuse(figbank.ReasonNoUpstream, noUpstreamWait, random)
+		return Refuse(figbank.ReasonNoUpstream, noUpstreamWait, random)
 	}
 	if excess := bestPredicted - demand.Allowed(); excess > 0 {
-		return refuse(figbank.ReasonQueueFull, excess, random)
+		return Refuse(figbank.ReasonQueueFull, excess, random)
 	}
 	return Decision{Index: best, Predicted: bestPredicted}
 }
@@ -140,10 +140,10 @@
 	return busy + plainServiceTime*time.Duration(waiting)/time.Duration(slots) + candidate.Delay
 }
 
-// refuse returns a refusal. It limits wait to the range from minWait to maxWait. The retry
+// Refuse returns a refusal. It limits wait to the range from minWait to maxWait. The retry
 // delay is drawn at random between that wait and twice as much, so that callers do not all
 // retry together.
-func refuse(reason figbank.Reason, wait time.Duration, random *rand.Rand) Decision {
+func Refuse(reason figbank.Reason, wait time.Duration, random *rand.Rand) Decision {
 	wait = min(max(wait, minWait), maxWait)
 	return Decision{Index: -1, Reason: reason, RetryAfter: wait + time.Duration(random.Int64N(int64(wait)))}
 }
--- a/reservation/client.go
+++ b/reservation/client.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -42,8 +43,8 @@
 		links map[figbank.Address]*link
 	}
 
-	// place is a place that a keeper has granted.
-	placeHeld struct {
+	// heldPlace is a place that a keeper has granted.
+	heldPlace struct {
 		id     uint64
 		report func(*schema.Reservation)
 	}
@@ -72,6 +73,16 @@
 		}
 	}
 	c.gateways.Store(&gateways)
+	c.dropLinks(members)
+}
+
+// dropLinks forgets the links to gateways that are gone. A link that is still used ends by itself.
+func (c *Client) dropLinks(members []*schema.Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	maps.DeleteFunc(c.links, func(address figbank.Address, _ *link) bool {
+		return !slices.ContainsFunc(members, func(m *schema.Member) bool { return m.GetAddress() == string(address) })
+	})
 }
 
 // Reserve asks the keeper of the target for a place. It returns false if no keeper answers.
@@ -83,7 +94,7 @@
 	}
 	for _, keeper := range c.keepersOf(target) {
 		if answer, report := c.ask(ctx, keeper, message); answer != nil {
-			held := &placeHeld{id: message.GetId(), report: report}
+			held := &heldPlace{id: message.GetId(), report: report}
 			return dispatch.PlaceAnswer{
 				Granted: answer.GetGranted(), Predicted: time.Duration(answer.GetPredictedMicroseconds()) * time.Microsecond,
 				Outstanding: int(answer.GetOutstanding()), Place: held,
@@ -137,11 +148,11 @@
 }
 
 // Begun reports that the answer to the request has begun.
-func (p *placeHeld) Begun() {
+func (p *heldPlace) Begun() {
 	p.report(&schema.Reservation{Id: p.id, Kind: schema.ReservationKind_RESERVATION_KIND_BEGUN})
 }
 
 // End gives the place back.
-func (p *placeHeld) End() {
+func (p *heldPlace) End() {
 	p.report(&schema.Reservation{Id: p.id, Kind: schema.ReservationKind_RESERVATION_KIND_END})
 }
