--- a/inifile/write.go
+++ b/inifile/write.go
@@ -38,8 +38,7 @@
 	fields := section.Descriptor().Fields()
 	for i := range fields.Len() {
 		field := fields.Get(i)
-		// A zero value must be written where the default is another one.
-		if section.Has(field) || isScalar(field) && RuleOf(field).GetDefault() != "" {
+		if section.Has(field) || differsFromDefault(field, section.Get(field)) {
 			fmt.Fprintf(text, "%s = %s\n", field.Name(), valueText(field, section.Get(field)))
 		}
 	}
@@ -67,7 +66,12 @@
 	}
 }
 
-// isScalar reports whether a field always has a value. Lists and durations may have none.
-func isScalar(field protoreflect.FieldDescriptor) bool {
-	return !field.IsList() && field.Kind() != protoreflect.MessageKind
+// differsFromDefault reports whether a zero value must be written, since it would be read back as
+// another default. Lists and durations have no zero value.
+func differsFromDefault(field protoreflect.FieldDescriptor, value protoreflect.Value) bool {
+	if field.IsList() || field.Kind() == protoreflect.MessageKind {
+		return false
+	}
+	standard := RuleOf(field).GetDefault()
+	return standard != "" && standard != valueText(field, value)
 }
