inifile: settings of zero are not written again, as before

Settings that are not set are zero in memory, so a written zero (LinkShare = 0) turns an unset value into one that its own rule does not allow. What is left of the fault: a zero that a rule allows, beside another default, is lost when written.

--- a/inifile/write.go
+++ b/inifile/write.go
@@ -38,7 +38,7 @@
 	fields := section.Descriptor().Fields()
 	for i := range fields.Len() {
 		field := fields.Get(i)
-		if section.Has(field) || differsFromDefault(field, section.Get(field)) {
+		if section.Has(field) {
 			fmt.Fprintf(text, "%s = %s\n", field.Name(), valueText(field, section.Get(field)))
 		}
 	}
@@ -65,13 +65,3 @@
 		return value.String()
 	}
 }
-
-// differsFromDefault reports whether a zero value must be written, since it would be read back as
-// another default. Lists and durations have no zero value.
-func differsFromDefault(field protoreflect.FieldDescriptor, value protoreflect.Value) bool {
-	if field.IsList() || field.Kind() == protoreflect.MessageKind {
-		return false
-	}
-	standard := RuleOf(field).GetDefault()
-	return standard != "" && standard != valueText(field, value)
-}
