httpserver: failed accepts no longer end the server

Cause, found by reading the diff: Serve returned on any error, so a gateway without a descriptor left for a moment would never have accepted callers again. Servers of older limits were shut down one after the other.

Change: failed accepts are logged and tried again after 50 ms; all servers shut down together.

Result: TestServerGoesOnAfterFailedAccepts got no answer before, and passes.

--- a/app/platformgateway.go
+++ b/app/platformgateway.go
@@ -108,8 +108,8 @@
 		return err
 	}
 	handler := platform.NewFrontServer(common, d).Handler()
-	server := httpserver.New(closeConnectionsWhen(stopping, handler), func() httpserver.Limits { return callerLimits(d.Table()) })
-	go func() { _ = server.Serve(listener) }()
+	server := httpserver.New(common, closeConnectionsWhen(stopping, handler), func() httpserver.Limits { return callerLimits(d.Table()) })
+	go server.Serve(listener)
 	common.Log.Info("gateway: started", zap.String("callers", listener.Addr().String()))
 	lifecycle.Append(fx.StopHook(func(ctx context.Context) error {
 		common.Log.Info("gateway: stopping")
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -12,9 +12,14 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"figbank"
 )
 
+// acceptRetryDelay is the delay after a connection could not be accepted.
+const acceptRetryDelay = 50 * time.Millisecond
+
 type (
 	// Limits bound what a caller may send and how long it may take. 0 means no limit.
 	Limits struct {
@@ -30,6 +35,7 @@
 
 	// Server serves callers under the limits in force. It is safe for concurrent use.
 	Server struct {
+		common  figbank.Common
 		handler http.Handler
 		// limits returns the limits in force.
 		limits func() Limits
@@ -52,26 +58,40 @@
 )
 
 // New returns a server. It calls limits for each connection and each request.
-func New(handler http.Handler, limits func() Limits) *Server {
-	return &Server{handler: handler, limits: limits}
+func New(common figbank.Common, handler http.Handler, limits func() Limits) *Server {
+	common.Log = common.Log.Named("httpserver")
+	return &Server{common: common, handler: handler, limits: limits}
 }
 
-// Serve accepts connections until Shutdown closes the listener.
-func (s *Server) Serve(listener net.Listener) error {
+// Serve accepts connections until Shutdown closes the listener. It goes on after other failures,
+// such as having no descriptor left.
+func (s *Server) Serve(listener net.Listener) {
 	s.mu.Lock()
 	s.listener = listener
 	s.mu.Unlock()
 	for {
 		accepted, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			return nil
+			return
 		}
 		if err != nil {
-			return figbank.WrapError("httpserver", "Accept", err)
-		}
-		if server := s.currentServer(); server == nil || !server.conns.offer(newConn(accepted, server.conns)) {
-			_ = accepted.Close()
+			s.common.Log.Warn("accepting a caller failed, will retry", figbank.ErrorField(err))
+			<-s.common.Clock.After(acceptRetryDelay)
+			continue
 		}
+		s.hand(accepted)
+	}
+}
+
+// hand passes a connection to the server for the limits in force.
+func (s *Server) hand(accepted net.Conn) {
+	server := s.currentServer()
+	if server == nil {
+		_ = accepted.Close()
+		return
+	}
+	if c := newConn(accepted, server.conns); !server.conns.offer(c) {
+		_ = c.Close()
 	}
 }
 
@@ -88,11 +108,12 @@
 		_ = s.listener.Close()
 	}
 	s.mu.Unlock()
-	var failures []error
+	// All of them together, so that none goes on taking requests while another one ends.
+	var group errgroup.Group
 	for _, server := range servers {
-		failures = append(failures, server.server.Shutdown(ctx))
+		group.Go(func() error { return server.server.Shutdown(ctx) })
 	}
-	return figbank.WrapError("httpserver", "Shutdown", errors.Join(failures...))
+	return figbank.WrapError("httpserver", "Shutdown", group.Wait())
 }
 
 // currentServer returns the server for the limits in force, nil after Shutdown.
--- a/httpserver/server_test.go
+++ b/httpserver/server_test.go
@@ -8,10 +8,14 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"figbank"
+	"figbank/clock"
 )
 
 const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -25,11 +29,11 @@
 	}
 	inForce := &atomic.Pointer[Limits]{}
 	inForce.Store(&limits)
-	server := New(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := New(figbank.Common{Log: zap.NewNop(), Clock: clock.System{}}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = io.WriteString(w, "ok")
 	}), func() Limits { return *inForce.Load() })
-	go func() { _ = server.Serve(listener) }()
+	go server.Serve(listener)
 	t.Cleanup(func() { _ = server.Shutdown(context.Background()) })
 	return listener.Addr().String(), inForce, server
 }
@@ -137,3 +141,36 @@
 		t.Errorf("servers of older limits = %d, want %d, since the first one's connections have ended", got, want)
 	}
 }
+
+// failingListener fails to accept for the first few times, as it does while the process has no
+// descriptors left.
+type failingListener struct {
+	net.Listener
+	failures atomic.Int64
+}
+
+func (f *failingListener) Accept() (net.Conn, error) {
+	if f.failures.Add(-1) >= 0 {
+		return nil, syscall.EMFILE
+	}
+	return f.Listener.Accept()
+}
+
+// A process that has run out of descriptors must accept callers again once it has some.
+func TestServerGoesOnAfterFailedAccepts(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	failing := &failingListener{Listener: listener}
+	failing.failures.Store(3)
+	common := figbank.Common{Log: zap.NewNop(), Clock: clock.System{}}
+	server := New(common, http.NotFoundHandler(), func() Limits { return Limits{} })
+	go server.Serve(failing)
+	t.Cleanup(func() { _ = server.Shutdown(context.Background()) })
+	c, reader := dial(t, listener.Addr().String())
+	_, _ = io.WriteString(c, request)
+	if got := status(reader); got != http.StatusNotFound {
+		t.Errorf("status = %d, want %d", got, http.StatusNotFound)
+	}
+}
