--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -77,10 +77,10 @@
 // cancelWhenOld returns a context that is canceled cancelMargin after the target's weights
 // become too old. recordFirstByte prevents the cancellation once the answer has begun.
 // Targets whose OldAfter is zero have no such limit. cancelWhenOld also resets the state of
-// the current attempt: began, hasBegun and load. The returned function releases the context
+// the current attempt: began, hasBegun, events and load. The returned function releases the context
 // and must be called when the attempt has ended.
 func (r *run) cancelWhenOld(ctx context.Context, target *Target) (context.Context, context.CancelFunc) {
-	r.began, r.hasBegun, r.load = make(chan struct{}), false, target.Load
+	r.began, r.hasBegun, r.events, r.load = make(chan struct{}), false, 0, target.Load
 	attemptCtx, cancel := context.WithCancel(ctx)
 	if target.OldAfter.IsZero() {
 		return attemptCtx, cancel
@@ -241,6 +241,7 @@
 
 // recordEvent records the arrival of an event and updates the longest pause.
 func (r *run) recordEvent() {
+	r.events++
 	now := r.common.Clock.Now()
 	if r.firstByteTime > 0 {
 		r.longestGap = max(r.longestGap, now.Sub(r.lastEventAt))
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -38,6 +38,8 @@
 		// is the length, in tokens, of the longest answer that the caller asks for.
 		PromptTokens int
 		AnswerTokens int
+		// SharedParts are the ids of the parts of the prompt that other requests may have too.
+		SharedParts []string
 		// LastEvent is the id of the last event of a stream that the caller has already received.
 		LastEvent  string
 		ReceivedAt time.Time
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -48,6 +48,8 @@
 		// began is closed, and hasBegun set, once the answer to the current attempt begins.
 		began    chan struct{}
 		hasBegun bool
+		// events is the number of events that have arrived in the current attempt.
+		events int
 		// place is the place that was reserved for the current attempt, nil if there is none.
 		place Place
 		// load is the load of the current attempt's upstream.
@@ -91,6 +93,13 @@
 // It marks the target as tried and updates the service's retry budget.
 func (r *run) shouldRetry(attempt int, target *Target, err error) bool {
 	r.tried[target.ID] = true
+	retried := r.mayRetry(attempt, err)
+	r.log.Info("attempt failed", zap.String("upstream", string(target.ID)), zap.Int("attempt", attempt),
+		zap.Bool("again", retried), zap.Int("events", r.events), zap.Strings("parts", r.request.SharedParts), figbank.ErrorField(err))
+	return retried
+}
+
+func (r *run) mayRetry(attempt int, err error) bool {
 	if r.lastEvent != r.request.LastEvent && !r.request.Route.GetResumable() || attempt >= maxAttempts {
 		return false
 	}
@@ -98,13 +107,9 @@
 		return false
 	}
 	resumable := r.request.Route.Streamed() && r.request.Route.GetResumable()
-	action := retry.Decide(retry.Failure{
+	return retry.Decide(retry.Failure{
 		Err: err, Repeatable: r.request.Route.Repeatable(), AnswerStarted: r.response.Started() && !resumable,
-	}, r.budgets.For(r.request.Service))
-	retried := action != retry.GiveUp
-	r.log.Info("attempt failed", zap.String("upstream", string(target.ID)), zap.Int("attempt", attempt),
-		zap.Bool("again", retried), figbank.ErrorField(err))
-	return retried
+	}, r.budgets.For(r.request.Service)) != retry.GiveUp
 }
 
 // giveUp returns the result of a request that goes to no further upstream for the given
