--- a/crashers/crashers.go
+++ b/crashers/crashers.go
@@ -1,7 +1,8 @@
-// Package crashers detects requests that crash every upstream that runs them, so that
-// gateways can refuse them. Gateways report to each other which requests ended with the
-// loss of an upstream. A request is refused after several such crashes in a row with no
-// complete answer in between.
+// Package crashers detects requests, and parts of prompts, that crash every upstream that runs
+// them, so that gateways can refuse them. Gateways report to each other which requests ended with
+// the loss of an upstream. A request is refused after several such crashes in a row with no
+// complete answer in between. A part of prompts is refused once it is what the losses of several
+// upstreams in a row have in common and no request with it has been answered.
 package crashers
 
 import (
@@ -26,6 +27,13 @@
 	// Fingerprint identifies requests with the same workspace, method, target and body.
 	Fingerprint uint64
 
+	// Request identifies a request. Parts are those of its prompt that other requests may have
+	// too.
+	Request struct {
+		Fingerprint Fingerprint
+		Parts       []Part
+	}
+
 	// Incarnation identifies one run of an upstream, from its start to its end.
 	Incarnation uint64
 
@@ -43,6 +51,7 @@
 		order []Fingerprint
 		// repeatIndex is the index in order at which repeatedReports stopped last.
 		repeatIndex int
+		parts       partSet
 	}
 
 	// suspect holds the crashes and the latest complete answer of one suspected request.
@@ -55,9 +64,10 @@
 	}
 
 	// crash is the loss of an upstream while it ran the request. The request was sent at
-	// sent, and the upstream was lost at ended.
+	// sent, and the upstream was lost at ended. parts are empty if the answer had begun.
 	crash struct {
 		incarnation Incarnation
+		parts       []Part
 		sent, ended time.Time
 		propagation propagation
 	}
@@ -112,11 +122,22 @@
 }
 
 // RecordCrash records that an upstream was lost while it ran the request, which was sent
-// at the given time.
-func (s *Set) RecordCrash(now time.Time, fingerprint Fingerprint, incarnation Incarnation, sent time.Time) {
+// at the given time. The request's parts must be left out if its answer had begun: a part that
+// crashes upstreams does so at once.
+func (s *Set) RecordCrash(now time.Time, request Request, incarnation Incarnation, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.addCrash(fingerprint, crash{incarnation: incarnation, sent: sent, ended: now})
+	s.addCrash(request.Fingerprint, crash{incarnation: incarnation, parts: request.Parts, sent: sent, ended: now})
+}
+
+// RecordBegun records that an upstream has begun to answer a request with these parts, and
+// went on.
+func (s *Set) RecordBegun(now time.Time, parts []Part) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, part := range parts {
+		s.parts.addAnswer(part, now, SameGateway)
+	}
 }
 
 // RecordAnswer records that an upstream has answered the request completely. Earlier crashes
@@ -131,9 +152,9 @@
 }
 
 // Refuses reports whether the request must not be sent to any upstream.
-func (s *Set) Refuses(now time.Time, fingerprint Fingerprint) bool {
-	until, suspected := s.refusedUntil.Load(fingerprint)
-	return suspected && now.Before(until.(time.Time)) //nolint:forcetypeassert // updateRefusal stores nothing else
+func (s *Set) Refuses(now time.Time, request Request) bool {
+	until, suspected := s.refusedUntil.Load(request.Fingerprint)
+	return suspected && now.Before(until.(time.Time)) || s.parts.refuses(now, request.Parts) //nolint:forcetypeassert // updateRefusal stores nothing else
 }
 
 // updateRefusal updates refusedUntil after a suspect has changed. The caller holds mu.
@@ -152,6 +173,7 @@
 // An incarnation counts once. It also removes crashes that no longer count. The caller holds
 // mu.
 func (s *Set) addCrash(fingerprint Fingerprint, seen crash) {
+	s.parts.addLoss(fingerprint, seen)
 	known := s.touch(fingerprint)
 	if !seen.ended.After(known.answeredAt) {
 		return
--- a/crashers/crashers_test.go
+++ b/crashers/crashers_test.go
@@ -49,12 +49,12 @@
 				if s.answered > 0 && s.answered < l.ended {
 					set.RecordAnswer(seconds(s.answered), crashing)
 				}
-				set.RecordCrash(seconds(l.ended), crashing, Incarnation(i+1), seconds(l.sent))
+				set.RecordCrash(seconds(l.ended), Request{Fingerprint: crashing}, Incarnation(i+1), seconds(l.sent))
 			}
 			if s.answered > 0 {
 				set.RecordAnswer(seconds(s.answered), crashing)
 			}
-			if got := set.Refuses(seconds(s.at), crashing); got != s.want {
+			if got := set.Refuses(seconds(s.at), Request{Fingerprint: crashing}); got != s.want {
 				t.Errorf("Refuses() = %t, want %t", got, s.want)
 			}
 		})
@@ -64,9 +64,9 @@
 func TestOneIncarnationCountsOnce(t *testing.T) {
 	set := NewSet()
 	for i := range 5 {
-		set.RecordCrash(seconds(float64(i)+0.5), crashing, 1, seconds(float64(i)))
+		set.RecordCrash(seconds(float64(i)+0.5), Request{Fingerprint: crashing}, 1, seconds(float64(i)))
 	}
-	if set.Refuses(seconds(6), crashing) {
+	if set.Refuses(seconds(6), Request{Fingerprint: crashing}) {
 		t.Error("Refuses() = true after the loss of one upstream, want false")
 	}
 }
@@ -74,7 +74,7 @@
 func TestSuspectsAreBounded(t *testing.T) {
 	set := NewSet()
 	for i := range 2 * maxSuspects {
-		set.RecordCrash(start, Fingerprint(i), 1, start)
+		set.RecordCrash(start, Request{Fingerprint: Fingerprint(i)}, 1, start)
 	}
 	entries := 0
 	set.refusedUntil.Range(func(any, any) bool { entries++; return true })
@@ -156,9 +156,9 @@
 				next = now.Add(s.every)
 				sets := f.domains[random.IntN(s.domains)]
 				set := sets[random.IntN(s.each)]
-				if !set.Refuses(now, crashing) {
+				if !set.Refuses(now, Request{Fingerprint: crashing}) {
 					ran++
-					set.RecordCrash(now.Add(s.lifetime), crashing, Incarnation(ran), now)
+					set.RecordCrash(now.Add(s.lifetime), Request{Fingerprint: crashing}, Incarnation(ran), now)
 				}
 			}
 			if want := 2 * maxCrashes; ran > want {
@@ -182,10 +182,10 @@
 			sets := f.domains[random.IntN(3)]
 			set := sets[random.IntN(15)]
 			switch {
-			case set.Refuses(now, crashing):
+			case set.Refuses(now, Request{Fingerprint: crashing}):
 				refused++
 			case round%10 == 0 && i < 10:
-				set.RecordCrash(now, crashing, Incarnation(100*round+i+1), now.Add(-50*time.Millisecond))
+				set.RecordCrash(now, Request{Fingerprint: crashing}, Incarnation(100*round+i+1), now.Add(-50*time.Millisecond))
 			default:
 				set.RecordAnswer(now, crashing)
 			}
@@ -200,7 +200,7 @@
 // and by one that received its report.
 func TestCrashIsReportedOnce(t *testing.T) {
 	set := NewSet()
-	set.RecordCrash(start, crashing, 1, start)
+	set.RecordCrash(start, Request{Fingerprint: crashing}, 1, start)
 	for round, want := range []int{1, 0, 0} {
 		if got := len(set.Report(start, SameDomain)); got != want {
 			t.Errorf("reports to gateways in the same domain in round %d = %d, want %d", round, got, want)
@@ -223,10 +223,10 @@
 func TestMissedReportsAreRepeated(t *testing.T) {
 	set := NewSet()
 	for i := range 3 {
-		set.RecordCrash(seconds(float64(i)+0.5), crashing, Incarnation(i+1), seconds(float64(i)))
+		set.RecordCrash(seconds(float64(i)+0.5), Request{Fingerprint: crashing}, Incarnation(i+1), seconds(float64(i)))
 	}
 	for i := range 500 {
-		set.RecordCrash(seconds(4), Fingerprint(1000+i), 9, seconds(3))
+		set.RecordCrash(seconds(4), Request{Fingerprint: Fingerprint(1000 + i)}, 9, seconds(3))
 	}
 	now := seconds(5)
 	for range 100 {
@@ -236,7 +236,7 @@
 	for range 20 {
 		late.Receive(now, set.Report(now, SameDomain), SameDomain)
 	}
-	if !late.Refuses(now, crashing) {
+	if !late.Refuses(now, Request{Fingerprint: crashing}) {
 		t.Error("Refuses() = false at a gateway that started later, want true")
 	}
 }
--- a/crashers/reports.go
+++ b/crashers/reports.go
@@ -16,8 +16,8 @@
 )
 
 // Report returns the entries of the next message to the gateways at distance to: observations
-// that they have not been sent yet, and a few repeated crashes. Only crashes of requests that
-// have crashed several upstreams are repeated, and these requests take turns. Gateways in
+// that they have not been sent yet, and a few repeated crashes. Only crashes of requests or parts
+// that have crashed several upstreams are repeated, and these take turns. Gateways in
 // this failure domain get what this gateway observed. Gateways in other domains also get what
 // the gateways of this domain have reported.
 func (s *Set) Report(now time.Time, to Distance) []*schema.CrashReport {
@@ -27,6 +27,8 @@
 	for i := len(s.order) - 1; i >= 0 && len(reports) < maxReports; i-- {
 		reports = append(reports, s.newReports(now, s.order[i], to)...)
 	}
+	reports = append(reports, s.parts.answerReports(now, to)...)
+	reports = append(reports, s.parts.evidenceReport(now, to)...)
 	return append(reports, s.repeatedReports(now, to)...)
 }
 
@@ -85,10 +87,14 @@
 }
 
 func (c crash) report(now time.Time, fingerprint Fingerprint) *schema.CrashReport {
-	return &schema.CrashReport{
+	report := &schema.CrashReport{
 		Fingerprint: uint64(fingerprint), Incarnation: uint64(c.incarnation),
 		SentMicrosecondsAgo: now.Sub(c.sent).Microseconds(), EndedMicrosecondsAgo: now.Sub(c.ended).Microseconds(),
 	}
+	for _, part := range c.parts {
+		report.Parts = append(report.Parts, uint64(part))
+	}
+	return report
 }
 
 // Receive adds the reports of a gateway at distance from.
@@ -100,13 +106,28 @@
 	}
 	for _, report := range reports {
 		fingerprint := Fingerprint(report.GetFingerprint())
+		parts := receivedParts(report)
 		if report.GetAnswered() {
+			for _, part := range parts {
+				s.parts.addAnswer(part, ago(report.GetEndedMicrosecondsAgo()), from)
+			}
+			if len(parts) > 0 {
+				continue
+			}
 			s.addAnswer(fingerprint, ago(report.GetEndedMicrosecondsAgo()), propagation{origin: from})
 			continue
 		}
 		s.addCrash(fingerprint, crash{
-			incarnation: Incarnation(report.GetIncarnation()), propagation: propagation{origin: from},
+			incarnation: Incarnation(report.GetIncarnation()), parts: parts, propagation: propagation{origin: from},
 			sent: ago(report.GetSentMicrosecondsAgo()), ended: ago(report.GetEndedMicrosecondsAgo()),
 		})
 	}
 }
+
+func receivedParts(report *schema.CrashReport) []Part {
+	parts := make([]Part, 0, len(report.GetParts()))
+	for _, part := range report.GetParts() {
+		parts = append(parts, Part(part))
+	}
+	return parts
+}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -25,6 +25,9 @@
 	// copyBufferSize is the size, in bytes, of the buffer through which longer answers are
 	// copied.
 	copyBufferSize = 32 << 10
+	// eventsToProve is the number of events, or a complete answer, that prove that the parts of
+	// the prompt do not crash the upstream. It may still send what it has written when it ends.
+	eventsToProve = 2
 )
 
 type (
@@ -67,7 +70,10 @@
 	if err == nil {
 		now = r.common.Clock.Now()
 		target.Load.recordSuccess(now)
-		r.crashers.RecordAnswer(now, r.fingerprint)
+		r.crashers.RecordAnswer(now, r.identity.Fingerprint)
+		if answer.Status < http.StatusMultipleChoices && (r.events > 0 || !answer.Events) {
+			r.crashers.RecordBegun(now, r.identity.Parts)
+		}
 		return nil
 	}
 	r.recordFailure(ctx, target, err)
@@ -114,16 +120,25 @@
 	case provedNotRun && notRun.Reason == figbank.ReasonUpstreamBusy:
 		target.Load.recordBusy(now)
 	case errors.As(err, new(figbank.FailedAnswerError)):
-		r.crashers.RecordAnswer(now, r.fingerprint)
+		r.crashers.RecordAnswer(now, r.identity.Fingerprint)
 		target.Load.recordFailure(now, false)
 	default:
 		if !provedNotRun {
-			r.crashers.RecordCrash(now, r.fingerprint, crashers.IncarnationOf(string(target.ID), target.BornUnixMilli), r.sentAt)
+			r.crashers.RecordCrash(now, r.suspected(), crashers.IncarnationOf(string(target.ID), target.BornUnixMilli), r.sentAt)
 		}
 		target.Load.recordFailure(now, true)
 	}
 }
 
+// suspected returns what may have caused the loss of the upstream in the current attempt: the
+// request, and its parts unless the answer had begun.
+func (r *run) suspected() crashers.Request {
+	if r.events >= eventsToProve {
+		return crashers.Request{Fingerprint: r.identity.Fingerprint}
+	}
+	return r.identity
+}
+
 // forward sends one answer to the caller. If the response has already started, only an event
 // stream can continue it; any other answer causes an error. An answer with a status of 500
 // or more to a repeatable request is not sent if it has at most maxBufferedAnswer bytes:
@@ -248,6 +263,9 @@
 	}
 	r.lastEventAt = now
 	r.recordFirstByte()
+	if r.events == eventsToProve {
+		r.crashers.RecordBegun(now, r.identity.Parts)
+	}
 }
 
 func (b *bufferedAnswer) writeTo(response ResponseWriter) error {
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -27,8 +27,9 @@
 // may take the request.
 func (r *run) chooseTarget(ctx context.Context, attempt int) (*Target, error) {
 	now := r.common.Clock.Now()
-	if r.crashers.Refuses(now, r.fingerprint) {
-		r.log.Info("refused", zap.String("reason", string(figbank.ReasonCrashesUpstreams)), zap.Int("attempt", attempt))
+	if r.crashers.Refuses(now, r.identity) {
+		r.log.Info("refused", zap.String("reason", string(figbank.ReasonCrashesUpstreams)), zap.Int("attempt", attempt),
+			zap.Strings("parts", r.request.SharedParts))
 		return nil, figbank.NotRunError{Reason: figbank.ReasonCrashesUpstreams, RetryAfter: crashersRetryAfter}
 	}
 	table := r.table.Load()
--- a/dispatch/crashing_parts_test.go
+++ b/dispatch/crashing_parts_test.go
@@ -234,6 +234,8 @@
 // check compares what the upstreams got with the bounds on such requests.
 func (w *crashWorld) check(t *testing.T, before, length int) {
 	t.Helper()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if len(w.crashes) == 0 {
 		t.Fatal("no upstream crashed, want a few")
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -109,8 +109,8 @@
 	d.budgets.For(request.Service).Deposit()
 	r := &run{
 		Dispatcher: d, request: request, response: response, tried: map[figbank.UpstreamID]bool{}, lastEvent: request.LastEvent,
-		log:         d.common.Log.With(zap.String("request", string(request.ID))),
-		fingerprint: fingerprintOf(request),
+		log:      d.common.Log.With(zap.String("request", string(request.ID))),
+		identity: identityOf(request),
 	}
 	err := r.serve(ctx)
 	r.logFinished(err)
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -55,8 +55,9 @@
 		// load is the load of the current attempt's upstream.
 		load *Load
 		// upstream is the last upstream that answered.
-		upstream    figbank.UpstreamID
-		fingerprint crashers.Fingerprint
+		upstream figbank.UpstreamID
+		// identity identifies the request among those that crash upstreams.
+		identity crashers.Request
 	}
 )
 
@@ -81,12 +82,15 @@
 	}
 }
 
-func fingerprintOf(request *Request) crashers.Fingerprint {
+func identityOf(request *Request) crashers.Request {
 	workspace := ""
 	if request.Workspace != nil {
 		workspace = string(request.Workspace.Name)
 	}
-	return crashers.FingerprintOf(workspace, request.Method, request.Target, request.Body)
+	return crashers.Request{
+		Fingerprint: crashers.FingerprintOf(workspace, request.Method, request.Target, request.Body),
+		Parts:       crashers.PartsOf(request.SharedParts),
+	}
 }
 
 // shouldRetry decides whether the request goes to another upstream after a failed attempt.
