--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -58,6 +58,9 @@
 	answer, err := r.transport.Send(ctx, r.request, Attempt{
 		Address: target.Address, Upstream: target.ID, Version: target.Version,
 		TimeLeft: r.request.Deadline.Sub(now), LastEvent: r.lastEvent,
+		RecordLimit: func(limit figbank.RequestsPerSecond) {
+			r.recordLimit(target, LimitNotice{Named: true, PerSecond: limit})
+		},
 	})
 	if err != nil {
 		r.recordFailure(ctx, target, err)
@@ -66,6 +69,9 @@
 	defer answer.Body.Close()
 	r.upstream = target.ID
 	target.Load.recordReport(r.common.Clock.Now(), answer.Load)
+	if !answer.NamesLimit && answer.Status < http.StatusMultipleChoices {
+		r.recordLimit(target, LimitNotice{})
+	}
 	err = r.forward(answer)
 	if err == nil {
 		now = r.common.Clock.Now()
@@ -80,6 +86,15 @@
 	return err
 }
 
+// recordLimit stores what the upstream says of its limit now.
+func (r *run) recordLimit(target *Target, notice LimitNotice) {
+	notice.At = r.common.Clock.Now()
+	if target.Load.named.record(notice) {
+		r.log.Info("limit of the upstream changed", zap.String("upstream", string(target.ID)), zap.Bool("named", notice.Named),
+			zap.Float64("perSecond", float64(notice.PerSecond)))
+	}
+}
+
 // cancelWhenOld returns a context that is canceled cancelMargin after the target's weights
 // become too old. recordFirstByte prevents the cancellation once the answer has begun.
 // Targets whose OldAfter is zero have no such limit. cancelWhenOld also resets the state of
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -57,6 +57,9 @@
 		TimeLeft time.Duration
 		// LastEvent is the id of the last event that the caller has already received.
 		LastEvent string
+		// RecordLimit is called with the limit that the upstream's answer names, a refusal too. It
+		// may be nil.
+		RecordLimit func(figbank.RequestsPerSecond)
 	}
 
 	// Answer is an upstream's answer with its body still to be read. The receiver must
@@ -69,6 +72,8 @@
 		Body   io.ReadCloser
 		// Load is the load that the upstream reports with the answer, nil when it reports none.
 		Load *ReportedLoad
+		// NamesLimit is set when the answer names a limit.
+		NamesLimit bool
 		// Events is set when the body is an event stream.
 		Events bool
 	}
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -41,6 +41,7 @@
 	failuresPerMille                     atomic.Int64
 	succeededAt                          atomic.Int64
 	cold                                 coldLimit
+	named                                namedLimit
 	late                                 lateness
 }
 
--- a/figbank.go
+++ b/figbank.go
@@ -45,6 +45,8 @@
 	Term uint64
 	// Bytes is a size in bytes, or a rate in bytes per second.
 	Bytes int64
+	// RequestsPerSecond is a rate of requests.
+	RequestsPerSecond float64
 	// Cost is an amount of work, in cost units; see routing.CostOf.
 	Cost int64
 )
