Limits that upstreams name are kept, by all gateways together (LIMIT)

What callers saw: nothing. What the upstreams saw: one that asked for 1.7 requests a second got 26 in 4 s.

The class: what an upstream says of itself in its answers was decoded for load alone; a rate that holds for all gateways together was known for cold upstreams only.

Change: a named limit and the rate of a cold upstream are one thing now, Target.Rate. The keeper of an upstream's places hands them out within it; a gateway that reaches no keeper sends its share of it. Gateways tell each other what they heard, with its age; the newest word counts, so a limit ends when an answer names none. At least one request in four seconds is sent, or nobody would learn that. After a keeper's refusal an upstream is left alone for half the time between two requests.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -75,12 +75,12 @@
 
 // reserve takes a place at the target. If its keeper refuses, reserve stores what the keeper
 // knows in the candidate and returns false. If no keeper answers, the target is used without a
-// place, within this gateway's share of a cold target's rate.
+// place, within this gateway's share of the target's rate.
 func (r *run) reserve(ctx context.Context, target *Target, candidate *placement.Candidate, demand placement.Demand) bool {
 	now := r.common.Clock.Now()
 	reserver := r.reserver.Load()
 	if reserver == nil {
-		target.countCold(now)
+		target.countRate(now)
 		return true
 	}
 	answer, known := (*reserver).Reserve(ctx, target, PlaceRequest{
@@ -97,16 +97,19 @@
 		return false
 	}
 	if !known {
-		candidate.Full = !target.allowsCold(now)
+		candidate.Full = !target.allowsRate(now)
 		if !candidate.Full {
-			target.countCold(now)
+			target.countRate(now)
 		}
 		return !candidate.Full
 	}
 	candidate.Known, candidate.Outstanding = answer.Predicted+candidate.Delay, answer.Outstanding
 	if !answer.Granted {
-		// The keeper of a cold upstream may refuse although the answer would begin in time.
+		// The keeper of a limited upstream may refuse although the answer would begin in time.
 		candidate.Full = candidate.Known <= demand.Allowed()
+		if rate, limited := target.Rate(now); limited && candidate.Full {
+			target.Load.recordRateFull(now, rate)
+		}
 		return false
 	}
 	r.place = answer.Place
@@ -146,10 +149,14 @@
 			continue
 		}
 		late := target.Load.late.current(now)
+		full := target.Load.rateFull(now)
+		if reserver == nil {
+			full = !target.allowsRate(now)
+		}
 		targets = append(targets, target)
 		candidates = append(candidates, placement.Candidate{
 			Outstanding: outstanding, Slots: target.Slots, Engine: target.Engine,
-			SameDomain: target.SameDomain, Delay: delay, Penalty: target.Load.Penalty() + late, Full: reserver == nil && !target.allowsCold(now),
+			SameDomain: target.SameDomain, Delay: delay, Penalty: target.Load.Penalty() + late, Full: full,
 		})
 	}
 	return targets, candidates
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"figbank"
 )
 
 const (
@@ -23,6 +25,9 @@
 	// fail; lower failure rates add a proportional part.
 	failurePenalty = 1200 * time.Millisecond
 	perMille       = 1000
+	// maxRatePause bounds how long an upstream gets no requests after its keeper refused one
+	// because of the upstream's rate.
+	maxRatePause = 200 * time.Millisecond
 )
 
 // Load is a gateway's knowledge of the load and health of one incarnation of an
@@ -40,7 +45,8 @@
 	failedInRow                          atomic.Int64
 	failuresPerMille                     atomic.Int64
 	succeededAt                          atomic.Int64
-	cold                                 coldLimit
+	rateFullUntil                        atomic.Int64
+	turns                                sharedRate
 	named                                namedLimit
 	late                                 lateness
 }
@@ -119,6 +125,31 @@
 	l.pausedUntil.Store(max(l.pausedUntil.Load(), now.Add(busyPause).UnixNano()))
 }
 
+// recordRateFull records that the keeper refused a request because of the upstream's rate. Half
+// the time between two requests at that rate, no other one is tried.
+func (l *Load) recordRateFull(now time.Time, rate figbank.RequestsPerSecond) {
+	l.rateFullUntil.Store(now.Add(min(period(rate)/2, maxRatePause)).UnixNano())
+}
+
+// rateFull reports whether the upstream's keeper has just refused a request because of its rate.
+func (l *Load) rateFull(now time.Time) bool {
+	return now.UnixNano() < l.rateFullUntil.Load()
+}
+
+// Limit returns the newest limit that the upstream has named, and false if it has never named one.
+func (l *Load) Limit() (LimitNotice, bool) {
+	if notice := l.named.newest.Load(); notice != nil {
+		return *notice, true
+	}
+	return LimitNotice{}, false
+}
+
+// RecordLimit stores a limit that another gateway has heard of, unless a newer one is known. It
+// reports whether the limit has begun or ended with it.
+func (l *Load) RecordLimit(notice LimitNotice) bool {
+	return l.named.record(notice)
+}
+
 // Paused reports whether the upstream gets no requests for now.
 func (l *Load) Paused(now time.Time) bool {
 	return now.UnixNano() < l.pausedUntil.Load()
--- a/dispatch/namedlimit.go
+++ b/dispatch/namedlimit.go
@@ -5,8 +5,13 @@
 	"time"
 
 	"figbank"
+	"figbank/crashers"
 )
 
+// minNamedRate is the lowest rate at which an upstream that names a limit gets requests. Without
+// answers, gateways would never learn that the limit has ended.
+const minNamedRate figbank.RequestsPerSecond = 0.25
+
 type (
 	// namedLimit is the newest limit that an upstream has named in its answers. It is safe for
 	// concurrent use.
@@ -20,6 +25,8 @@
 		Named     bool
 		PerSecond figbank.RequestsPerSecond
 		At        time.Time
+		// Origin is the gateway that heard it.
+		Origin crashers.Distance
 	}
 )
 
@@ -36,3 +43,36 @@
 		}
 	}
 }
+
+// Rate returns how many requests per second all gateways together may send to the target now. It
+// returns false if there is no limit.
+func (t *Target) Rate(now time.Time) (figbank.RequestsPerSecond, bool) {
+	cold := now.Before(t.ColdUntil)
+	notice, _ := t.Load.Limit()
+	named := max(notice.PerSecond, minNamedRate)
+	switch {
+	case cold && notice.Named:
+		return min(t.ColdRate, named), true
+	case notice.Named:
+		return named, true
+	default:
+		return t.ColdRate, cold
+	}
+}
+
+// allowsRate reports whether this gateway's share of the target's rate allows one more request.
+func (t *Target) allowsRate(now time.Time) bool {
+	rate, limited := t.Rate(now)
+	return !limited || !now.Before(t.SettledAt) && t.Load.turns.allows(now, t.shareOf(rate))
+}
+
+// countRate counts a request against this gateway's share of the target's rate.
+func (t *Target) countRate(now time.Time) {
+	if rate, limited := t.Rate(now); limited {
+		t.Load.turns.count(now, t.shareOf(rate))
+	}
+}
+
+func (t *Target) shareOf(rate figbank.RequestsPerSecond) figbank.RequestsPerSecond {
+	return rate / figbank.RequestsPerSecond(max(1, t.Gateways))
+}
--- a/dispatch/coldlimit.go
+++ b/dispatch/sharedrate.go
@@ -4,19 +4,21 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"figbank"
 )
 
-// turnLifetime is how long a turn, the permission to send one request to a cold upstream,
+// turnLifetime is how long a turn, the permission to send one request to a limited upstream,
 // can be used. If turns did not expire, many gateways could save them up and use them at the
 // same moment.
 const turnLifetime = 500 * time.Millisecond
 
-// coldLimit is a rate limit for one gateway's requests to a cold upstream that all
-// gateways share. The gateway gets one turn in each period, and a turn allows one request.
+// sharedRate is a rate limit for one gateway's requests to an upstream whose rate all
+// gateways share, because it is cold or names a limit. The gateway gets one turn in each period, and a turn allows one request.
 // Each gateway's first turn begins at a random offset. Therefore the sum over many gateways
 // stays near the upstream's rate in each second, even when all of them begin to send at
-// once. A coldLimit is safe for concurrent use.
-type coldLimit struct {
+// once. A sharedRate is safe for concurrent use.
+type sharedRate struct {
 	mu sync.Mutex
 	// next is when the next unused turn begins, zero before the first use of the limit.
 	next time.Time
@@ -26,14 +28,14 @@
 }
 
 // allows reports whether one more request is within the rate perSecond.
-func (c *coldLimit) allows(now time.Time, perSecond float64) bool {
+func (c *sharedRate) allows(now time.Time, perSecond figbank.RequestsPerSecond) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return !now.Before(c.nextTurn(now, period(perSecond)))
 }
 
 // count uses up a turn for one request.
-func (c *coldLimit) count(now time.Time, perSecond float64) {
+func (c *sharedRate) count(now time.Time, perSecond figbank.RequestsPerSecond) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next = c.nextTurn(now, period(perSecond)).Add(period(perSecond))
@@ -41,7 +43,7 @@
 
 // nextTurn returns when the next unused turn begins, skipping expired ones. The caller
 // holds mu.
-func (c *coldLimit) nextTurn(now time.Time, period time.Duration) time.Time {
+func (c *sharedRate) nextTurn(now time.Time, period time.Duration) time.Time {
 	if c.next.IsZero() {
 		c.next = now.Add(time.Duration(c.drawPhase() * float64(period)))
 	}
@@ -52,7 +54,7 @@
 }
 
 // drawPhase draws the random offset of the first turn.
-func (c *coldLimit) drawPhase() float64 {
+func (c *sharedRate) drawPhase() float64 {
 	if c.phase != nil {
 		return c.phase()
 	}
@@ -60,6 +62,6 @@
 }
 
 // period returns the time between two turns.
-func period(perSecond float64) time.Duration {
-	return time.Duration(float64(time.Second) / perSecond)
+func period(perSecond figbank.RequestsPerSecond) time.Duration {
+	return time.Duration(float64(time.Second) / float64(perSecond))
 }
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -67,18 +67,14 @@
 		// monotonic clock. OldAfterWall is the same time by the wall clock. Both are zero while
 		// there is no newer version.
 		OldAfter, OldAfterWall time.Time
-		// ColdUntil is the time until which the upstream is cold and can handle only little
-		// load. Until then this gateway may send at most ColdPerSecond requests per second,
-		// which is this gateway's share of the upstream's limit. ColdUntil is zero for a warm
-		// upstream.
-		ColdUntil     time.Time
-		ColdPerSecond float64
-		// ColdRate is the upstream's limit while it is cold, in requests per second of all
-		// gateways together.
-		ColdRate float64
-		// ColdFrom is the time from which this gateway knows its share. Until then it sends
-		// nothing to a cold upstream.
-		ColdFrom time.Time
+		// ColdUntil is the time until which the upstream is cold and can handle only ColdRate
+		// requests per second of all gateways together. It is zero for a warm upstream.
+		ColdUntil time.Time
+		ColdRate  figbank.RequestsPerSecond
+		// Gateways is the number of gateways that share the upstream. Until SettledAt it is not
+		// reliable, and this gateway sends nothing on its own share of a limited rate.
+		Gateways  int
+		SettledAt time.Time
 		// Connections is this gateway's share of the connections that the upstream accepts,
 		// 0 for no limit.
 		Connections int64
@@ -188,12 +184,11 @@
 		Model: upstream.Loaded.GetModel(), Version: upstream.Loaded.GetVersion(),
 		Silent:      record.GetState() == schema.InstanceState_INSTANCE_STATE_SILENT,
 		Connections: t.connectionShare(service.GetMaxConnections()), Load: load,
+		Gateways: t.gateways, SettledAt: sources.SettledAt,
 	}
 	if cold := record.GetColdMilliseconds(); cold > 0 && service.GetColdRequestsPerSecond() > 0 {
 		target.ColdUntil = sources.Now.Add(time.Duration(cold) * time.Millisecond)
-		target.ColdFrom = sources.SettledAt
-		target.ColdRate = service.GetColdRequestsPerSecond()
-		target.ColdPerSecond = service.GetColdRequestsPerSecond() / float64(t.gateways)
+		target.ColdRate = figbank.RequestsPerSecond(service.GetColdRequestsPerSecond())
 	}
 	target.OldAfter, target.OldAfterWall = oldAfter(location, sources, target)
 	return target
@@ -252,19 +247,3 @@
 	// Round(0) removes the monotonic reading, so that After compares wall clocks.
 	return !t.OldAfter.IsZero() && (beginsAt.After(t.OldAfter) || beginsAt.Round(0).After(t.OldAfterWall))
 }
-
-// allowsCold reports whether the cold limit allows one more request. Warm targets have no
-// such limit.
-func (t *Target) allowsCold(now time.Time) bool {
-	if !now.Before(t.ColdUntil) {
-		return true
-	}
-	return !now.Before(t.ColdFrom) && t.Load.cold.allows(now, t.ColdPerSecond)
-}
-
-// countCold counts a request against the cold limit if the target is cold.
-func (t *Target) countCold(now time.Time) {
-	if now.Before(t.ColdUntil) {
-		t.Load.cold.count(now, t.ColdPerSecond)
-	}
-}
--- a/loadshare/exchanger.go
+++ b/loadshare/exchanger.go
@@ -26,8 +26,8 @@
 	roundsPerOtherDomainReport = 3
 )
 
-// Exchanger sends this gateway's load and crash reports to other gateways and applies
-// theirs. It is safe for concurrent use.
+// Exchanger sends this gateway's reports of loads, crashes and limits to other gateways and
+// applies theirs. It is safe for concurrent use.
 type Exchanger struct {
 	common     figbank.Common
 	dispatcher *dispatch.Dispatcher
@@ -62,10 +62,10 @@
 			continue
 		}
 		own := ownLoads(table)
-		sameDomain.send(e.gateways(true), e.newReport(own, crashers.SameDomain))
+		sameDomain.send(e.gateways(true), e.newReport(table, own, crashers.SameDomain))
 		sum, reportsDomain := e.updateLoads(table, own)
 		if reportsDomain && round%roundsPerOtherDomainReport == 0 {
-			otherDomains.send(e.gateways(false), e.newReport(sum, crashers.OtherDomain))
+			otherDomains.send(e.gateways(false), e.newReport(table, sum, crashers.OtherDomain))
 		}
 	}
 }
@@ -88,6 +88,7 @@
 		from = crashers.SameDomain
 	}
 	e.dispatcher.Crashers().Receive(now, message.GetCrashes(), from)
+	e.applyLimits(now, message.GetLimits(), from)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.reports.add(now, message)
@@ -121,12 +122,13 @@
 	return own
 }
 
-// newReport returns a report of the loads, and of requests that crash upstreams, for the
-// gateways at distance to. It marks the crashes as reported.
-func (e *Exchanger) newReport(loads map[key]int64, to crashers.Distance) *schema.LoadReport {
+// newReport returns a report of the loads, of requests that crash upstreams, and of the limits
+// that upstreams name, for the gateways at distance to. It marks the crashes as reported.
+func (e *Exchanger) newReport(table *dispatch.Table, loads map[key]int64, to crashers.Distance) *schema.LoadReport {
+	now := e.common.Clock.Now()
 	message := &schema.LoadReport{
 		From: e.self.GetId(), FailureDomain: e.self.GetFailureDomain(), WholeDomain: to == crashers.OtherDomain,
-		Crashes: e.dispatcher.Crashers().Report(e.common.Clock.Now(), to),
+		Crashes: e.dispatcher.Crashers().Report(now, to), Limits: namedLimits(now, table, to),
 	}
 	for k, running := range loads {
 		message.Loads = append(message.Loads, &schema.InstanceLoad{Id: string(k.id), BornUnixMilli: k.born, Running: running})
--- /dev/null
+++ b/loadshare/limits.go
@@ -0,0 +1,55 @@
+package loadshare
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"figbank"
+	"figbank/crashers"
+	"figbank/dispatch"
+	"figbank/schema"
+)
+
+// endedLimitLifetime is how long other gateways are told that an upstream's limit has ended.
+const endedLimitLifetime = 10 * time.Second
+
+// namedLimits returns what the gateways at distance to should know of the limits that upstreams
+// have named. Only what was heard closer by is passed on, so that no notice returns to its origin
+// and looks new there.
+func namedLimits(now time.Time, table *dispatch.Table, to crashers.Distance) []*schema.NamedLimit {
+	var limits []*schema.NamedLimit
+	table.ForEachLoad(func(id figbank.UpstreamID, born int64, load *dispatch.Load) {
+		notice, found := load.Limit()
+		if !found || notice.Origin >= to || !notice.Named && now.Sub(notice.At) > endedLimitLifetime {
+			return
+		}
+		limits = append(limits, &schema.NamedLimit{
+			Id: string(id), BornUnixMilli: born, Named: notice.Named, PerSecond: float64(notice.PerSecond),
+			HeardMicrosecondsAgo: now.Sub(notice.At).Microseconds(),
+		})
+	})
+	return limits
+}
+
+// applyLimits stores the limits that a gateway at distance from has reported.
+func (e *Exchanger) applyLimits(now time.Time, limits []*schema.NamedLimit, from crashers.Distance) {
+	table := e.dispatcher.Table()
+	if table == nil {
+		return
+	}
+	for _, limit := range limits {
+		load := table.Load(figbank.UpstreamID(limit.GetId()), limit.GetBornUnixMilli())
+		if load == nil || !(limit.GetPerSecond() >= 0) {
+			continue
+		}
+		changed := load.RecordLimit(dispatch.LimitNotice{
+			Named: limit.GetNamed(), PerSecond: figbank.RequestsPerSecond(limit.GetPerSecond()), Origin: from,
+			At: now.Add(-time.Duration(limit.GetHeardMicrosecondsAgo()) * time.Microsecond),
+		})
+		if changed {
+			e.common.Log.Info("limit of an upstream changed", zap.String("upstream", limit.GetId()), zap.Bool("named", limit.GetNamed()),
+				zap.Float64("perSecond", limit.GetPerSecond()))
+		}
+	}
+}
--- a/reservation/book.go
+++ b/reservation/book.go
@@ -16,11 +16,11 @@
 )
 
 const (
-	// coldShare is the share of a cold upstream's rate that its keeper hands out, and coldBurst
+	// rateShare is the share of a limited upstream's rate that its keeper hands out, and rateBurst
 	// the number of places that it may hand out at once. While gateways disagree about the
 	// keeper, two of them hand out places.
-	coldShare = 0.75
-	coldBurst = 2
+	rateShare = 0.75
+	rateBurst = 2
 )
 
 type (
@@ -45,9 +45,8 @@
 		Allowed time.Duration
 		// Lifetime is how long the place may be held.
 		Lifetime time.Duration
-		// ColdPerSecond is the rate that the upstream can handle while it is cold, 0 if it is
-		// warm.
-		ColdPerSecond float64
+		// PerSecond is the rate of requests that the upstream takes, 0 if it has no limit.
+		PerSecond figbank.RequestsPerSecond
 		// Predict returns the time until the answer begins on an upstream with the given number
 		// of requests, whose prompts of pendingTokens in all are still to be read.
 		Predict func(outstanding, pendingTokens int) time.Duration
@@ -71,9 +70,9 @@
 
 	// account holds the places of one upstream.
 	account struct {
-		key  Key
-		held map[Ticket]*place
-		cold *rate.Limiter
+		key     Key
+		held    map[Ticket]*place
+		limiter *rate.Limiter
 	}
 
 	place struct {
@@ -88,13 +87,13 @@
 	return &Book{accounts: map[Key]*account{}, places: map[Ticket]*account{}}
 }
 
-// Reserve takes a place if the answer is predicted to begin in the allowed time and a cold
+// Reserve takes a place if the answer is predicted to begin in the allowed time and the
 // upstream's rate permits it.
 func (b *Book) Reserve(now time.Time, ticket Ticket, ask Ask) Verdict {
 	a := b.account(now, ask.Key)
 	outstanding, pending := len(a.held), a.pendingTokens()
 	verdict := Verdict{Predicted: ask.Predict(outstanding, pending), Outstanding: outstanding}
-	if verdict.Predicted > ask.Allowed || !a.allowsCold(now, ask.ColdPerSecond) {
+	if verdict.Predicted > ask.Allowed || !a.allowsRate(now, ask.PerSecond) {
 		return verdict
 	}
 	verdict.Granted = true
@@ -122,7 +121,7 @@
 	}
 	delete(b.places, ticket)
 	delete(a.held, ticket)
-	if len(a.held) == 0 && a.cold == nil {
+	if len(a.held) == 0 && a.limiter == nil {
 		delete(b.accounts, a.key)
 	}
 }
@@ -166,16 +165,19 @@
 	return sum
 }
 
-// allowsCold counts one request against the rate of a cold upstream, and reports whether the
-// rate permits it. A perSecond of 0 means that the upstream is warm.
-func (a *account) allowsCold(now time.Time, perSecond float64) bool {
+// allowsRate counts one request against the rate of an upstream, and reports whether the rate
+// permits it. A perSecond of 0 means that there is no limit.
+func (a *account) allowsRate(now time.Time, perSecond figbank.RequestsPerSecond) bool {
 	if perSecond <= 0 {
-		a.cold = nil
+		a.limiter = nil
 		return true
 	}
-	limit := rate.Limit(coldShare * perSecond)
-	if a.cold == nil {
-		a.cold = rate.NewLimiter(limit, coldBurst)
+	limit := rate.Limit(rateShare * perSecond)
+	switch {
+	case a.limiter == nil:
+		a.limiter = rate.NewLimiter(limit, rateBurst)
+	case a.limiter.Limit() != limit:
+		a.limiter.SetLimitAt(now, limit)
 	}
-	return a.cold.AllowN(now, 1)
+	return a.limiter.AllowN(now, 1)
 }
--- a/reservation/keeper.go
+++ b/reservation/keeper.go
@@ -104,8 +104,8 @@
 	if target == nil {
 		return ask, false
 	}
-	if now.Before(target.ColdUntil) {
-		ask.ColdPerSecond = target.ColdRate
+	if rate, limited := target.Rate(now); limited {
+		ask.PerSecond = rate
 	}
 	ask.Predict = func(outstanding, pendingTokens int) time.Duration {
 		return placement.Predict(ask.PromptTokens, placement.Candidate{
