--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -215,6 +215,32 @@
 	}
 }
 
+// An upstream gets no requests while it loads other weights or its failure domain is evacuated. When
+// it was used again, the limit that it had named was forgotten, and as it was idle, all gateways
+// sent requests to it at once.
+func TestLimitIsKnownAfterUpstreamWasOut(t *testing.T) {
+	scenarios := []struct {
+		name   string
+		change func(*Sources, *registry.Upstream)
+	}{
+		{name: "other weights", change: func(_ *Sources, u *registry.Upstream) { u.Switching = true }},
+		{name: "evacuated", change: func(s *Sources, _ *registry.Upstream) { s.Fleet.Evacuated = []string{"z"} }},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			table := NewTable(nil, location, sources(nil))
+			table.Targets("model")[0].Load.RecordLimit(LimitNotice{Named: true, PerSecond: 2, At: now})
+			for range 2 {
+				table = NewTable(table, location, sources(s.change))
+			}
+			table = NewTable(table, location, sources(nil))
+			if got, limited := table.Targets("model")[0].Rate(now); got != 2 || !limited {
+				t.Errorf("Rate() = %v, %t, want 2, true", got, limited)
+			}
+		})
+	}
+}
+
 func TestTableKeepsLoads(t *testing.T) {
 	first := NewTable(nil, location, sources(nil))
 	first.Targets("model")[0].Load.begin()
