dispatch: what is known of an upstream outlives its absence from the table (LIMIT)

Cause: the table kept the loads of usable upstreams only. An upstream that loads other weights, or whose failure domain is evacuated, came back as unknown and idle, and all gateways sent to it until an answer named its limit again. In-flight requests were forgotten in the same way.

Change: loads are kept for each announced incarnation. TestLimitIsKnownAfterUpstreamWasOut failed before.

--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -109,8 +109,8 @@
 	}
 )
 
-// NewTable builds a table. Incarnations that are also in previous keep their load. previous
-// is nil for the first table.
+// NewTable builds a table. Incarnations that are also in previous keep their load, those too that
+// get no requests for now. previous is nil for the first table.
 func NewTable(previous *Table, location Location, sources Sources) *Table {
 	t := &Table{
 		Traffic: sources.Traffic, Index: figbank.CommitIndex(sources.Fleet.GetCommitIndex()),
@@ -121,13 +121,18 @@
 	for _, upstream := range sources.Upstreams {
 		name := figbank.ServiceName(upstream.Record.GetService())
 		service := t.Traffic.Service(name)
-		if service == nil || !usable(sources.Fleet, service, upstream) {
+		if service == nil {
+			continue
+		}
+		load := t.keepLoad(previous, keyOf(upstream))
+		if !usable(sources.Fleet, service, upstream) {
 			continue
 		}
 		if service.GetEngine() != nil && engines[name] == nil {
 			engines[name] = latency.NewPredictor(service.GetEngine())
 		}
-		target := t.target(previous, location, sources, service, upstream)
+		target := t.target(location, sources, service, upstream)
+		target.Load = load
 		target.Engine = engines[name]
 		t.services[name] = append(t.services[name], target)
 	}
@@ -168,22 +173,32 @@
 		upstream.Loaded.GetLayers() >= service.GetEngine().GetLayers()
 }
 
-// target builds the target of one upstream and registers its load with the table.
-func (t *Table) target(previous *Table, location Location, sources Sources, service *schema.RoutedService, upstream registry.Upstream) *Target {
-	record := upstream.Record
-	key := loadKey{id: figbank.UpstreamID(record.GetId()), born: record.GetBornUnixMilli()}
+func keyOf(upstream registry.Upstream) loadKey {
+	return loadKey{id: figbank.UpstreamID(upstream.Record.GetId()), born: upstream.Record.GetBornUnixMilli()}
+}
+
+// keepLoad registers the load of an incarnation with the table, the one from previous if it is
+// there.
+func (t *Table) keepLoad(previous *Table, key loadKey) *Load {
 	load := &Load{}
 	if previous != nil && previous.loads[key] != nil {
 		load = previous.loads[key]
 	}
 	t.loads[key] = load
+	return load
+}
+
+// target builds the target of one upstream, without its load and engine.
+func (t *Table) target(location Location, sources Sources, service *schema.RoutedService, upstream registry.Upstream) *Target {
+	record := upstream.Record
+	key := keyOf(upstream)
 	domain := figbank.FailureDomain(record.GetFailureDomain())
 	target := &Target{
 		ID: key.id, BornUnixMilli: key.born, Address: figbank.Address(record.GetAddress()),
 		Region: location.Regions[domain], FailureDomain: domain, SameDomain: domain == location.FailureDomain, Slots: int(record.GetSlots()),
 		Model: upstream.Loaded.GetModel(), Version: upstream.Loaded.GetVersion(),
 		Silent:      record.GetState() == schema.InstanceState_INSTANCE_STATE_SILENT,
-		Connections: t.connectionShare(service.GetMaxConnections()), Load: load,
+		Connections: t.connectionShare(service.GetMaxConnections()),
 		Gateways: t.gateways, SettledAt: sources.SettledAt,
 	}
 	if cold := record.GetColdMilliseconds(); cold > 0 && service.GetColdRequestsPerSecond() > 0 {
