reservation: a keeper learns an upstream's limit from those who ask it (LIMIT)

Change: an ask carries the rate that the asking gateway knows of; the lower one counts, and what was handed out is not forgotten when one asker knows of no limit.

--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -199,7 +199,7 @@
 		Model: upstream.Loaded.GetModel(), Version: upstream.Loaded.GetVersion(),
 		Silent:      record.GetState() == schema.InstanceState_INSTANCE_STATE_SILENT,
 		Connections: t.connectionShare(service.GetMaxConnections()),
-		Gateways: t.gateways, SettledAt: sources.SettledAt,
+		Gateways:    t.gateways, SettledAt: sources.SettledAt,
 	}
 	if cold := record.GetColdMilliseconds(); cold > 0 && service.GetColdRequestsPerSecond() > 0 {
 		target.ColdUntil = sources.Now.Add(time.Duration(cold) * time.Millisecond)
--- a/reservation/book.go
+++ b/reservation/book.go
@@ -169,7 +169,10 @@
 // permits it. A perSecond of 0 means that there is no limit.
 func (a *account) allowsRate(now time.Time, perSecond figbank.RequestsPerSecond) bool {
 	if perSecond <= 0 {
-		a.limiter = nil
+		// Another gateway may still know of a limit, so what was handed out counts for a while.
+		if a.limiter != nil && a.limiter.TokensAt(now) >= rateBurst {
+			a.limiter = nil
+		}
 		return true
 	}
 	limit := rate.Limit(rateShare * perSecond)
--- a/reservation/client.go
+++ b/reservation/client.go
@@ -92,6 +92,9 @@
 		Upstream: string(target.ID), BornUnixMilli: target.BornUnixMilli, PromptTokens: int64(ask.PromptTokens),
 		AllowedMicroseconds: ask.Allowed.Microseconds(), LifetimeMicroseconds: ask.Lifetime.Microseconds(),
 	}
+	if rate, limited := target.Rate(c.common.Clock.Now()); limited {
+		message.RatePerSecond = float64(rate)
+	}
 	for _, keeper := range c.keepersOf(target) {
 		if answer, report := c.ask(ctx, keeper, message); answer != nil {
 			held := &heldPlace{id: message.GetId(), report: report}
--- a/reservation/client_test.go
+++ b/reservation/client_test.go
@@ -51,7 +51,7 @@
 	client.update([]*schema.Member{self, {
 		Id: "keeper", Role: schema.MemberRole_MEMBER_ROLE_GATEWAY, FailureDomain: "z", Address: string(keeperAddress),
 	}})
-	return client, &dispatch.Target{ID: "u", FailureDomain: "z", Slots: slots}, pool.Close
+	return client, &dispatch.Target{ID: "u", FailureDomain: "z", Slots: slots, Load: &dispatch.Load{}}, pool.Close
 }
 
 // newTable returns a table with the upstream u of a plain service.
@@ -111,6 +111,42 @@
 	})
 }
 
+// A keeper that has just started has not heard of the limit that an upstream names. The gateways that
+// ask it have.
+func TestKeeperLearnsLimitFromAsker(t *testing.T) {
+	clearTimerPools()
+	synctest.Test(t, func(t *testing.T) {
+		network := fake.NewNetwork(clock.System{}, time.Millisecond, 2*time.Millisecond)
+		table := newTable()
+		keeper := NewKeeper(clock.System{}, func() *dispatch.Table { return table })
+		server := transport.NewServer(newCommon("keeper"), network.Listen(keeperAddress), transport.Handlers{
+			schema.StreamKind_STREAM_KIND_RESERVE: keeper.Serve,
+		})
+		client, target, closePool := newClient(network)
+		target.Load = &dispatch.Load{}
+		target.Load.RecordLimit(dispatch.LimitNotice{Named: true, PerSecond: 2, At: time.Now()})
+		granted := 0
+		for range 400 {
+			answer, known := client.Reserve(context.Background(), target, placeRequest)
+			if !known {
+				t.Fatal("Reserve() = unknown, want an answer")
+			}
+			if answer.Granted {
+				granted++
+				answer.Place.End()
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if want := 4*2 + rateBurst; granted > want {
+			t.Errorf("places granted in 4 s at 2 a second = %d, want at most %d", granted, want)
+		}
+		closePool()
+		server.Close()
+		time.Sleep(2 * idleTime)
+		synctest.Wait()
+	})
+}
+
 // A keeper that accepts connections and never answers holds requests up only once, then it is not
 // asked for a while.
 func TestFrozenKeeperIsNotAskedForAWhile(t *testing.T) {
--- a/reservation/keeper.go
+++ b/reservation/keeper.go
@@ -104,9 +104,7 @@
 	if target == nil {
 		return ask, false
 	}
-	if rate, limited := target.Rate(now); limited {
-		ask.PerSecond = rate
-	}
+	ask.PerSecond = lowestRate(target, now, figbank.RequestsPerSecond(message.GetRatePerSecond()))
 	ask.Predict = func(outstanding, pendingTokens int) time.Duration {
 		return placement.Predict(ask.PromptTokens, placement.Candidate{
 			Outstanding: outstanding, PendingTokens: pendingTokens, Exact: true, Slots: target.Slots, Engine: target.Engine,
@@ -114,3 +112,18 @@
 	}
 	return ask, true
 }
+
+// lowestRate returns the lower one of the rates that this gateway and the asking one know of, 0 if
+// both know of no limit. One of them may have just started, or not heard yet what the upstream says.
+func lowestRate(target *dispatch.Target, now time.Time, asked figbank.RequestsPerSecond) figbank.RequestsPerSecond {
+	known, limited := target.Rate(now)
+	switch {
+	case limited && asked > 0:
+		return min(known, asked)
+	case limited:
+		return known
+	case asked > 0:
+		return asked
+	}
+	return 0
+}
