dispatch: rates of any size are safe (LIMIT)

Found by reading: an upstream that names a limit of 1e12 requests a second made the time between two turns 0, by which a gateway then divided. TestTurnsAtAnyRate panicked before.

--- a/dispatch/sharedrate.go
+++ b/dispatch/sharedrate.go
@@ -13,6 +13,9 @@
 // same moment.
 const turnLifetime = 500 * time.Millisecond
 
+// maxPeriod bounds the time between two turns.
+const maxPeriod = time.Hour
+
 // sharedRate is a rate limit for one gateway's requests to an upstream whose rate all
 // gateways share, because it is cold or names a limit. The gateway gets one turn in each period, and a turn allows one request.
 // Each gateway's first turn begins at a random offset. Therefore the sum over many gateways
@@ -61,7 +64,9 @@
 	return rand.Float64() //nolint:gosec // spreads load, no secret
 }
 
-// period returns the time between two turns.
+// period returns the time between two turns, maxPeriod at most. Rates come from configurations and
+// upstreams and may be of any size.
 func period(perSecond figbank.RequestsPerSecond) time.Duration {
-	return time.Duration(float64(time.Second) / float64(perSecond))
+	between := float64(time.Second) / float64(perSecond)
+	return time.Duration(max(1, min(between, float64(maxPeriod))))
 }
--- a/dispatch/sharedrate_test.go
+++ b/dispatch/sharedrate_test.go
@@ -63,6 +63,23 @@
 	}
 }
 
+// A rate may come from an upstream's answer. Very large and very small ones must not stop a gateway.
+func TestTurnsAtAnyRate(t *testing.T) {
+	now := time.Unix(100, 0)
+	for _, perSecond := range []figbank.RequestsPerSecond{1e-300, 0.25, 1e9, 1e300} {
+		limit := sharedRate{phase: func() float64 { return 0 }}
+		for i := range 3 {
+			at := now.Add(time.Duration(i) * time.Minute)
+			if limit.allows(at, perSecond) {
+				limit.count(at, perSecond)
+			}
+		}
+		if got := period(perSecond); got < 1 || got > maxPeriod {
+			t.Errorf("period(%v) = %v, want 1 ns to %v", perSecond, got, maxPeriod)
+		}
+	}
+}
+
 func mostInASecond(sent []time.Time) int {
 	most, first := 0, 0
 	for i, at := range sent {
