reservation, dispatch: the shares of a limited rate add up to the bound (LIMIT)

Cause, by reading and arithmetic: a limited rate was handed out three times. The keeper of an upstream's places hands out 0.75 of it, so does the second keeper when the first does not answer some gateways, and gateways that no keeper answers used the whole rate.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -80,7 +80,7 @@
 	now := r.common.Clock.Now()
 	reserver := r.reserver.Load()
 	if reserver == nil {
-		target.countRate(now)
+		target.countRate(now, wholeShare)
 		return true
 	}
 	answer, known := (*reserver).Reserve(ctx, target, PlaceRequest{
@@ -97,9 +97,9 @@
 		return false
 	}
 	if !known {
-		candidate.Full = !target.allowsRate(now)
+		candidate.Full = !target.allowsRate(now, unkeptShare)
 		if !candidate.Full {
-			target.countRate(now)
+			target.countRate(now, unkeptShare)
 		}
 		return !candidate.Full
 	}
@@ -151,7 +151,7 @@
 		late := target.Load.late.current(now)
 		full := target.Load.rateFull(now)
 		if reserver == nil {
-			full = !target.allowsRate(now)
+			full = !target.allowsRate(now, wholeShare)
 		}
 		targets = append(targets, target)
 		candidates = append(candidates, placement.Candidate{
--- a/dispatch/namedlimit_test.go
+++ b/dispatch/namedlimit_test.go
@@ -68,6 +68,32 @@
 	return most
 }
 
+// Gateways that no keeper answers send to a limited upstream within a share that leaves room for those
+// that keepers answer.
+func TestGatewaysWithoutKeepersShareARate(t *testing.T) {
+	start := time.Unix(100, 0)
+	const gateways, length = 7, 40 * time.Second
+	var targets []*Target
+	for range gateways {
+		target := &Target{Gateways: gateways, Load: &Load{}}
+		target.Load.RecordLimit(LimitNotice{Named: true, PerSecond: 4, At: start})
+		targets = append(targets, target)
+	}
+	sent := 0
+	for now := start; now.Before(start.Add(length)); now = now.Add(10 * time.Millisecond) {
+		for _, target := range targets {
+			if target.allowsRate(now, unkeptShare) {
+				target.countRate(now, unkeptShare)
+				sent++
+			}
+		}
+	}
+	want := 4 * namedShare * unkeptShare * length.Seconds()
+	if got := float64(sent); got > want+gateways || got < want-gateways {
+		t.Errorf("requests in %v = %v, want about %v", length, got, want)
+	}
+}
+
 // newLimitGateways returns gateways that share four upstreams of a plain service.
 func newLimitGateways(transport Transport, count int) []*Dispatcher {
 	rules := traffic.NewTable(&schema.Traffic{Number: 1, Services: []*schema.RoutedService{{Name: "s"}}})
--- a/reservation/book.go
+++ b/reservation/book.go
@@ -21,6 +21,10 @@
 	// keeper, two of them hand out places.
 	rateShare = 0.75
 	rateBurst = 2
+	// fallbackShare and fallbackBurst are the part of these for gateways that another keeper does
+	// not answer. That keeper may hand out places to others.
+	fallbackShare = 0.3
+	fallbackBurst = 1
 )
 
 type (
@@ -47,6 +51,8 @@
 		Lifetime time.Duration
 		// PerSecond is the rate of requests that the upstream takes, 0 if it has no limit.
 		PerSecond figbank.RequestsPerSecond
+		// Fallback is set if another keeper was asked first.
+		Fallback bool
 		// Predict returns the time until the answer begins on an upstream with the given number
 		// of requests, whose prompts of pendingTokens in all are still to be read.
 		Predict func(outstanding, pendingTokens int) time.Duration
@@ -70,9 +76,9 @@
 
 	// account holds the places of one upstream.
 	account struct {
-		key     Key
-		held    map[Ticket]*place
-		limiter *rate.Limiter
+		key               Key
+		held              map[Ticket]*place
+		limiter, fallback *rate.Limiter
 	}
 
 	place struct {
@@ -93,7 +99,7 @@
 	a := b.account(now, ask.Key)
 	outstanding, pending := len(a.held), a.pendingTokens()
 	verdict := Verdict{Predicted: ask.Predict(outstanding, pending), Outstanding: outstanding}
-	if verdict.Predicted > ask.Allowed || !a.allowsRate(now, ask.PerSecond) {
+	if verdict.Predicted > ask.Allowed || !a.allowsRate(now, ask) {
 		return verdict
 	}
 	verdict.Granted = true
@@ -166,21 +172,25 @@
 }
 
 // allowsRate counts one request against the rate of an upstream, and reports whether the rate
-// permits it. A perSecond of 0 means that there is no limit.
-func (a *account) allowsRate(now time.Time, perSecond figbank.RequestsPerSecond) bool {
-	if perSecond <= 0 {
+// permits it. A rate of 0 means that there is no limit.
+func (a *account) allowsRate(now time.Time, ask Ask) bool {
+	if ask.PerSecond <= 0 {
 		// Another gateway may still know of a limit, so what was handed out counts for a while.
 		if a.limiter != nil && a.limiter.TokensAt(now) >= rateBurst {
-			a.limiter = nil
+			a.limiter, a.fallback = nil, nil
 		}
 		return true
 	}
-	limit := rate.Limit(rateShare * perSecond)
+	limit, fallback := rate.Limit(rateShare*ask.PerSecond), rate.Limit(fallbackShare*ask.PerSecond)
 	switch {
 	case a.limiter == nil:
-		a.limiter = rate.NewLimiter(limit, rateBurst)
+		a.limiter, a.fallback = rate.NewLimiter(limit, rateBurst), rate.NewLimiter(fallback, fallbackBurst)
 	case a.limiter.Limit() != limit:
 		a.limiter.SetLimitAt(now, limit)
+		a.fallback.SetLimitAt(now, fallback)
 	}
-	return a.limiter.AllowN(now, 1)
+	if ask.Fallback && a.fallback.TokensAt(now) < 1 {
+		return false
+	}
+	return a.limiter.AllowN(now, 1) && (!ask.Fallback || a.fallback.AllowN(now, 1))
 }
--- a/reservation/client.go
+++ b/reservation/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"figbank"
 	"figbank/dispatch"
@@ -95,7 +96,10 @@
 	if rate, limited := target.Rate(c.common.Clock.Now()); limited {
 		message.RatePerSecond = float64(rate)
 	}
-	for _, keeper := range c.keepersOf(target) {
+	for i, keeper := range c.keepersOf(target) {
+		// The message to the keeper before may still wait to be sent.
+		message := proto.CloneOf(message)
+		message.Fallback = i > 0
 		if answer, report := c.ask(ctx, keeper, message); answer != nil {
 			held := &heldPlace{id: message.GetId(), report: report}
 			return dispatch.PlaceAnswer{
--- a/reservation/keeper.go
+++ b/reservation/keeper.go
@@ -95,6 +95,7 @@
 		PromptTokens: int(message.GetPromptTokens()),
 		Allowed:      time.Duration(message.GetAllowedMicroseconds()) * time.Microsecond,
 		Lifetime:     time.Duration(message.GetLifetimeMicroseconds()) * time.Microsecond,
+		Fallback:     message.GetFallback(),
 	}
 	table := k.table()
 	if table == nil {
