dispatch: an unframed stream that ends before its first event is broken off

An upstream that crashes right after the head of such a stream looked like one that had answered completely: the caller got an empty 200, and the crash was forgotten. A stream that resumes after its last event may still be empty.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -190,6 +190,10 @@
 	events := newEventReader(answer.Body)
 	for {
 		event, id, err := events.next()
+		if errors.Is(err, io.EOF) && answer.Unframed && r.lastEvent == "" && !r.response.Started() {
+			// The upstream may have ended right after the head.
+			return figbank.IncompleteAnswerError{Detail: "stream ended with the connection before its first event"}
+		}
 		if errors.Is(err, io.EOF) {
 			r.startEvents(answer)
 			return r.response.Write(nil)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -69,7 +69,9 @@
 		Header http.Header
 		// Length is the body's length, -1 when the head does not state it.
 		Length int64
-		Body   io.ReadCloser
+		// Unframed is set if the body ends with the connection.
+		Unframed bool
+		Body     io.ReadCloser
 		// Load is the load that the upstream reports with the answer, nil when it reports none.
 		Load *ReportedLoad
 		// NamesLimit is set when the answer names a limit.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -48,7 +48,10 @@
 		Header http.Header
 		// Length is -1 if the head does not contain the length.
 		Length int64
-		Body   io.ReadCloser
+		// Unframed is set if the body ends with the connection, so that its end does not prove that
+		// it is complete.
+		Unframed bool
+		Body     io.ReadCloser
 	}
 )
 
@@ -77,7 +80,7 @@
 	c.parseKeepAlive(response.Header.Get("Keep-Alive"))
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	b := &body{ReadCloser: response.Body, conn: c, reuse: framed && !response.Close && !call.Close, stop: stop, written: written}
-	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: b}
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Unframed: !framed, Body: b}
 	if response.ContentLength == 0 {
 		b.finish()
 	}
