--- a/loadshare/exchanger.go
+++ b/loadshare/exchanger.go
@@ -61,11 +61,11 @@
 		if table == nil {
 			continue
 		}
-		own := ownLoads(table)
-		sameDomain.send(e.gateways(true), e.newReport(table, own, crashers.SameDomain))
+		own, now := ownLoads(table), e.common.Clock.Now()
+		sameDomain.send(now, e.gateways(true), e.newReport(now, table, own, crashers.SameDomain))
 		sum, reportsDomain := e.updateLoads(table, own)
 		if reportsDomain && round%roundsPerOtherDomainReport == 0 {
-			otherDomains.send(e.gateways(false), e.newReport(table, sum, crashers.OtherDomain))
+			otherDomains.send(now, e.gateways(false), e.newReport(now, table, sum, crashers.OtherDomain))
 		}
 	}
 }
@@ -124,8 +124,7 @@
 
 // newReport returns a report of the loads, of requests that crash upstreams, and of the limits
 // that upstreams name, for the gateways at distance to. It marks the crashes as reported.
-func (e *Exchanger) newReport(table *dispatch.Table, loads map[key]int64, to crashers.Distance) *schema.LoadReport {
-	now := e.common.Clock.Now()
+func (e *Exchanger) newReport(now time.Time, table *dispatch.Table, loads map[key]int64, to crashers.Distance) *schema.LoadReport {
 	message := &schema.LoadReport{
 		From: e.self.GetId(), FailureDomain: e.self.GetFailureDomain(), WholeDomain: to == crashers.OtherDomain,
 		Crashes: e.dispatcher.Crashers().Report(now, to), Limits: namedLimits(now, table, to),
--- a/loadshare/sender.go
+++ b/loadshare/sender.go
@@ -14,27 +14,24 @@
 
 // sender sends reports to one other gateway. Each receiving gateway has its own sender, so
 // that a slow or lost gateway does not delay the reports to others. Only the newest report is
-// sent, since older ones are out of date.
+// sent, since older ones are out of date, but for their crashes.
 type sender struct {
 	pool    *transport.Pool
 	address figbank.Address
-	// newest holds the report to send next.
-	newest chan *schema.LoadReport
+	outbox  outbox
+	// wake tells run that the outbox holds a report.
+	wake chan struct{}
 }
 
 func newSender(pool *transport.Pool, address figbank.Address) *sender {
-	return &sender{pool: pool, address: address, newest: make(chan *schema.LoadReport, 1)}
+	return &sender{pool: pool, address: address, wake: make(chan struct{}, 1)}
 }
 
-// offer sets the report to send next. A report that has not been sent yet is dropped. offer
-// does not block.
-func (s *sender) offer(message *schema.LoadReport) {
+// offer sets the report to send next, made now. It does not block.
+func (s *sender) offer(now time.Time, message *schema.LoadReport) {
+	s.outbox.put(now, message)
 	select {
-	case <-s.newest:
-	default:
-	}
-	select {
-	case s.newest <- message:
+	case s.wake <- struct{}{}:
 	default:
 	}
 }
@@ -47,9 +44,15 @@
 		select {
 		case <-ctx.Done():
 			return
-		case message := <-s.newest:
-			// Send logs the first of consecutive failures. The next report replaces a lost one.
-			_ = stream.Send(ctx, message)
+		case <-s.wake:
+		}
+		message, at := s.outbox.take()
+		if message == nil {
+			continue
+		}
+		// Send logs the first of consecutive failures. The next report is sent with what was lost.
+		if err := stream.Send(ctx, message); err != nil {
+			s.outbox.putBack(at, message)
 		}
 	}
 }
--- a/loadshare/senders.go
+++ b/loadshare/senders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"figbank"
 	"figbank/schema"
@@ -26,9 +27,9 @@
 	return &senders{ctx: ctx, pool: pool, byAddress: map[figbank.Address]*runningSender{}}
 }
 
-// send offers a report to each address, and stops the senders of addresses that are not
+// send offers a report, made now, to each address, and stops the senders of addresses that are not
 // listed. It does not block.
-func (s *senders) send(addresses []figbank.Address, message *schema.LoadReport) {
+func (s *senders) send(now time.Time, addresses []figbank.Address, message *schema.LoadReport) {
 	listed := map[figbank.Address]bool{}
 	for _, address := range addresses {
 		listed[address] = true
@@ -39,7 +40,7 @@
 			s.byAddress[address] = running
 			go running.sender.run(ctx)
 		}
-		running.sender.offer(message)
+		running.sender.offer(now, message)
 	}
 	for address, running := range s.byAddress {
 		if !listed[address] {
