--- a/crashers/blame_test.go
+++ b/crashers/blame_test.go
@@ -89,6 +89,21 @@
 	}
 }
 
+// A part that is answered again and again is remembered, however many others there are.
+func TestPopularPartIsRemembered(t *testing.T) {
+	set := NewSet()
+	for i := range 4 * maxAnsweredParts {
+		at := start.Add(time.Duration(i) * time.Millisecond)
+		set.RecordBegun(at, []Part{Part(1000 + i)})
+		if i%1000 == 0 {
+			set.RecordBegun(at, []Part{popular})
+		}
+		if set.parts.answeredAt(popular).IsZero() {
+			t.Fatalf("the popular part is forgotten after %d others", i)
+		}
+	}
+}
+
 // TestAnswersElsewhereAcquitParts lets one gateway see three losses of requests with a popular
 // part, while the gateways of two failure domains go on answering requests with it.
 func TestAnswersElsewhereAcquitParts(t *testing.T) {
--- a/crashers/parts.go
+++ b/crashers/parts.go
@@ -88,19 +88,23 @@
 	if !at.After(before) {
 		return
 	}
-	if answer := p.answer(part); answer != nil {
-		answer.at, answer.origin = at, origin
-	} else {
-		p.remember(part, &partAnswer{at: at, origin: origin})
+	answer := p.answer(part)
+	if answer == nil {
+		answer = &partAnswer{}
 	}
+	answer.at, answer.origin = at, origin
+	p.remember(part, answer)
 	changes := func(l *loss) bool { return !before.After(l.ended) && slices.Contains(l.parts, part) }
 	if slices.ContainsFunc(p.losses, changes) {
 		p.decide()
 	}
 }
 
-// remember stores the first answer to a request with the part.
+// remember stores the answer in the newer generation.
 func (p *partSet) remember(part Part, answer *partAnswer) {
+	if p.answers[part] != nil {
+		return
+	}
 	if len(p.answers) >= maxAnsweredParts || p.answers == nil {
 		p.answers, p.olderAnswers = map[Part]*partAnswer{}, p.answers
 	}
