--- a/dispatch/namedlimit.go
+++ b/dispatch/namedlimit.go
@@ -35,7 +35,7 @@
 		Named     bool
 		PerSecond figbank.RequestsPerSecond
 		At        time.Time
-		// Origin is the gateway that heard it.
+		// Origin tells how far from this gateway it was heard.
 		Origin crashers.Distance
 	}
 )
