feed, replica: replicas log what feeds cost and how late the log is

Change: counters for joins, updates, empty ones and the time spent on them (feed/work.go), the longest delay of a tick and of a queued message (replica/delays.go), one line 'feed work' every 5 s. No decision changes.

--- a/app/platformreplica.go
+++ b/app/platformreplica.go
@@ -38,7 +38,7 @@
 		platformOptions(s, schema.MemberRole_MEMBER_ROLE_REPLICA),
 		fx.Supply(file),
 		fx.Provide(newLogReplica, newPlatformProposer),
-		fx.Invoke(watchSettings, expireLeases, serveReplica, serveControl, announceReplica),
+		fx.Invoke(watchSettings, expireLeases, serveReplica, serveControl, announceReplica, logReplicaWork),
 		fx.Options(options...),
 	)
 }
--- a/app/streamusage.go
+++ b/app/streamusage.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"figbank"
+	"figbank/feed"
 	"figbank/schema"
 	"figbank/transport"
 
@@ -44,6 +45,32 @@
 	}()
 }
 
+// logReplicaWork logs what serving feeds has cost since the last such log line, and how late the
+// replica has handled its clock and sent its messages. These lines show whether feeds leave the log
+// no processor time.
+func logReplicaWork(lifecycle fx.Lifecycle, common figbank.Common, view *feed.View, r logReplica) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lifecycle.Append(fx.StopHook(cancel))
+	go func() {
+		ticks, stop := common.Clock.Tick(usageInterval)
+		defer stop()
+		last := feed.Work{}
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticks:
+			}
+			now := view.Work()
+			work, delays := now.Since(last), r.TakeDelays()
+			last = now
+			common.Named("replica").Log.Info("feed work", zap.Int64("joins", work.Joins), zap.Int64("leaves", work.Leaves),
+				zap.Int64("updates", work.Built), zap.Int64("empty", work.Empty), zap.Duration("building", work.BuildTime),
+				zap.Duration("latestTick", delays.Tick), zap.Duration("latestSend", delays.Send))
+		}
+	}()
+}
+
 // logUsage logs the difference between two readings. It logs nothing if they are equal.
 func logUsage(log *zap.Logger, last, now transport.Usage) {
 	if now == last {
--- a/feed/server.go
+++ b/feed/server.go
@@ -47,9 +47,11 @@
 	s := &subscription{view: v, stream: stream, member: opening.GetMember(), commitIndex: opening.GetCommitIndex()}
 	v.mergeEngine(opening.GetEngine())
 	v.addSubscriber(s.member, stream)
+	v.work.joins.Add(1)
 	v.common.Log.Info("subscriber connected", zap.String("subscriber", s.member.GetId()))
 	defer func() {
 		v.removeSubscriber(figbank.ProcessID(s.member.GetId()), stream)
+		v.work.leaves.Add(1)
 		v.common.Log.Info("subscriber disconnected", zap.String("subscriber", s.member.GetId()))
 	}()
 	ctx, cancel := context.WithCancel(ctx)
@@ -101,9 +103,12 @@
 // send sends what has changed. It skips an empty update if the last one was sent
 // less than keepAliveInterval ago.
 func (s *subscription) send() error {
+	began := s.view.common.Clock.Now()
 	update := s.nextUpdate()
+	empty := proto.Size(update) == 0
 	now := s.view.common.Clock.Now()
-	if !s.sentAt.IsZero() && now.Sub(s.sentAt) < keepAliveInterval && proto.Size(update) == 0 {
+	s.view.work.countUpdate(now.Sub(began), empty)
+	if !s.sentAt.IsZero() && now.Sub(s.sentAt) < keepAliveInterval && empty {
 		return nil
 	}
 	s.sentAt = now
--- a/feed/view.go
+++ b/feed/view.go
@@ -37,6 +37,8 @@
 		// only repeated its announcement. Only the feeds to replicas wait for it.
 		announced chan struct{}
 		watchers  []func()
+
+		work workMeter
 	}
 )
 
--- a/replica/members.go
+++ b/replica/members.go
@@ -46,7 +46,7 @@
 		if s != nil {
 			s.stop()
 		}
-		s = newSender(ctx, r.pool, address)
+		s = r.newSender(ctx, address)
 		r.senders[id] = s
 		r.group.Go(s.run)
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -79,6 +79,7 @@
 
 		status  atomic.Pointer[schema.ReplicaStatus]
 		members atomic.Pointer[schema.Membership]
+		delays  delayMeter
 		cancel  context.CancelFunc
 		group   sync.WaitGroup
 		stopped chan struct{}
@@ -151,6 +152,11 @@
 	return r.status.Load()
 }
 
+// TakeDelays returns the longest delays since its last call.
+func (r *Replica) TakeDelays() Delays {
+	return r.delays.take()
+}
+
 // Close stops the replica. Everything it has accepted is on its disk.
 func (r *Replica) Close() {
 	r.cancel()
@@ -212,14 +218,19 @@
 
 func (r *Replica) run(ctx context.Context) {
 	defer close(r.stopped)
-	ticks, stop := r.common.Clock.Tick(r.settings.Timing.HeartbeatInterval / ticksPerHeartbeat)
+	interval := r.settings.Timing.HeartbeatInterval / ticksPerHeartbeat
+	ticks, stop := r.common.Clock.Tick(interval)
 	defer stop()
+	due := r.common.Clock.Now().Add(interval)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticks:
-			r.node.Tick(r.common.Clock.Now())
+			now := r.common.Clock.Now()
+			raise(&r.delays.tick, now.Sub(due))
+			due = now.Add(interval)
+			r.node.Tick(now)
 			r.reviewMembers()
 		case first := <-r.inbox:
 			r.handleBatch(first)
--- a/replica/sender.go
+++ b/replica/sender.go
@@ -17,19 +17,31 @@
 type sender struct {
 	pool    *transport.Pool
 	address figbank.Address
-	queue   chan *schema.RaftMessage
+	queue   chan queuedMessage
+	clock   figbank.Clock
+	delays  *delayMeter
 	ctx     context.Context //nolint:containedctx // the sender's lifetime
 	stop    context.CancelFunc
 }
 
-func newSender(ctx context.Context, pool *transport.Pool, address figbank.Address) *sender {
+// queuedMessage is a message with the time at which it was queued.
+type queuedMessage struct {
+	message  *schema.RaftMessage
+	queuedAt time.Time
+}
+
+// newSender returns a sender to the replica at address. It sends nothing until run.
+func (r *Replica) newSender(ctx context.Context, address figbank.Address) *sender {
 	ctx, stop := context.WithCancel(ctx)
-	return &sender{pool: pool, address: address, queue: make(chan *schema.RaftMessage, inboxLength), ctx: ctx, stop: stop}
+	return &sender{
+		pool: r.pool, address: address, queue: make(chan queuedMessage, inboxLength),
+		clock: r.common.Clock, delays: &r.delays, ctx: ctx, stop: stop,
+	}
 }
 
 func (s *sender) enqueue(message *schema.RaftMessage) {
 	select {
-	case s.queue <- message:
+	case s.queue <- queuedMessage{message: message, queuedAt: s.clock.Now()}:
 	default:
 	}
 }
@@ -41,9 +53,10 @@
 		select {
 		case <-s.ctx.Done():
 			return
-		case message := <-s.queue:
+		case queued := <-s.queue:
+			raise(&s.delays.send, s.clock.Now().Sub(queued.queuedAt))
 			// Send does its own logging, and Raft tolerates the loss of the message.
-			_ = stream.Send(s.ctx, message)
+			_ = stream.Send(s.ctx, queued.message)
 		}
 	}
 }
--- a/replica/supervisor.go
+++ b/replica/supervisor.go
@@ -117,6 +117,15 @@
 	return r != nil && r.Status().GetRole() == raft.Leader.String()
 }
 
+// TakeDelays returns the longest delays of the replica since the last call.
+func (s *Supervisor) TakeDelays() Delays {
+	r := s.current.Load()
+	if r == nil {
+		return Delays{}
+	}
+	return r.TakeDelays()
+}
+
 // NeedsSuccessor reports whether this replica is a voter and another of the given replicas could
 // replace it. A replica that already votes or is about to leave could not.
 func (s *Supervisor) NeedsSuccessor(replicas []voters.Replica) bool {
