--- a/feed/join_cost_test.go
+++ b/feed/join_cost_test.go
@@ -52,3 +52,27 @@
 	}
 	return 0
 }
+
+// An agent that joins is news for the replicas and the other agents. Building an update for each
+// gateway too, only to find that it is empty, took replicas all their time when many moved at once.
+func TestJoinsWakeOnlyThoseConcerned(t *testing.T) {
+	const gateways, joins = 40, 10
+	r := newNode(t, "r1", replica)
+	nodes := make([]*node, 0, gateways)
+	for i := range gateways {
+		nodes = append(nodes, newNode(t, fmt.Sprintf("g%d", i), gateway, r.address))
+	}
+	awaitMembers(t, nodes, gateways)
+	time.Sleep(300 * time.Millisecond)
+	before, began := r.view.Work(), time.Now()
+	for i := range joins {
+		a := newNode(t, fmt.Sprintf("a%d", i), agent, r.address)
+		await(t, "the agent is fed", a.subscriber.Connected)
+		time.Sleep(2 * minUpdateInterval)
+	}
+	work := r.view.Work().Since(before)
+	keepAlives := (gateways + joins) * (1 + int64(time.Since(began)/keepAliveInterval))
+	if most := keepAlives + joins*joins*2; work.Built > most {
+		t.Errorf("%d joins of agents made the replica build %d updates, want at most %d", joins, work.Built, most)
+	}
+}
--- a/feed/members.go
+++ b/feed/members.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
@@ -12,15 +11,21 @@
 	"figbank/transport"
 )
 
+// subscriberRoles are the roles of processes that subscribe to feeds.
+var subscriberRoles = []schema.MemberRole{
+	schema.MemberRole_MEMBER_ROLE_REPLICA, schema.MemberRole_MEMBER_ROLE_GATEWAY, schema.MemberRole_MEMBER_ROLE_AGENT,
+}
+
 type (
 	// memberTable holds what one process knows about the other processes: those that subscribe to
 	// it, and those in the lists that replicas send. It is not safe for concurrent use.
 	memberTable struct {
 		subscribers map[figbank.ProcessID]*subscriberEntry
 		lists       map[figbank.Address]*memberList
-		// subscribersVersion counts the changes of subscribers. membersVersion counts the changes
-		// of subscribers and of lists.
-		subscribersVersion, membersVersion uint64
+		// known holds all known processes.
+		known *roster
+		// rosters holds the members that subscribers with each role need.
+		rosters map[schema.MemberRole]*roster
 	}
 
 	// subscriberEntry is a process that subscribes to this one, with its newest stream.
@@ -35,155 +40,162 @@
 		members map[string]*schema.Member
 		stale   bool
 	}
+
+	// memberChange tells whose lists of members a change has altered.
+	memberChange struct {
+		// known is set if the members that this process knows have changed.
+		known bool
+		// roles are those whose subscribers need an update.
+		roles []schema.MemberRole
+	}
 )
 
 func newMemberTable() *memberTable {
-	return &memberTable{subscribers: map[figbank.ProcessID]*subscriberEntry{}, lists: map[figbank.Address]*memberList{}}
-}
-
-// members returns all known processes by id. If lists differ, a current one takes precedence over a
-// stale one. This process's own subscribers take precedence over both.
-func (r *memberTable) members() map[string]*schema.Member {
-	all := map[string]*schema.Member{}
-	for _, stale := range []bool{true, false} {
-		for _, list := range r.lists {
-			if list.stale == stale {
-				maps.Copy(all, list.members)
-			}
-		}
+	r := &memberTable{
+		subscribers: map[figbank.ProcessID]*subscriberEntry{}, lists: map[figbank.Address]*memberList{},
+		known: newRoster(), rosters: map[schema.MemberRole]*roster{},
 	}
-	for id, subscriber := range r.subscribers {
-		all[string(id)] = subscriber.member
+	for _, role := range subscriberRoles {
+		r.rosters[role] = newRoster()
 	}
-	return all
+	return r
 }
 
-// forSubscriber returns the members that a subscriber with a role needs, by id. A replica gets only
-// the subscribers of this process, since it also subscribes to every other replica. Other processes
+// rosterFor returns the members that a subscriber with a role needs. A replica gets only the
+// subscribers of this process, since it also subscribes to every other replica. Other processes
 // get all replicas and all members of their own role.
-func (r *memberTable) forSubscriber(role schema.MemberRole) map[string]*schema.Member {
-	needed := map[string]*schema.Member{}
-	if role == schema.MemberRole_MEMBER_ROLE_REPLICA {
-		for id, subscriber := range r.subscribers {
-			needed[string(id)] = subscriber.member
-		}
+func (r *memberTable) rosterFor(role schema.MemberRole) *roster {
+	if needed, found := r.rosters[role]; found {
 		return needed
 	}
-	for id, member := range r.members() {
-		if member.GetRole() == role || member.GetRole() == schema.MemberRole_MEMBER_ROLE_REPLICA {
-			needed[id] = member
-		}
-	}
-	return needed
+	return r.rosters[schema.MemberRole_MEMBER_ROLE_GATEWAY]
 }
 
-// versionFor returns a number that changes whenever the result of forSubscriber may have changed.
-func (r *memberTable) versionFor(role schema.MemberRole) uint64 {
-	if role == schema.MemberRole_MEMBER_ROLE_REPLICA {
-		return r.subscribersVersion
-	}
-	return r.membersVersion
-}
-
-func (r *memberTable) addSubscriber(member *schema.Member, stream *transport.Stream) {
+func (r *memberTable) addSubscriber(member *schema.Member, stream *transport.Stream) memberChange {
 	r.subscribers[figbank.ProcessID(member.GetId())] = &subscriberEntry{member: member, stream: stream}
-	r.subscribersChanged()
+	return r.refresh([]string{member.GetId()})
 }
 
 // removeSubscriber removes a subscriber, unless it has already subscribed again on
 // another stream.
-func (r *memberTable) removeSubscriber(id figbank.ProcessID, stream *transport.Stream) {
-	if subscriber, found := r.subscribers[id]; found && subscriber.stream == stream {
-		delete(r.subscribers, id)
-		r.subscribersChanged()
+func (r *memberTable) removeSubscriber(id figbank.ProcessID, stream *transport.Stream) memberChange {
+	if subscriber, found := r.subscribers[id]; !found || subscriber.stream != stream {
+		return memberChange{}
 	}
+	delete(r.subscribers, id)
+	return r.refresh([]string{string(id)})
 }
 
-// updateSubscriber stores a subscriber's new description of itself. It returns false and stores
-// nothing if the subscriber is unknown, or if nothing has changed.
-func (r *memberTable) updateSubscriber(member *schema.Member) bool {
+// updateSubscriber stores a subscriber's new description of itself. It ignores the description of
+// an unknown subscriber.
+func (r *memberTable) updateSubscriber(member *schema.Member) memberChange {
 	subscriber, found := r.subscribers[figbank.ProcessID(member.GetId())]
 	if !found || sameMember(subscriber.member, member) {
-		return false
+		return memberChange{}
 	}
 	subscriber.member = member
-	r.subscribersChanged()
-	return true
-}
-
-func (r *memberTable) subscribersChanged() {
-	r.subscribersVersion++
-	r.membersVersion++
+	return r.refresh([]string{member.GetId()})
 }
 
-// applyUpdate merges a replica's update of its list. It reports whether the list
-// changed or was stale.
-func (r *memberTable) applyUpdate(from figbank.Address, update *schema.FeedUpdate) bool {
+// applyUpdate merges a replica's update of its list.
+func (r *memberTable) applyUpdate(from figbank.Address, update *schema.FeedUpdate) memberChange {
 	list := r.lists[from]
 	if list == nil {
 		list = &memberList{members: map[string]*schema.Member{}, stale: true}
 		r.lists[from] = list
 	}
-	next := list.after(update)
-	if !list.stale && maps.EqualFunc(list.members, next, sameMember) {
-		return false
+	affected := list.apply(update)
+	if list.stale {
+		list.stale = false
+		affected = slices.AppendSeq(affected, maps.Keys(list.members))
 	}
-	list.members, list.stale = next, false
-	r.membersVersion++
-	return true
+	return r.refresh(affected)
 }
 
-// after returns the members that are listed after an update.
-func (l *memberList) after(update *schema.FeedUpdate) map[string]*schema.Member {
-	if !update.GetAllMembers() && len(update.GetMembers())+len(update.GetGoneMembers()) == 0 {
-		return l.members
-	}
-	next := map[string]*schema.Member{}
-	if !update.GetAllMembers() {
-		maps.Copy(next, l.members)
+// apply merges an update and returns the ids that it may have changed.
+func (l *memberList) apply(update *schema.FeedUpdate) []string {
+	affected := slices.Clone(update.GetGoneMembers())
+	if update.GetAllMembers() {
+		affected = slices.AppendSeq(affected, maps.Keys(l.members))
+		clear(l.members)
 	}
 	for _, id := range update.GetGoneMembers() {
-		delete(next, id)
+		delete(l.members, id)
 	}
 	for _, member := range update.GetMembers() {
-		next[member.GetId()] = member
+		l.members[member.GetId()] = member
+		affected = append(affected, member.GetId())
 	}
-	return next
+	return affected
 }
 
 // disconnect marks the list of a replica that no longer feeds this process as stale. The list
 // remains until that replica sends another. If drop is set, disconnect removes the list, because
 // other replicas report the same members.
-func (r *memberTable) disconnect(from figbank.Address, drop bool) {
+func (r *memberTable) disconnect(from figbank.Address, drop bool) memberChange {
 	list, found := r.lists[from]
 	if !found {
-		return
+		return memberChange{}
 	}
 	list.stale = true
 	if drop {
 		delete(r.lists, from)
 	}
-	r.membersVersion++
+	return r.refresh(slices.Collect(maps.Keys(list.members)))
+}
+
+// refresh updates the rosters after what is known of some members may have changed.
+func (r *memberTable) refresh(ids []string) memberChange {
+	var change memberChange
+	for _, id := range ids {
+		change.known = r.known.set(id, r.find(id)) || change.known
+		for _, role := range subscriberRoles {
+			if r.rosters[role].set(id, r.neededBy(role, id)) && !slices.Contains(change.roles, role) {
+				change.roles = append(change.roles, role)
+			}
+		}
+	}
+	return change
 }
 
-// fillDifference adds to update the changes that turn the sent members into the needed
-// ones, sorted by id.
-func fillDifference(update *schema.FeedUpdate, sent, needed map[string]*schema.Member) {
-	for id, member := range needed {
-		if known, found := sent[id]; !found || !sameMember(known, member) {
-			update.Members = append(update.Members, member)
+// find returns what is known about a member, or nil. This process's own subscribers take
+// precedence over lists, and a current list over a stale one.
+func (r *memberTable) find(id string) *schema.Member {
+	if subscriber, found := r.subscribers[figbank.ProcessID(id)]; found {
+		return subscriber.member
+	}
+	var newest *schema.Member
+	var from figbank.Address
+	stale := true
+	for address, list := range r.lists {
+		member, found := list.members[id]
+		if !found || list.stale && !stale {
+			continue
+		}
+		// Of equally current lists that differ, always the same one counts.
+		if newest == nil || stale && !list.stale || address < from {
+			newest, from, stale = member, address, list.stale
 		}
 	}
-	for id := range sent {
-		if _, found := needed[id]; !found {
-			update.GoneMembers = append(update.GoneMembers, id)
+	return newest
+}
+
+// neededBy returns the member with an id if subscribers with the role need it, otherwise nil.
+func (r *memberTable) neededBy(role schema.MemberRole, id string) *schema.Member {
+	if role == schema.MemberRole_MEMBER_ROLE_REPLICA {
+		if subscriber, found := r.subscribers[figbank.ProcessID(id)]; found {
+			return subscriber.member
 		}
+		return nil
+	}
+	member := r.known.members[id]
+	if member.GetRole() == role || member.GetRole() == schema.MemberRole_MEMBER_ROLE_REPLICA {
+		return member
 	}
-	slices.SortFunc(update.Members, func(a, b *schema.Member) int { return cmp.Compare(a.GetId(), b.GetId()) })
-	slices.Sort(update.GoneMembers)
+	return nil
 }
 
 // sameMember reports whether a and b describe a process in the same way.
 func sameMember(a, b *schema.Member) bool {
-	return proto.Equal(a, b)
+	return a == b || proto.Equal(a, b)
 }
--- a/feed/members_test.go
+++ b/feed/members_test.go
@@ -17,52 +17,52 @@
 func TestMemberTableMergesLists(t *testing.T) {
 	steps := []struct {
 		name    string
-		act     func(r *memberTable) bool
+		act     func(r *memberTable) memberChange
 		want    []string
 		changed bool
 	}{
 		{
 			name: "a first list", changed: true, want: []string{"a=1", "b=1"},
-			act: func(r *memberTable) bool {
+			act: func(r *memberTable) memberChange {
 				return r.applyUpdate("r1", &schema.FeedUpdate{AllMembers: true, Members: []*schema.Member{gatewayNamed("a", "1"), gatewayNamed("b", "1")}})
 			},
 		},
 		{
 			name: "nothing new", want: []string{"a=1", "b=1"},
-			act: func(r *memberTable) bool { return r.applyUpdate("r1", &schema.FeedUpdate{}) },
+			act: func(r *memberTable) memberChange { return r.applyUpdate("r1", &schema.FeedUpdate{}) },
 		},
 		{
 			name: "one joins, one leaves", changed: true, want: []string{"b=1", "c=1"},
-			act: func(r *memberTable) bool {
+			act: func(r *memberTable) memberChange {
 				return r.applyUpdate("r1", &schema.FeedUpdate{Members: []*schema.Member{gatewayNamed("c", "1")}, GoneMembers: []string{"a"}})
 			},
 		},
 		{
-			name: "the list of a disconnected replica stays", changed: true, want: []string{"b=1", "c=1"},
-			act: func(r *memberTable) bool { r.disconnect("r1", false); return true },
+			name: "the list of a disconnected replica stays", want: []string{"b=1", "c=1"},
+			act: func(r *memberTable) memberChange { return r.disconnect("r1", false) },
 		},
 		{
 			name: "a current list takes precedence over a stale one", changed: true, want: []string{"b=2", "c=1"},
-			act: func(r *memberTable) bool {
+			act: func(r *memberTable) memberChange {
 				return r.applyUpdate("r2", &schema.FeedUpdate{AllMembers: true, Members: []*schema.Member{gatewayNamed("b", "2")}})
 			},
 		},
 		{
 			name: "the disconnected replica returns with a new list", changed: true, want: []string{"b=2"},
-			act: func(r *memberTable) bool { return r.applyUpdate("r1", &schema.FeedUpdate{AllMembers: true}) },
+			act: func(r *memberTable) memberChange { return r.applyUpdate("r1", &schema.FeedUpdate{AllMembers: true}) },
 		},
 		{
 			name: "a list is removed when other replicas report its members", changed: true, want: nil,
-			act: func(r *memberTable) bool { r.disconnect("r2", true); return true },
+			act: func(r *memberTable) memberChange { return r.disconnect("r2", true) },
 		},
 	}
 	r := newMemberTable()
 	for _, s := range steps {
-		if changed := s.act(r); changed != s.changed {
+		if changed := s.act(r).known; changed != s.changed {
 			t.Errorf("%s: changed = %v, want %v", s.name, changed, s.changed)
 		}
 		var got []string
-		for id, member := range r.members() {
+		for id, member := range r.known.members {
 			got = append(got, id+"="+member.GetAddress())
 		}
 		slices.Sort(got)
@@ -89,8 +89,12 @@
 		t.Run(c.name, func(t *testing.T) {
 			after := proto.CloneOf(before)
 			c.change(after)
+			r := newRoster()
+			r.set("a", before)
+			sent := r.revision
+			r.set("a", after)
 			update := &schema.FeedUpdate{}
-			fillDifference(update, map[string]*schema.Member{"a": before}, map[string]*schema.Member{"a": after})
+			r.fill(update, sent, false)
 			if got := update.GetMembers(); len(got) != 1 {
 				t.Errorf("members to report = %v, want the changed one", got)
 			}
@@ -114,7 +118,7 @@
 	}
 	for _, s := range scenarios {
 		var got []string
-		for id := range r.forSubscriber(s.role) {
+		for id := range r.rosterFor(s.role).members {
 			got = append(got, id)
 		}
 		slices.Sort(got)
@@ -123,3 +127,38 @@
 		}
 	}
 }
+
+// A process that moves from one replica to another stays a member, so nobody but the replicas hears of
+// it. One that goes is reported once.
+func TestMovesOfSubscribersConcernReplicasOnly(t *testing.T) {
+	g1, a1 := &schema.Member{Id: "g1", Role: gateway}, &schema.Member{Id: "a1", Role: agent}
+	steps := []struct {
+		name string
+		act  func(r *memberTable) memberChange
+		want memberChange
+	}{
+		{name: "an agent subscribes", act: func(r *memberTable) memberChange { return r.addSubscriber(a1, nil) }, want: memberChange{known: true, roles: []schema.MemberRole{replica, agent}}},
+		{
+			name: "a gateway is known to another replica", want: memberChange{known: true, roles: []schema.MemberRole{gateway}},
+			act: func(r *memberTable) memberChange {
+				return r.applyUpdate("r2", &schema.FeedUpdate{AllMembers: true, Members: []*schema.Member{g1}})
+			},
+		},
+		{name: "it subscribes here too", act: func(r *memberTable) memberChange { return r.addSubscriber(g1, nil) }, want: memberChange{roles: []schema.MemberRole{replica}}},
+		{
+			name: "it leaves the other replica",
+			act: func(r *memberTable) memberChange {
+				return r.applyUpdate("r2", &schema.FeedUpdate{GoneMembers: []string{"g1"}})
+			},
+		},
+		{name: "the other replica is lost", act: func(r *memberTable) memberChange { return r.disconnect("r2", false) }},
+		{name: "it leaves here", act: func(r *memberTable) memberChange { return r.removeSubscriber("g1", nil) }, want: memberChange{known: true, roles: []schema.MemberRole{replica, gateway}}},
+	}
+	r := newMemberTable()
+	for _, s := range steps {
+		got := s.act(r)
+		if got.known != s.want.known || !slices.Equal(got.roles, s.want.roles) {
+			t.Errorf("%s: change = %+v, want %+v", s.name, got, s.want)
+		}
+	}
+}
--- a/feed/server.go
+++ b/feed/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"figbank"
+	"figbank/changelog"
 	"figbank/registry"
 	"figbank/schema"
 	"figbank/transport"
@@ -30,11 +31,11 @@
 	member      *schema.Member
 	cursor      registry.Cursor
 	commitIndex uint64
-	// sentMembers are the members that have been sent to the subscriber, by id. memberVersion is
-	// the version of the member table at that time.
-	sentMembers   map[string]*schema.Member
-	memberVersion uint64
-	sentAt        time.Time
+	// sentMembers is the revision of the roster that has been sent. sentAny is set once the
+	// first update has been built.
+	sentMembers changelog.Revision
+	sentAny     bool
+	sentAt      time.Time
 }
 
 // Serve feeds one subscriber until its stream ends or the subscriber has sent nothing
@@ -130,12 +131,9 @@
 	s.cursor = v.registry.Revision()
 	update.Instances = changes.Instances
 	update.Engines = changes.Engines
-	if version := v.members.versionFor(role); s.sentMembers == nil || s.memberVersion != version {
-		needed := v.members.forSubscriber(role)
-		update.AllMembers = s.sentMembers == nil
-		fillDifference(update, s.sentMembers, needed)
-		s.sentMembers, s.memberVersion = needed, version
-	}
+	needed := v.members.rosterFor(role)
+	needed.fill(update, s.sentMembers, !s.sentAny)
+	s.sentMembers, s.sentAny = needed.revision, true
 	return update
 }
 
--- a/feed/view.go
+++ b/feed/view.go
@@ -31,12 +31,11 @@
 		mu       sync.Mutex
 		registry *registry.Registry
 		members  *memberTable
-		// changed is closed and replaced at each change of the fleet state, routing or members.
-		changed chan struct{}
-		// announced is closed and replaced whenever changed is, and also when an upstream has
-		// only repeated its announcement. Only the feeds to replicas wait for it.
-		announced chan struct{}
-		watchers  []func()
+		// changed holds, by the role of subscribers, a channel that is closed and replaced when
+		// there is something new for them: the fleet state, routing, members that they need and,
+		// for replicas, an announcement that an upstream has only repeated.
+		changed  map[schema.MemberRole]chan struct{}
+		watchers []func()
 
 		work workMeter
 	}
@@ -47,11 +46,12 @@
 func NewView(common figbank.Common, lease time.Duration, fleet *configuration.FleetHolder) *View {
 	v := &View{
 		common: common.Named("feed"), fleet: fleet, registry: registry.New(lease),
-		members:   newMemberTable(),
-		changed:   make(chan struct{}),
-		announced: make(chan struct{}),
+		members: newMemberTable(), changed: map[schema.MemberRole]chan struct{}{},
 	}
-	fleet.Watch(func(*schema.Fleet) { v.notify() })
+	for _, role := range subscriberRoles {
+		v.changed[role] = make(chan struct{})
+	}
+	fleet.Watch(func(*schema.Fleet) { v.notify(true, subscriberRoles) })
 	return v
 }
 
@@ -81,7 +81,7 @@
 func (v *View) Members() []*schema.Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	members := slices.Collect(maps.Values(v.members.members()))
+	members := slices.Collect(maps.Values(v.members.known.members))
 	slices.SortFunc(members, func(a, b *schema.Member) int { return cmp.Compare(a.GetId(), b.GetId()) })
 	return members
 }
@@ -90,7 +90,7 @@
 func (v *View) membersVersion() uint64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.members.membersVersion
+	return uint64(v.members.known.revision)
 }
 
 // Announce merges an upstream's announcement. It reports whether anything that
@@ -101,7 +101,7 @@
 	changed := v.registry.Announce(v.common.Clock.Now(), record)
 	renewed := v.registry.Revision() != before
 	v.mu.Unlock()
-	v.notifyOf(changed, renewed)
+	v.notifyOf(changed, renewed, memberChange{})
 	return changed
 }
 
@@ -111,9 +111,7 @@
 	v.mu.Lock()
 	left := v.registry.Leave(v.common.Clock.Now(), id)
 	v.mu.Unlock()
-	if left {
-		v.notify()
-	}
+	v.notifyOf(left, false, memberChange{})
 	return left
 }
 
@@ -126,9 +124,7 @@
 	v.mu.Lock()
 	changed := v.registry.MergeEngine(state)
 	v.mu.Unlock()
-	if changed {
-		v.notify()
-	}
+	v.notifyOf(changed, false, memberChange{})
 }
 
 // apply merges an update from a replica.
@@ -146,88 +142,85 @@
 	for _, state := range update.GetEngines() {
 		changed = v.registry.MergeEngine(state) || changed
 	}
-	changed = v.members.applyUpdate(from, update) || changed
+	members := v.members.applyUpdate(from, update)
 	renewed := v.registry.Revision() != before
 	v.mu.Unlock()
-	v.notifyOf(changed, renewed)
+	v.notifyOf(changed, renewed, members)
 }
 
 // addSubscriber, removeSubscriber and updateSubscriber maintain the processes that
 // subscribe to this one.
 func (v *View) addSubscriber(member *schema.Member, stream *transport.Stream) {
 	v.mu.Lock()
-	v.members.addSubscriber(member, stream)
+	change := v.members.addSubscriber(member, stream)
 	v.mu.Unlock()
-	v.notify()
+	v.notifyOf(false, false, change)
 }
 
 func (v *View) removeSubscriber(id figbank.ProcessID, stream *transport.Stream) {
 	v.mu.Lock()
-	v.members.removeSubscriber(id, stream)
+	change := v.members.removeSubscriber(id, stream)
 	v.mu.Unlock()
-	v.notify()
+	v.notifyOf(false, false, change)
 }
 
 func (v *View) updateSubscriber(member *schema.Member) {
 	v.mu.Lock()
-	changed := v.members.updateSubscriber(member)
+	change := v.members.updateSubscriber(member)
 	v.mu.Unlock()
-	if changed {
-		v.notify()
-	}
+	v.notifyOf(false, false, change)
 }
 
 // disconnect records that a replica no longer feeds this process. If drop is set, it also removes
 // the list of members from that replica.
 func (v *View) disconnect(from figbank.Address, drop bool) {
 	v.mu.Lock()
-	v.members.disconnect(from, drop)
+	change := v.members.disconnect(from, drop)
 	v.mu.Unlock()
-	v.notify()
+	v.notifyOf(false, false, change)
 }
 
-// notifyOf notifies all waiting goroutines and watchers if routing or members have changed. If
-// announcements have merely been repeated, it only wakes the feeds to replicas.
-func (v *View) notifyOf(changed, renewed bool) {
+// notifyOf wakes the feeds that have something new to send, and calls the watchers if routing or
+// the known members have changed. Announcements that have merely been repeated concern the feeds
+// to replicas only.
+func (v *View) notifyOf(routing, renewed bool, members memberChange) {
+	roles := members.roles
 	switch {
-	case changed:
-		v.notify()
-	case renewed:
-		v.mu.Lock()
-		v.renewAnnounced()
-		v.mu.Unlock()
+	case routing:
+		roles = subscriberRoles
+	case renewed && !slices.Contains(roles, schema.MemberRole_MEMBER_ROLE_REPLICA):
+		roles = append(slices.Clone(roles), schema.MemberRole_MEMBER_ROLE_REPLICA)
 	}
+	v.notify(routing || members.known, roles)
 }
 
-// renewAnnounced wakes the feeds to replicas. The caller must hold the lock.
-func (v *View) renewAnnounced() {
-	close(v.announced)
-	v.announced = make(chan struct{})
-}
-
-// notify wakes all goroutines that wait for changes and calls the watchers.
-func (v *View) notify() {
+// notify wakes the feeds to subscribers with the given roles. If watchers is set, it calls the
+// watchers.
+func (v *View) notify(watchers bool, roles []schema.MemberRole) {
 	v.mu.Lock()
-	close(v.changed)
-	v.changed = make(chan struct{})
-	v.renewAnnounced()
-	watchers := v.watchers
+	for _, role := range roles {
+		close(v.changed[role])
+		v.changed[role] = make(chan struct{})
+	}
+	var called []func()
+	if watchers {
+		called = v.watchers
+	}
 	v.mu.Unlock()
-	for _, watcher := range watchers {
+	for _, watcher := range called {
 		watcher()
 	}
 }
 
-// nextChange returns a channel that is closed at the next change of the fleet state, routing or
-// members. For a subscriber that is a replica, the channel is also closed at the next repeated
-// announcement.
+// nextChange returns a channel that is closed when there is something new for subscribers with
+// this role.
 func (v *View) nextChange(role schema.MemberRole) <-chan struct{} {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if role == schema.MemberRole_MEMBER_ROLE_REPLICA {
-		return v.announced
+	if changed, found := v.changed[role]; found {
+		return changed
 	}
-	return v.changed
+	return v.changed[schema.MemberRole_MEMBER_ROLE_GATEWAY]
 }
 
 // ExpireLeases marks upstreams whose leases have expired as silent, until ctx ends. Only
@@ -245,8 +238,6 @@
 		v.mu.Lock()
 		expired := v.registry.Expire(v.common.Clock.Now())
 		v.mu.Unlock()
-		if expired {
-			v.notify()
-		}
+		v.notifyOf(expired, false, memberChange{})
 	}
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -10,34 +10,36 @@
 	"time"
 
 	"figbank"
+	"figbank/changelog"
 	"figbank/schema"
 )
 
 type (
 	// Cursor is a position in the sequence of a registry's changes.
-	Cursor uint64
+	Cursor = changelog.Revision
 
 	// Registry holds the newest record of each upstream. It is not safe for
 	// concurrent use. A record must not be modified once the registry holds it.
 	Registry struct {
-		lease     time.Duration
-		revision  Cursor
-		instances map[figbank.UpstreamID]*instanceEntry
-		engines   map[figbank.Address]*engineEntry
+		lease    time.Duration
+		revision Cursor
+		// changed logs the changes that affect routing: of instances by their id, of engines by
+		// their address. announced logs the other announcements too.
+		changed, announced changelog.Log[recordKey]
+		instances          map[figbank.UpstreamID]*instanceEntry
+		engines            map[figbank.Address]*schema.EngineState
 	}
 
 	// instanceEntry is the newest record of an upstream.
 	instanceEntry struct {
 		record      *schema.Instance
 		announcedAt time.Time
-		// changed is the revision of the last change that affects routing. announced is the
-		// revision of the last change, including repeated announcements.
-		changed, announced Cursor
 	}
 
-	engineEntry struct {
-		state   *schema.EngineState
-		changed Cursor
+	// recordKey names a record: an instance or an engine. The other field is empty.
+	recordKey struct {
+		instance figbank.UpstreamID
+		engine   figbank.Address
 	}
 
 	// Changes holds the records that have changed since a cursor. They must not be
@@ -54,7 +56,7 @@
 	return &Registry{
 		lease:     lease,
 		instances: map[figbank.UpstreamID]*instanceEntry{},
-		engines:   map[figbank.Address]*engineEntry{},
+		engines:   map[figbank.Address]*schema.EngineState{},
 	}
 }
 
@@ -78,11 +80,7 @@
 	affectsRouting := AffectsRouting(known.record, record)
 	known.record = record
 	known.announcedAt = now
-	r.revision++
-	known.announced = r.revision
-	if affectsRouting {
-		known.changed = r.revision
-	}
+	r.record(recordKey{instance: id}, affectsRouting)
 	return affectsRouting
 }
 
@@ -100,13 +98,12 @@
 // whether there were any.
 func (r *Registry) Expire(now time.Time) bool {
 	expired := false
-	for _, known := range r.instances {
+	for id, known := range r.instances {
 		if now.Sub(known.announcedAt) <= r.lease || !Serving(known.record.GetState()) {
 			continue
 		}
 		known.record = withState(known.record, schema.InstanceState_INSTANCE_STATE_SILENT)
-		r.revision++
-		known.changed, known.announced = r.revision, r.revision
+		r.record(recordKey{instance: id}, true)
 		expired = true
 	}
 	return expired
@@ -117,36 +114,62 @@
 func (r *Registry) MergeEngine(state *schema.EngineState) bool {
 	address := figbank.Address(state.GetAddress())
 	known, found := r.engines[address]
-	if found && !engineSupersedes(state, known.state) {
+	if found && !engineSupersedes(state, known) {
 		return false
 	}
-	if found && sameEngine(known.state, state) {
-		known.state = state
+	r.engines[address] = state
+	if found && sameEngine(known, state) {
 		return false
 	}
-	r.revision++
-	r.engines[address] = &engineEntry{state: state, changed: r.revision}
+	r.record(recordKey{engine: address}, true)
 	return true
 }
 
+// record logs a change of one record.
+func (r *Registry) record(key recordKey, affectsRouting bool) {
+	r.revision++
+	r.announced.Add(r.revision, key)
+	if affectsRouting {
+		r.changed.Add(r.revision, key)
+	}
+}
+
 // Since returns the records that changed after the cursor. If announcements is set, it also returns
 // records whose announcement was only repeated. Sending them to other processes renews the leases
 // there.
 func (r *Registry) Since(cursor Cursor, announcements bool) Changes {
+	log := &r.changed
+	if announcements {
+		log = &r.announced
+	}
+	keys, whole := log.Since(cursor)
+	if !whole || cursor == 0 {
+		return r.all()
+	}
 	var changes Changes
-	for _, known := range r.instances {
-		if known.changed > cursor || announcements && known.announced > cursor {
+	for _, key := range keys {
+		if known, found := r.instances[key.instance]; found {
 			changes.Instances = append(changes.Instances, known.record)
 		}
-	}
-	for _, known := range r.engines {
-		if known.changed > cursor {
-			changes.Engines = append(changes.Engines, known.state)
+		if known, found := r.engines[key.engine]; found {
+			changes.Engines = append(changes.Engines, known)
 		}
 	}
 	return changes
 }
 
+// all returns all records.
+func (r *Registry) all() Changes {
+	var all Changes
+	for _, known := range r.instances {
+		all.Instances = append(all.Instances, known.record)
+	}
+	for _, known := range r.engines {
+		all.Engines = append(all.Engines, known)
+	}
+	return all
+}
+
 // Upstreams returns the newest incarnation at each address, sorted by id. Each includes its agent's
 // latest report on the engine.
 func (r *Registry) Upstreams() []Upstream {
@@ -175,9 +198,9 @@
 func (r *Registry) upstream(record *schema.Instance) Upstream {
 	upstream := Upstream{Record: record, Loaded: record.GetLoaded()}
 	known, found := r.engines[figbank.Address(record.GetAddress())]
-	if found && known.state.GetBornUnixMilli() == record.GetBornUnixMilli() {
-		upstream.Loaded = known.state.GetLoaded()
-		upstream.Switching = known.state.GetSwitching()
+	if found && known.GetBornUnixMilli() == record.GetBornUnixMilli() {
+		upstream.Loaded = known.GetLoaded()
+		upstream.Switching = known.GetSwitching()
 	}
 	return upstream
 }
