feed: a lost replica is replaced by one, and asked again ever more rarely (CONFIG, RECOVER)

Operators saw: no change acknowledged after one of five replicas froze. Cause: a process that lost one of its feeds connected to all replicas that were left until enough delivered, and closed the surplus again. That is two newcomers and one leaver at the living replicas for each lost feed, at the moment when they have one replica less. Lost ones were tried every 200 ms by all, in step. Change: choose counts feeds that are being opened; a feed counts as failing when it was lost or has not delivered within a second, and only then one more replica is asked. Pauses between attempts double up to 1.6 s and differ between processes. Tests: TestLostReplicaIsReplacedByOne, TestReconnectPause; TestChoose knows three states where it knew two: 'none connected' is 'none tried yet' (as many as wanted) and 'all fail' (all are tried, as before).

--- a/feed/choose.go
+++ b/feed/choose.go
@@ -11,14 +11,27 @@
 // minFeeds is the least number of replicas that feed a process, if that many exist.
 const minFeeds = 3
 
-// candidate is a replica that may feed a process.
-type candidate struct {
-	address figbank.Address
-	// sameDomain is set for a replica in the process's own failure domain.
-	sameDomain bool
-	// connected is set for a replica that feeds the process now.
-	connected bool
-}
+// Progress of a feed from a replica.
+const (
+	// feedOpening is a feed that is being opened, or that has not been tried yet.
+	feedOpening feedState = iota
+	// feedConnected is a feed that delivers updates.
+	feedConnected
+	// feedFailing is a feed that was lost, or that did not deliver in time. It is tried again.
+	feedFailing
+)
+
+type (
+	feedState int
+
+	// candidate is a replica that may feed a process.
+	candidate struct {
+		address figbank.Address
+		// sameDomain is set for a replica in the process's own failure domain.
+		sameDomain bool
+		state      feedState
+	}
+)
 
 // wantedFeeds returns how many of the replicas should feed a process that is not itself a replica.
 // A network partition may separate a minority of the replicas from the majority. With one feed more
@@ -31,8 +44,9 @@
 
 // choose lists the replicas that should feed the process self, best first: those in the same
 // failure domain, then the others. Within each group the order depends on self, so that processes
-// spread over the replicas. The list is only as long as needed to contain wanted connected
-// replicas. If fewer are connected, it contains every candidate.
+// spread over the replicas. The list is only as long as needed to contain wanted replicas that do
+// not fail. When a replica is lost, each process that it fed thus connects to one more replica, not
+// to all that are left: newcomers cost the replicas most when one of them is missing.
 func choose(self figbank.ProcessID, candidates []candidate, wanted int) []figbank.Address {
 	ordered := slices.Clone(candidates)
 	slices.SortFunc(ordered, func(a, b candidate) int {
@@ -42,14 +56,14 @@
 		return cmp.Or(cmp.Compare(rendezvousHash(self, a.address), rendezvousHash(self, b.address)), cmp.Compare(a.address, b.address))
 	})
 	var chosen []figbank.Address
-	connected := 0
+	working := 0
 	for _, c := range ordered {
-		if connected == wanted {
+		if working == wanted {
 			break
 		}
 		chosen = append(chosen, c.address)
-		if c.connected {
-			connected++
+		if c.state != feedFailing {
+			working++
 		}
 	}
 	return chosen
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"maps"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -15,8 +15,15 @@
 	"go.uber.org/zap"
 )
 
-// reconnectDelay is the pause between attempts to connect to a replica.
-const reconnectDelay = 200 * time.Millisecond
+const (
+	// reconnectDelay is the pause after the first failed attempt to be fed by a replica. It doubles
+	// with each further failure, up to maxReconnectDelay.
+	reconnectDelay    = 200 * time.Millisecond
+	maxReconnectDelay = 1600 * time.Millisecond
+	// connectPatience is how long a new feed may take to deliver its first update before another
+	// replica is asked too.
+	connectPatience = time.Second
+)
 
 // Subscriber keeps a view up to date. A replica subscribes to every other replica,
 // any other process to a few of them. It is safe for concurrent use.
@@ -35,14 +42,20 @@
 
 	mu    sync.Mutex
 	seeds []figbank.Address
-	// running holds the functions that stop the feeds, by the replicas' addresses.
-	running map[figbank.Address]context.CancelFunc
-	// connected holds, for each replica that feeds this process, the context of its
-	// feed.
-	connected map[figbank.Address]context.Context
-	ctx       context.Context //nolint:containedctx // the subscriber's lifetime; the context of each feed derives from it
-	group     sync.WaitGroup
-	stop      context.CancelFunc
+	// running holds the feeds that are to be kept open, by the replicas' addresses.
+	running map[figbank.Address]*runningFeed
+	ctx     context.Context //nolint:containedctx // the subscriber's lifetime; the context of each feed derives from it
+	group   sync.WaitGroup
+	stop    context.CancelFunc
+}
+
+// runningFeed is the feed from one replica. It goes on over many connections. The subscriber's
+// lock guards state.
+type runningFeed struct {
+	address figbank.Address
+	ctx     context.Context //nolint:containedctx // the feed's lifetime
+	cancel  context.CancelFunc
+	state   feedState
 }
 
 // NewSubscriber returns a Subscriber that runs until Close. seeds are the addresses of replicas
@@ -51,7 +64,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	s := &Subscriber{
 		common: common.Named("feed"), view: view, pool: pool, seeds: seeds, ctx: ctx, stop: stop,
-		running: map[figbank.Address]context.CancelFunc{}, connected: map[figbank.Address]context.Context{},
+		running:    map[figbank.Address]*runningFeed{},
 		refreshNow: make(chan struct{}),
 	}
 	s.self.Store(self)
@@ -98,7 +111,18 @@
 func (s *Subscriber) Connected() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.connected) > 0
+	return s.connectedFeeds() > 0
+}
+
+// connectedFeeds returns how many replicas feed this process. The caller must hold the lock.
+func (s *Subscriber) connectedFeeds() int {
+	count := 0
+	for _, f := range s.running {
+		if f.state == feedConnected {
+			count++
+		}
+	}
+	return count
 }
 
 // membersChanged chooses replicas again when the view's members have changed.
@@ -123,32 +147,44 @@
 		return
 	}
 	for i := range candidates {
-		candidates[i].connected = s.connected[candidates[i].address] != nil
+		if f, found := s.running[candidates[i].address]; found {
+			candidates[i].state = f.state
+		}
 	}
 	chosen := choose(figbank.ProcessID(s.self.Load().GetId()), candidates, wanted)
-	for address, cancel := range s.running {
+	for address, f := range s.running {
 		if !slices.Contains(chosen, address) {
-			cancel()
+			f.cancel()
 			delete(s.running, address)
 		}
 	}
 	for _, address := range chosen {
-		if _, found := s.running[address]; found {
-			continue
+		if _, found := s.running[address]; !found {
+			s.startFeed(address)
 		}
-		ctx, cancel := context.WithCancel(s.ctx) //nolint:gosec // ended with the subscriber, or when no longer chosen
-		s.running[address] = cancel
-		s.group.Go(func() { s.runFeed(ctx, address) })
 	}
 }
 
+// startFeed starts the feed from one replica. The caller must hold the lock.
+func (s *Subscriber) startFeed(address figbank.Address) {
+	ctx, cancel := context.WithCancel(s.ctx) //nolint:gosec // ended with the subscriber, or when no longer chosen
+	f := &runningFeed{address: address, ctx: ctx, cancel: cancel}
+	s.running[address] = f
+	s.group.Go(func() { s.runFeed(f) })
+}
+
 // candidates lists the replicas that are seeds, known members or connected, without
 // this process itself.
 func (s *Subscriber) candidates() []candidate {
 	self := s.self.Load()
 	sameDomain := map[figbank.Address]bool{}
 	s.mu.Lock()
-	addresses := slices.Concat(s.seeds, slices.Collect(maps.Keys(s.connected)))
+	addresses := slices.Clone(s.seeds)
+	for address, f := range s.running {
+		if f.state == feedConnected {
+			addresses = append(addresses, address)
+		}
+	}
 	s.mu.Unlock()
 	for _, member := range s.view.Members() {
 		if member.GetRole() == schema.MemberRole_MEMBER_ROLE_REPLICA {
@@ -167,43 +203,93 @@
 	return list
 }
 
-// runFeed keeps the feed from one replica open until ctx ends.
-func (s *Subscriber) runFeed(ctx context.Context, address figbank.Address) {
-	for ctx.Err() == nil {
-		s.runFeedOnce(ctx, address)
+// runFeed keeps the feed from one replica open until it is stopped.
+func (s *Subscriber) runFeed(f *runningFeed) {
+	go s.limitOpening(f)
+	spread := float64(rendezvousHash(figbank.ProcessID(s.self.Load().GetId()), f.address)) / math.MaxUint64
+	failures := 0
+	for f.ctx.Err() == nil {
+		failures++
+		if s.runFeedOnce(f) {
+			failures = 1
+		}
+		s.setFailing(f)
 		select {
-		case <-ctx.Done():
-		case <-s.common.Clock.After(reconnectDelay):
+		case <-f.ctx.Done():
+		case <-s.common.Clock.After(reconnectPause(failures, spread)):
 		}
 	}
 }
 
-func (s *Subscriber) runFeedOnce(feedCtx context.Context, address figbank.Address) {
-	ctx, cancel := context.WithCancel(feedCtx)
+// reconnectPause returns the pause after a number of failed attempts in a row. spread, from 0 to 1,
+// differs between processes, so that those that lost the same replica do not all return at once.
+func reconnectPause(failures int, spread float64) time.Duration {
+	pause := reconnectDelay
+	for range failures - 1 {
+		pause = min(2*pause, maxReconnectDelay)
+	}
+	return time.Duration((0.75 + spread/2) * float64(pause))
+}
+
+// limitOpening counts a feed as failing if it has not delivered within connectPatience.
+func (s *Subscriber) limitOpening(f *runningFeed) {
+	select {
+	case <-f.ctx.Done():
+		return
+	case <-s.common.Clock.After(connectPatience):
+	}
+	s.mu.Lock()
+	opening := f.state == feedOpening
+	s.mu.Unlock()
+	if opening {
+		s.setFailing(f)
+	}
+}
+
+// setFailing records that a feed is not connected, and chooses another replica in its place.
+func (s *Subscriber) setFailing(f *runningFeed) {
+	s.mu.Lock()
+	known := f.state == feedFailing || f.ctx.Err() != nil
+	f.state = feedFailing
+	s.mu.Unlock()
+	if !known {
+		s.update()
+	}
+}
+
+// runFeedOnce receives updates from a replica over one connection, until that ends. It reports
+// whether there were any.
+func (s *Subscriber) runFeedOnce(f *runningFeed) bool {
+	ctx, cancel := context.WithCancel(f.ctx)
 	defer cancel()
 	openCtx, cancelOpen := context.WithTimeout(ctx, silenceTimeout)
-	stream, err := s.pool.Open(openCtx, address, schema.StreamKind_STREAM_KIND_FEED)
+	stream, err := s.pool.Open(openCtx, f.address, schema.StreamKind_STREAM_KIND_FEED)
 	cancelOpen()
 	if err != nil {
-		return
+		return false
 	}
 	defer stream.Close()
 	defer stream.CloseWhenDone(ctx)()
-	defer s.markDisconnected(feedCtx, address)
 	received := make(chan struct{}, 1)
-	go watchSilence(ctx, func() { s.dropSession(cancel, address) }, s.common.Clock, received)
+	go watchSilence(ctx, func() { s.dropSession(cancel, f.address) }, s.common.Clock, received)
 	go s.refresh(ctx, cancel, stream)
+	delivered := false
 	for {
 		update := &schema.FeedUpdate{}
 		if err := stream.Receive(update); err != nil {
-			return
+			break
 		}
-		if !s.markConnected(feedCtx, address) {
-			return
+		if !s.markConnected(f) {
+			break
 		}
+		delivered = true
 		signal(received)
-		s.view.apply(address, update)
+		s.view.apply(f.address, update)
 	}
+	if delivered {
+		s.disconnected(f)
+	}
+	return delivered
 }
 
 // dropSession closes the session of a feed that receives nothing any more. The session's TCP
@@ -222,10 +308,7 @@
 		s.mu.Lock()
 		refreshNow := s.refreshNow
 		s.mu.Unlock()
-		message := &schema.Subscribe{
-			Member: s.self.Load(), CommitIndex: s.view.Fleet().GetCommitIndex(), Engine: s.engine.Load(),
-		}
-		if err := stream.Send(message); err != nil {
+		if err := stream.Send(s.newRefresh()); err != nil {
 			return
 		}
 		select {
@@ -237,41 +320,47 @@
 	}
 }
 
+// newRefresh describes this process and what it knows.
+func (s *Subscriber) newRefresh() *schema.Subscribe {
+	return &schema.Subscribe{Member: s.self.Load(), CommitIndex: s.view.Fleet().GetCommitIndex(), Engine: s.engine.Load()}
+}
+
 // markConnected records that a feed has received an update. It returns false and records nothing if
 // the feed was stopped, since a newer feed from the same replica may already run.
-func (s *Subscriber) markConnected(feedCtx context.Context, address figbank.Address) bool {
+func (s *Subscriber) markConnected(f *runningFeed) bool {
 	s.mu.Lock()
-	if feedCtx.Err() != nil {
+	if f.ctx.Err() != nil {
 		s.mu.Unlock()
 		return false
 	}
-	before := s.connected[address]
-	s.connected[address] = feedCtx
+	before := f.state
+	f.state = feedConnected
 	s.mu.Unlock()
-	if before == nil {
-		s.common.Log.Info("replica connected", zap.String("replica", string(address)))
+	if before != feedConnected {
+		s.common.Log.Info("replica connected", zap.String("replica", string(f.address)))
 		s.update()
 	}
 	return true
 }
 
-// markDisconnected records that a feed has ended. A process that is not a replica gets the same
-// members from every replica. While such a process is connected to another replica, it removes the
-// list of members from the disconnected one.
-func (s *Subscriber) markDisconnected(feedCtx context.Context, address figbank.Address) {
-	s.mu.Lock()
-	if s.connected[address] != feedCtx {
-		s.mu.Unlock()
-		return
+// disconnected handles the end of a connection that has delivered updates. A process that is not a
+// replica gets the same members from every replica. While such a process is connected to another
+// replica, it removes the list of members from the disconnected one.
+func (s *Subscriber) disconnected(f *runningFeed) {
+	if f.ctx.Err() != nil {
+		s.common.Log.Info("feed closed", zap.String("replica", string(f.address)))
+	} else {
+		s.common.Log.Warn("replica disconnected", zap.String("replica", string(f.address)))
 	}
-	delete(s.connected, address)
-	others := len(s.connected) > 0
+	s.mu.Lock()
+	f.state = feedFailing
+	newer := s.running[f.address]
+	replaced := newer != nil && newer != f && newer.state == feedConnected
+	others := s.connectedFeeds() > 0
 	s.mu.Unlock()
-	if feedCtx.Err() != nil {
-		s.common.Log.Info("feed closed", zap.String("replica", string(address)))
-	} else {
-		s.common.Log.Warn("replica disconnected", zap.String("replica", string(address)))
+	if replaced {
+		return
 	}
-	s.view.disconnect(address, others && s.self.Load().GetRole() != schema.MemberRole_MEMBER_ROLE_REPLICA)
+	s.view.disconnect(f.address, others && s.self.Load().GetRole() != schema.MemberRole_MEMBER_ROLE_REPLICA)
 	s.update()
 }
