replica: a change does not wait for a leader that fell silent (CONFIG)

Cause: each process sends a command first to the replica that led last, and waits 2 s for an answer. Operators give up after one second, so the attempt never ends in a way that the client learns from, and the next call waits again. The process's own replica knows better and was not asked. Its own entry in the list had the process's name where the log knows its replica id, so that a leader did not try itself first. Change: the client asks its replica who leads (replica.WithLeader), goes there first, and leaves an attempt when another leader is known. A replica that does not vote forgets a leader that it does not hear any more. Tests: TestProposalsLeaveALeaderThatIsSilent, seen to fail without the two checks (nothing accepted within 6 s); TestLearnerForgetsALeaderThatIsGone.

--- a/app/platformreplica.go
+++ b/app/platformreplica.go
@@ -164,7 +164,7 @@
 
 // newPlatformProposer returns a client that proposes commands to the replicas in the view, to
 // this process and to the replicas at the seeds.
-func newPlatformProposer(common figbank.Common, s *schema.PlatformSettings, pool *transport.Pool, view *feed.View) figbank.Proposer {
+func newPlatformProposer(common figbank.Common, s *schema.PlatformSettings, pool *transport.Pool, view *feed.View, r logReplica) figbank.Proposer {
 	return replica.NewClient(common, pool, func() []replica.Endpoint {
 		endpoints := []replica.Endpoint{}
 		add := func(id string, address figbank.Address) {
@@ -177,12 +177,12 @@
 				add(member.GetReplicaId(), figbank.Address(member.GetAddress()))
 			}
 		}
-		add(s.GetProcess().GetId(), settings.ProcessAddress(s.GetProcess()))
+		add(r.id, settings.ProcessAddress(s.GetProcess()))
 		for _, seed := range seedAddresses(s) {
 			add(string(seed), seed)
 		}
 		return endpoints
-	})
+	}, replica.WithLeader(r.Leader))
 }
 
 func expireLeases(lifecycle fx.Lifecycle, view *feed.View) {
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -192,16 +192,22 @@
 
 // Tick advances the time. A leader steps down if it has not heard from a quorum within the election
 // timeout, and otherwise sends a heartbeat if one is due. Any other voter starts a pre-vote if its
-// election timeout has passed.
+// election timeout has passed. A replica that does not vote then knows of no leader any more.
 func (n *Node) Tick(now time.Time) {
 	n.now = now
 	if n.role == Leader {
 		n.tickLeader()
 		return
 	}
-	if !now.Before(n.electionDeadline) && n.isVoter() {
+	if now.Before(n.electionDeadline) {
+		return
+	}
+	if n.isVoter() {
 		n.startPreVote()
+		return
 	}
+	n.leader = ""
+	n.resetElectionTimer()
 }
 
 // Step handles one message from another replica.
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
@@ -184,3 +186,22 @@
 		t.Errorf("CommitIndex() = %d, want %d", got, want)
 	}
 }
+
+// A replica that does not vote never campaigns, so it would name a leader that is gone for ever, and
+// send commands there.
+func TestLearnerForgetsALeaderThatIsGone(t *testing.T) {
+	start := time.Unix(1000, 0)
+	node := NewNode("learner", nil, timing, rand.New(rand.NewPCG(1, 1)), PersistentState{}, start)
+	node.Step(start, &schema.RaftMessage{Kind: schema.RaftKind_RAFT_KIND_APPEND, From: "r0", To: "learner", Term: 1})
+	if got := node.Leader(); got != "r0" {
+		t.Fatalf("Leader() = %q, want r0", got)
+	}
+	node.Tick(start.Add(timing.ElectionTimeout / 2))
+	if got := node.Leader(); got != "r0" {
+		t.Errorf("Leader() within the election timeout = %q, want r0", got)
+	}
+	node.Tick(start.Add(2 * timing.ElectionTimeout))
+	if got := node.Leader(); got != "" {
+		t.Errorf("Leader() after the election timeout = %q, want none", got)
+	}
+}
--- a/replica/client.go
+++ b/replica/client.go
@@ -19,6 +19,8 @@
 	// proposeTimeout bounds a whole proposal; an earlier deadline of the caller takes
 	// precedence.
 	proposeTimeout = 5 * time.Second
+	// leaderPollInterval is how often an attempt at a leader checks whether another one is known.
+	leaderPollInterval = 50 * time.Millisecond
 )
 
 type (
@@ -29,9 +31,14 @@
 		common   figbank.Common
 		pool     *transport.Pool
 		replicas func() []Endpoint
+		// observed returns the leader that this process knows from the log itself, or "".
+		observed func() figbank.ProcessID
 		leader   atomic.Value
 	}
 
+	// ClientOption configures a Client under construction.
+	ClientOption func(*Client)
+
 	// Endpoint is the address at which a replica listens.
 	Endpoint struct {
 		ID      figbank.ProcessID
@@ -41,11 +48,24 @@
 
 var _ figbank.Proposer = (*Client)(nil)
 
+// WithLeader tells the client which replica leads, as far as this process knows from the log itself;
+// observed returns "" if it does not know. A leader that is gone without a trace is thus left as
+// soon as there is another.
+func WithLeader(observed func() figbank.ProcessID) ClientOption {
+	return func(c *Client) { c.observed = observed }
+}
+
 // NewClient returns a client of the replicas that the function replicas lists. The
 // list may change between calls.
-func NewClient(common figbank.Common, pool *transport.Pool, replicas func() []Endpoint) *Client {
-	c := &Client{common: common.Named("replica"), pool: pool, replicas: replicas}
+func NewClient(common figbank.Common, pool *transport.Pool, replicas func() []Endpoint, options ...ClientOption) *Client {
+	c := &Client{
+		common: common.Named("replica"), pool: pool, replicas: replicas,
+		observed: func() figbank.ProcessID { return "" },
+	}
 	c.leader.Store(figbank.ProcessID(""))
+	for _, option := range options {
+		option(c)
+	}
 	return c
 }
 
@@ -80,6 +100,9 @@
 func (c *Client) try(ctx context.Context, replica Endpoint, command *schema.Command) (answer *schema.ProposeAnswer, maybeAccepted bool) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
+	if c.presumedLeader() == replica.ID {
+		go c.cancelWhenReplaced(ctx, cancel, replica.ID)
+	}
 	answer = &schema.ProposeAnswer{}
 	sent, err := c.pool.Call(ctx, replica.Address, schema.StreamKind_STREAM_KIND_PROPOSE, command, answer)
 	if err != nil {
@@ -88,6 +111,32 @@
 	return answer, answer.GetUnknown()
 }
 
+// cancelWhenReplaced calls cancel and returns when another replica is known to lead.
+func (c *Client) cancelWhenReplaced(ctx context.Context, cancel context.CancelFunc, leader figbank.ProcessID) {
+	ticks, stop := c.common.Clock.Tick(leaderPollInterval)
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+		}
+		if observed := c.observed(); observed != "" && observed != leader {
+			cancel()
+			return
+		}
+	}
+}
+
+// presumedLeader returns the replica that leads as far as is known, or "".
+func (c *Client) presumedLeader() figbank.ProcessID {
+	if observed := c.observed(); observed != "" {
+		return observed
+	}
+	leader, _ := c.leader.Load().(figbank.ProcessID)
+	return leader
+}
+
 func (c *Client) updateLeader(answer *schema.ProposeAnswer) {
 	if answer.GetLeader() != "" {
 		c.leader.Store(figbank.ProcessID(answer.GetLeader()))
@@ -96,7 +145,7 @@
 
 // leaderFirst lists the replicas, the presumed leader first.
 func (c *Client) leaderFirst() []Endpoint {
-	leader, _ := c.leader.Load().(figbank.ProcessID)
+	leader := c.presumedLeader()
 	ordered := slices.Clone(c.replicas())
 	slices.SortStableFunc(ordered, func(a, b Endpoint) int {
 		switch {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -291,3 +291,41 @@
 		t.Errorf("accepted = %d, want the %d operators who proposed the accepted content", accepted, operators/2)
 	}
 }
+
+// The host of the leader freezes: connections to it stay open and nothing answers. Each call of an
+// operator, who waits a second and then asks again, was spent on waiting for it, though the others
+// had elected another leader long since. The commands come through a replica that knows.
+func TestProposalsLeaveALeaderThatIsSilent(t *testing.T) {
+	const callTimeout, acknowledgeTimeout = time.Second, 6 * time.Second
+	g := newCluster(t)
+	g.mustPublish(1)
+	lost := g.leader()
+	observer := g.members[0]
+	if observer == lost {
+		observer = g.members[1]
+	}
+	var endpoints []Endpoint
+	for _, m := range g.members {
+		endpoints = append(endpoints, Endpoint{ID: m.id, Address: m.address})
+	}
+	client := NewClient(common("operator"), observer.pool, func() []Endpoint { return endpoints },
+		WithLeader(func() figbank.ProcessID { return figbank.ProcessID(observer.replica.Status().GetLeader()) }))
+	if _, err := client.Propose(context.Background(), publish(2)); err != nil {
+		t.Fatalf("Propose() = %v", err)
+	}
+	g.kill(lost)
+	silent, err := net.Listen("tcp", string(lost.address))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = silent.Close() }()
+	for give := time.Now().Add(acknowledgeTimeout); time.Now().Before(give); {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		_, err = client.Propose(ctx, publish(3))
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+	t.Errorf("Propose() = %v within %v after the leader fell silent, want it accepted", err, acknowledgeTimeout)
+}
--- a/replica/supervisor.go
+++ b/replica/supervisor.go
@@ -111,6 +111,15 @@
 	}
 }
 
+// Leader returns the replica that leads as far as this one knows, or "".
+func (s *Supervisor) Leader() figbank.ProcessID {
+	r := s.current.Load()
+	if r == nil {
+		return ""
+	}
+	return figbank.ProcessID(r.Status().GetLeader())
+}
+
 // IsLeader reports whether this replica leads the log.
 func (s *Supervisor) IsLeader() bool {
 	r := s.current.Load()
