transport: the log has a session of its own (CONFIG)

Cause: the log's streams ran on the session that feeds use, and a feed that times out closes that session, whether the replica behind it is dead or only slow. Votes and heartbeats were also queued behind whole copies of the state. Change: streams of the log and proposals use a second session to each process; Drop names the kind of stream whose session it ends. Test: TestDroppedFeedLeavesTheLogItsSession, fails if both kinds share one session.

--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -303,10 +303,11 @@
 }
 
 // dropSession closes the session of a feed that receives nothing any more. The session's TCP
-// connection may be dead without an error. Other streams of the session fail too.
+// connection may be dead without an error. Other streams of the session fail too. The log has a session
+// of its own.
 func (s *Subscriber) dropSession(cancel context.CancelFunc, address figbank.Address) {
 	s.common.Log.Warn("feed timed out", zap.String("replica", string(address)))
-	s.pool.Drop(address)
+	s.pool.Drop(address, schema.StreamKind_STREAM_KIND_FEED)
 	cancel()
 }
 
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -37,19 +37,27 @@
 		meter *Meter
 	}
 
-	// Pool maintains one session to each process that this process connects to. It is safe
-	// for concurrent use.
+	// Pool maintains sessions to the processes that this process connects to: one to each, and a
+	// second one for the streams of the replicated log. Feeds can thus neither hold up the log nor
+	// end its streams. A Pool is safe for concurrent use.
 	Pool struct {
 		common figbank.Common
 		dial   Dialer
 		meter  *Meter
 
 		mu     sync.Mutex
-		peers  map[figbank.Address]*peer
+		peers  map[peerKey]*peer
 		closed bool
 	}
 
-	// peer holds the session to one process. The lock is a channel, so that a goroutine can stop
+	// peerKey names a session to one process.
+	peerKey struct {
+		address figbank.Address
+		// log is set for the session of the replicated log.
+		log bool
+	}
+
+	// peer holds one session to one process. The lock is a channel, so that a goroutine can stop
 	// waiting for it when its context ends, while another goroutine dials.
 	peer struct {
 		lock    chan struct{}
@@ -73,14 +81,14 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	return &Pool{common: common.Named("transport"), dial: o.dial, meter: o.meter, peers: map[figbank.Address]*peer{}}
+	return &Pool{common: common.Named("transport"), dial: o.dial, meter: o.meter, peers: map[peerKey]*peer{}}
 }
 
 // Open starts a stream of the given kind. An error proves that the peer has
 // received no request on the stream. ctx bounds only the time to get a session; it does
 // not end the stream.
 func (p *Pool) Open(ctx context.Context, address figbank.Address, kind schema.StreamKind) (*Stream, error) {
-	session, err := p.session(ctx, address)
+	session, err := p.session(ctx, keyOf(address, kind))
 	if err != nil {
 		return nil, err
 	}
@@ -115,11 +123,11 @@
 	return true, stream.Receive(answer)
 }
 
-// Drop ends the session to one process, so that the next use dials again. It does
-// nothing while another goroutine dials that process.
-func (p *Pool) Drop(address figbank.Address) {
+// Drop ends the session that carries streams of the given kind to one process, so that the next use
+// dials again. It does nothing while another goroutine dials that process.
+func (p *Pool) Drop(address figbank.Address, kind schema.StreamKind) {
 	p.mu.Lock()
-	entry, found := p.peers[address]
+	entry, found := p.peers[keyOf(address, kind)]
 	p.mu.Unlock()
 	if !found {
 		return
@@ -149,12 +157,23 @@
 	}
 }
 
-// session returns the session to one process. It dials if there is no open session.
-func (p *Pool) session(ctx context.Context, address figbank.Address) (*session, error) {
-	entry, err := p.peer(address)
+// keyOf names the session that carries streams of a kind to one process.
+func keyOf(address figbank.Address, kind schema.StreamKind) peerKey {
+	switch kind {
+	case schema.StreamKind_STREAM_KIND_RAFT, schema.StreamKind_STREAM_KIND_PROPOSE:
+		return peerKey{address: address, log: true}
+	default:
+		return peerKey{address: address}
+	}
+}
+
+// session returns a session to one process. It dials if there is no open session.
+func (p *Pool) session(ctx context.Context, key peerKey) (*session, error) {
+	entry, err := p.peer(key)
 	if err != nil {
 		return nil, err
 	}
+	address := key.address
 	select {
 	case entry.lock <- struct{}{}:
 		defer func() { <-entry.lock }()
@@ -181,16 +200,16 @@
 	return session, nil
 }
 
-func (p *Pool) peer(address figbank.Address) (*peer, error) {
+func (p *Pool) peer(key peerKey) (*peer, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, figbank.WrapError("transport", "Closed", net.ErrClosed)
 	}
-	entry, found := p.peers[address]
+	entry, found := p.peers[key]
 	if !found {
 		entry = &peer{lock: make(chan struct{}, 1)}
-		p.peers[address] = entry
+		p.peers[key] = entry
 	}
 	return entry, nil
 }
--- a/transport/reconnecting_stream_test.go
+++ b/transport/reconnecting_stream_test.go
@@ -30,7 +30,7 @@
 		if got := <-received; got != want {
 			t.Errorf("received %q, want %q", got, want)
 		}
-		pool.Drop(address)
+		pool.Drop(address, kind)
 		if err := reopening.Send(t.Context(), &schema.LoadReport{From: "lost"}); err == nil {
 			t.Error("Send() on a failed stream = nil, want an error")
 		}
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -214,7 +214,7 @@
 			}
 			began := time.Now()
 			if side == "pool" {
-				pool.Drop(address)
+				pool.Drop(address, kind)
 			} else {
 				server.Close()
 			}
@@ -225,3 +225,34 @@
 		})
 	}
 }
+
+// A feed that times out drops its session, since the connection may be dead. When a replica is only
+// slow, its followers do so often, and a replica among them must not lose the log's streams too.
+func TestDroppedFeedLeavesTheLogItsSession(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const feed, log = schema.StreamKind_STREAM_KIND_FEED, schema.StreamKind_STREAM_KIND_RAFT
+	server := NewServer(common("server"), listener, Handlers{feed: echo, log: echo})
+	defer server.Close()
+	pool, address := NewPool(common("client")), figbank.Address(listener.Addr().String())
+	defer pool.Close()
+	for _, first := range []schema.StreamKind{feed, log} {
+		stream, err := pool.Open(context.Background(), address, log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := pool.Call(context.Background(), address, first, &schema.InspectRequest{}, &schema.InspectAnswer{}); err != nil {
+			t.Fatal(err)
+		}
+		pool.Drop(address, feed)
+		if err := stream.Send(&schema.InspectRequest{}); err != nil {
+			t.Errorf("Send() on the log's stream after a feed was dropped = %v", err)
+		}
+		if err := stream.Receive(&schema.InspectAnswer{}); err != nil {
+			t.Errorf("Receive() on the log's stream after a feed was dropped = %v", err)
+		}
+		stream.Close()
+	}
+}
