--- a/control/control.go
+++ b/control/control.go
@@ -8,6 +8,7 @@
 
 	"figbank"
 	"figbank/feed"
+	"figbank/registry"
 	"figbank/schema"
 	"figbank/traffic"
 
@@ -28,8 +29,12 @@
 	return &Control{common: common.Named("control"), proposer: proposer, view: view}
 }
 
-// Announce merges an upstream's announcement into the view. The error is always nil.
+// Announce merges an upstream's announcement into the view. It returns an InvalidError if the
+// announcement can't describe an upstream.
 func (c *Control) Announce(_ context.Context, instance *schema.Instance) error {
+	if err := registry.CheckInstance(c.common.Clock.Now(), instance); err != nil {
+		return err
+	}
 	if c.view.Announce(instance) {
 		c.common.Log.Info("upstream changed", zap.String("upstream", instance.GetId()), zap.String("service", instance.GetService()),
 			zap.String("address", instance.GetAddress()), zap.Stringer("state", instance.GetState()),
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -67,7 +67,7 @@
 )
 
 func announce(sequence uint64) *schema.Instance {
-	return &schema.Instance{Id: "i", Address: "u:1", BornUnixMilli: 1, Sequence: sequence, State: schema.InstanceState_INSTANCE_STATE_READY}
+	return &schema.Instance{Id: "i", Service: "s", Address: "u:1", BornUnixMilli: 1, Sequence: sequence, State: schema.InstanceState_INSTANCE_STATE_READY}
 }
 
 // A gateway connected to one replica gets the updates that another replica
--- a/feed/view.go
+++ b/feed/view.go
@@ -16,6 +16,8 @@
 	"figbank/registry"
 	"figbank/schema"
 	"figbank/transport"
+
+	"go.uber.org/zap"
 )
 
 // expireInterval is the interval between checks for expired leases.
@@ -122,7 +124,7 @@
 		return
 	}
 	v.mu.Lock()
-	changed := v.registry.MergeEngine(state)
+	changed := v.registry.MergeEngine(v.common.Clock.Now(), state)
 	v.mu.Unlock()
 	v.notifyOf(changed, false, memberChange{})
 }
@@ -137,10 +139,14 @@
 	now := v.common.Clock.Now()
 	changed := false
 	for _, record := range update.GetInstances() {
+		if err := registry.CheckInstance(now, record); err != nil {
+			v.common.Log.Warn("ignored a record from a feed", zap.String("upstream", record.GetId()), zap.String("replica", string(from)), figbank.ErrorField(err))
+			continue
+		}
 		changed = v.registry.Announce(now, record) || changed
 	}
 	for _, state := range update.GetEngines() {
-		changed = v.registry.MergeEngine(state) || changed
+		changed = v.registry.MergeEngine(now, state) || changed
 	}
 	members := v.members.applyUpdate(from, update)
 	renewed := v.registry.Revision() != before
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -65,9 +65,12 @@
 	return r.revision
 }
 
-// Announce merges one record; it ignores a record that does not supersede the known one.
-// It reports whether anything that affects routing changed.
+// Announce merges one record; it ignores a record that is invalid or does not supersede the known
+// one. It reports whether anything that affects routing changed.
 func (r *Registry) Announce(now time.Time, record *schema.Instance) bool {
+	if CheckInstance(now, record) != nil {
+		return false
+	}
 	id := figbank.UpstreamID(record.GetId())
 	known, found := r.instances[id]
 	if found && !supersedes(record, known.record) {
@@ -109,9 +112,12 @@
 	return expired
 }
 
-// MergeEngine merges an agent's report on its engine. It reports whether anything
-// that affects routing changed.
-func (r *Registry) MergeEngine(state *schema.EngineState) bool {
+// MergeEngine merges an agent's report on its engine; it ignores an invalid one. It reports whether
+// anything that affects routing changed.
+func (r *Registry) MergeEngine(now time.Time, state *schema.EngineState) bool {
+	if CheckEngine(now, state) != nil {
+		return false
+	}
 	address := figbank.Address(state.GetAddress())
 	known, found := r.engines[address]
 	if found && !engineSupersedes(state, known) {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -19,7 +19,7 @@
 var start = time.Unix(1000, 0)
 
 func instance(born int64, sequence uint64, state schema.InstanceState) *schema.Instance {
-	return &schema.Instance{Id: "i", Address: "10.0.0.1:1", BornUnixMilli: born, Sequence: sequence, State: state}
+	return &schema.Instance{Id: "i", Service: "s", Address: "10.0.0.1:1", BornUnixMilli: born, Sequence: sequence, State: state}
 }
 
 func TestStateAfterAnnouncements(t *testing.T) {
@@ -118,7 +118,7 @@
 func TestEngineStateOfAnotherIncarnationIsIgnored(t *testing.T) {
 	r := New(lease)
 	r.Announce(start, instance(2, 1, ready))
-	r.MergeEngine(&schema.EngineState{Address: "10.0.0.1:1", BornUnixMilli: 1, Loaded: &schema.LoadedWeights{Model: "m", Version: 1}})
+	r.MergeEngine(start, &schema.EngineState{Address: "10.0.0.1:1", BornUnixMilli: 1, Loaded: &schema.LoadedWeights{Model: "m", Version: 1}})
 	if got := r.Upstreams()[0].Loaded.GetVersion(); got != 0 {
 		t.Errorf("version = %d, want 0: the report is about an incarnation that has ended", got)
 	}
