--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -28,6 +28,8 @@
 	keepAlive time.Duration
 	// reuseUntil is the time until which the connection may be reused.
 	reuseUntil time.Time
+	// used is set once a response has arrived.
+	used bool
 }
 
 func newConn(pool *Pool, address figbank.Address, netConn net.Conn) *conn {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -51,7 +51,10 @@
 		// Unframed is set if the body ends with the connection, so that its end does not prove that
 		// it is complete.
 		Unframed bool
-		Body     io.ReadCloser
+		// Reused is set if the connection has carried a request before, so that the response may be
+		// a late or repeated one to that request.
+		Reused bool
+		Body   io.ReadCloser
 	}
 )
 
@@ -80,7 +83,8 @@
 	c.parseKeepAlive(response.Header.Get("Keep-Alive"))
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	b := &body{ReadCloser: response.Body, conn: c, reuse: framed && !response.Close && !call.Close, stop: stop, written: written}
-	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Unframed: !framed, Body: b}
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Unframed: !framed, Reused: c.used, Body: b}
+	c.used = true
 	if response.ContentLength == 0 {
 		b.finish()
 	}
