dispatch: a broken stream is continued or cut, never mended with something else (ORDER, MIXED)

Other operators saw: a stream had begun and broke off, the next upstream answered with an error, and callers found the error's text, at times its whole head, in the middle of their stream, or the stream ended as if it were complete. Here: an error with its own status was never passed on inside a stream. But whatever stood between two empty lines was taken for an event, also the head or the text of an error that an upstream writes into a stream; an unframed stream that ends at once looked like the rest of the broken one; and events that began again, or left some out, were passed on. Cause: events were forwarded without a look at what they are and where they belong. What does not continue the stream ends the attempt; the next upstream is asked for what comes after the last event, or the stream is cut visibly. An unframed stream without events is no end of a stream that has begun.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -108,7 +108,7 @@
 	defer cancel()
 	d.budgets.For(request.Service).Deposit()
 	r := &run{
-		Dispatcher: d, request: request, response: response, tried: map[figbank.UpstreamID]bool{}, lastEvent: request.LastEvent,
+		Dispatcher: d, request: request, response: response, tried: map[figbank.UpstreamID]bool{}, lastEvent: request.LastEvent, order: newEventOrder(request.LastEvent),
 		log:      d.common.Log.With(zap.String("request", string(request.ID))),
 		identity: identityOf(request),
 	}
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -30,7 +30,7 @@
 // next returns the bytes of the next complete event, and its id if it has one. The
 // bytes are valid until the next call. It returns io.EOF when the stream ends after a
 // complete event or is empty, IncompleteAnswerError when it ends inside an event or cannot
-// be read, and ProtocolError when an event is too long.
+// be read, and ProtocolError when an event is too long or is none.
 func (r *eventReader) next() (event []byte, id string, err error) {
 	r.event.Reset()
 	for {
@@ -48,9 +48,13 @@
 		case err != nil:
 			return nil, "", figbank.IncompleteAnswerError{Detail: err.Error()}
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return r.event.Bytes(), eventID(r.event.Bytes()), nil
+		if len(bytes.TrimRight(line, "\r\n")) > 0 {
+			continue
+		}
+		if !wellFormed(r.event.Bytes()) {
+			return nil, "", figbank.ProtocolError{Detail: "bytes in the stream are no event"}
 		}
+		return r.event.Bytes(), eventID(r.event.Bytes()), nil
 	}
 }
 
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -71,7 +71,7 @@
 	events := newEventReader(answer.Body)
 	for {
 		event, id, err := events.next()
-		if errors.Is(err, io.EOF) && answer.Unframed && r.lastEvent == "" && !r.response.Started() {
+		if errors.Is(err, io.EOF) && answer.Unframed && r.events == 0 && (r.response.Started() || r.lastEvent == "") {
 			// The upstream may have ended right after the head.
 			return figbank.IncompleteAnswerError{Detail: "stream ended with the connection before its first event"}
 		}
@@ -82,6 +82,9 @@
 		if err != nil {
 			return err
 		}
+		if err := r.order.check(id); err != nil {
+			return err
+		}
 		r.recordEvent()
 		r.startEvents(answer)
 		if err := r.response.Write(event); err != nil {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -33,6 +33,8 @@
 		outcome retry.Outcome
 		// lastEvent is the id of the last event that the caller has received.
 		lastEvent string
+		// order checks the ids of the events that the caller receives.
+		order eventOrder
 		// failedAnswer is a complete error answer of an upstream. It goes to the caller
 		// when no later attempt succeeds.
 		failedAnswer *bufferedAnswer
