dispatch: one switch over what an event's id may be

Cause: the linter takes the early return for a swallowed error. Change: a case of the switch, with the reason. Result: golangci-lint 0 issues, TestEventOrder and TestBrokenStreamIsContinuedOrCut pass.

--- a/dispatch/eventorder.go
+++ b/dispatch/eventorder.go
@@ -33,10 +33,9 @@
 // come before, or if one is missing. It accepts events without a number.
 func (o *eventOrder) check(id string) error {
 	number, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return nil
-	}
 	switch {
+	case err != nil:
+		return nil //nolint:nilerr // ids need not be numbers
 	case !o.known:
 		o.known, o.consecutive = true, true
 		o.steps = 0
