--- a/feed/members.go
+++ b/feed/members.go
@@ -23,9 +23,9 @@
 		subscribers map[figbank.ProcessID]*subscriberEntry
 		lists       map[figbank.Address]*memberList
 		// known holds all known processes.
-		known *roster
-		// rosters holds the members that subscribers with each role need.
-		rosters map[schema.MemberRole]*roster
+		known *versionedMembers
+		// byRole holds the members that subscribers with each role need.
+		byRole map[schema.MemberRole]*versionedMembers
 	}
 
 	// subscriberEntry is a process that subscribes to this one, with its newest stream.
@@ -53,22 +53,22 @@
 func newMemberTable() *memberTable {
 	r := &memberTable{
 		subscribers: map[figbank.ProcessID]*subscriberEntry{}, lists: map[figbank.Address]*memberList{},
-		known: newRoster(), rosters: map[schema.MemberRole]*roster{},
+		known: newVersionedMembers(), byRole: map[schema.MemberRole]*versionedMembers{},
 	}
 	for _, role := range subscriberRoles {
-		r.rosters[role] = newRoster()
+		r.byRole[role] = newVersionedMembers()
 	}
 	return r
 }
 
-// rosterFor returns the members that a subscriber with a role needs. A replica gets only the
+// membersFor returns the members that a subscriber with a role needs. A replica gets only the
 // subscribers of this process, since it also subscribes to every other replica. Other processes
 // get all replicas and all members of their own role.
-func (r *memberTable) rosterFor(role schema.MemberRole) *roster {
-	if needed, found := r.rosters[role]; found {
+func (r *memberTable) membersFor(role schema.MemberRole) *versionedMembers {
+	if needed, found := r.byRole[role]; found {
 		return needed
 	}
-	return r.rosters[schema.MemberRole_MEMBER_ROLE_GATEWAY]
+	return r.byRole[schema.MemberRole_MEMBER_ROLE_GATEWAY]
 }
 
 func (r *memberTable) addSubscriber(member *schema.Member, stream *transport.Stream) memberChange {
@@ -144,13 +144,13 @@
 	return r.refresh(slices.Collect(maps.Keys(list.members)))
 }
 
-// refresh updates the rosters after what is known of some members may have changed.
+// refresh updates the lists for readers after what is known of some members may have changed.
 func (r *memberTable) refresh(ids []string) memberChange {
 	var change memberChange
 	for _, id := range ids {
 		change.known = r.known.set(id, r.find(id)) || change.known
 		for _, role := range subscriberRoles {
-			if r.rosters[role].set(id, r.neededBy(role, id)) && !slices.Contains(change.roles, role) {
+			if r.byRole[role].set(id, r.neededBy(role, id)) && !slices.Contains(change.roles, role) {
 				change.roles = append(change.roles, role)
 			}
 		}
--- a/feed/members_test.go
+++ b/feed/members_test.go
@@ -89,7 +89,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			after := proto.CloneOf(before)
 			c.change(after)
-			r := newRoster()
+			r := newVersionedMembers()
 			r.set("a", before)
 			sent := r.revision
 			r.set("a", after)
@@ -118,7 +118,7 @@
 	}
 	for _, s := range scenarios {
 		var got []string
-		for id := range r.rosterFor(s.role).members {
+		for id := range r.membersFor(s.role).members {
 			got = append(got, id)
 		}
 		slices.Sort(got)
--- a/feed/server.go
+++ b/feed/server.go
@@ -31,7 +31,7 @@
 	member      *schema.Member
 	cursor      registry.Cursor
 	commitIndex uint64
-	// sentMembers is the revision of the roster that has been sent. sentAny is set once the
+	// sentMembers is the revision of the members that has been sent. sentAny is set once the
 	// first update has been built.
 	sentMembers changelog.Revision
 	sentAny     bool
@@ -150,7 +150,7 @@
 	s.cursor = v.registry.Revision()
 	update.Instances = changes.Instances
 	update.Engines = changes.Engines
-	needed := v.members.rosterFor(role)
+	needed := v.members.membersFor(role)
 	needed.fill(update, s.sentMembers, !s.sentAny)
 	s.sentMembers, s.sentAny = needed.revision, true
 	return update
--- a/feed/roster.go
+++ b/feed/versionedmembers.go
@@ -5,21 +5,21 @@
 	"figbank/schema"
 )
 
-// roster is a list of members for one kind of reader, with a log of its changes. It is not safe
+// versionedMembers is a list of members for one kind of reader, with a log of its changes. It is not safe
 // for concurrent use.
-type roster struct {
+type versionedMembers struct {
 	members  map[string]*schema.Member
 	revision changelog.Revision
 	changes  changelog.Log[string]
 }
 
-func newRoster() *roster {
-	return &roster{members: map[string]*schema.Member{}}
+func newVersionedMembers() *versionedMembers {
+	return &versionedMembers{members: map[string]*schema.Member{}}
 }
 
 // set stores a member under an id, or removes it if member is nil. It reports whether the
 // list changed.
-func (r *roster) set(id string, member *schema.Member) bool {
+func (r *versionedMembers) set(id string, member *schema.Member) bool {
 	known, found := r.members[id]
 	switch {
 	case member == nil && !found, member != nil && found && sameMember(known, member):
@@ -36,7 +36,7 @@
 
 // fill adds to update what has changed since a revision: the whole list for a reader that has
 // none yet, or is too far behind.
-func (r *roster) fill(update *schema.FeedUpdate, since changelog.Revision, first bool) {
+func (r *versionedMembers) fill(update *schema.FeedUpdate, since changelog.Revision, first bool) {
 	ids, complete := r.changes.Since(since)
 	if first || !complete {
 		update.AllMembers = true
