feed: slow replicas are given time, and one's own pause is no silence (CONFIG, RECOVER)

Cause: a process asked a further replica for each new feed that took a second, so all asked all, at the moment when replicas had the least time; attempts were given up after 1.8 s and begun anew. Change: a process that some replica feeds waits 5 s for a new feed; one that none feeds asks one more after 1 s, the next after 2 s (openedLate, pure); a feed is not given up on a timer that fired late, once (ranLate, pure). Tests: TestOpenedLate, TestOwnPauseIsNoSilence, TestSilenceEndsAFeed.

--- a/feed/server.go
+++ b/feed/server.go
@@ -17,8 +17,6 @@
 const (
 	// keepAliveInterval is the longest pause between messages, in both directions.
 	keepAliveInterval = 500 * time.Millisecond
-	// silenceTimeout is how long a feed may receive nothing before it counts as lost.
-	silenceTimeout = 1800 * time.Millisecond
 	// minUpdateInterval is the shortest time between two updates. Changes that come
 	// close together are sent in one update.
 	minUpdateInterval = 20 * time.Millisecond
@@ -45,7 +43,7 @@
 	defer cancel()
 	defer stream.CloseWhenDone(ctx)()
 	received := make(chan struct{}, 1)
-	go watchSilence(ctx, cancel, v.common.Clock, received)
+	go watchSilence(ctx, cancel, v.common.Clock, received, silenceTimeout)
 	opening := admit(stream)
 	if opening.GetMember().GetId() == "" {
 		return
@@ -155,25 +153,3 @@
 	s.sentMembers, s.sentAny = needed.revision, true
 	return update
 }
-
-// watchSilence calls cancel and returns when nothing has arrived on received for silenceTimeout.
-func watchSilence(ctx context.Context, cancel context.CancelFunc, clock figbank.Clock, received <-chan struct{}) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-received:
-		case <-clock.After(silenceTimeout):
-			cancel()
-			return
-		}
-	}
-}
-
-// signal tells watchSilence that a message was received. It never blocks.
-func signal(received chan<- struct{}) {
-	select {
-	case received <- struct{}{}:
-	default:
-	}
-}
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -20,8 +20,8 @@
 	// with each further failure, up to maxReconnectDelay.
 	reconnectDelay    = 200 * time.Millisecond
 	maxReconnectDelay = 1600 * time.Millisecond
-	// connectPatience is how long a new feed may take to deliver its first update before another
-	// replica is asked too.
+	// connectPatience is how long a process that no replica feeds waits for the first update of a
+	// new feed before it asks another replica too. It doubles with each one that it asks.
 	connectPatience = time.Second
 )
 
@@ -44,6 +44,10 @@
 	seeds []figbank.Address
 	// running holds the feeds that are to be kept open, by the replicas' addresses.
 	running map[figbank.Address]*runningFeed
+	// asked counts the replicas that were asked because others did not deliver in time, since a
+	// replica last fed this process. askedAt is when the last of them was.
+	asked   int
+	askedAt time.Time
 	ctx     context.Context //nolint:containedctx // the subscriber's lifetime; the context of each feed derives from it
 	group   sync.WaitGroup
 	stop    context.CancelFunc
@@ -231,18 +235,32 @@
 	return time.Duration((0.75 + spread/2) * float64(pause))
 }
 
-// limitOpening counts a feed as failing if it has not delivered within connectPatience.
+// limitOpening counts a feed as failing if it does not deliver in time, so that another replica is
+// asked.
 func (s *Subscriber) limitOpening(f *runningFeed) {
-	select {
-	case <-f.ctx.Done():
-		return
-	case <-s.common.Clock.After(connectPatience):
-	}
-	s.mu.Lock()
-	opening := f.state == feedOpening
-	s.mu.Unlock()
-	if opening {
-		s.setFailing(f)
+	began := s.common.Clock.Now()
+	for {
+		select {
+		case <-f.ctx.Done():
+			return
+		case <-s.common.Clock.After(connectPatience):
+		}
+		s.mu.Lock()
+		now := s.common.Clock.Now()
+		opening := f.state == feedOpening
+		late := opening && openedLate(openingFeed{
+			waited: now.Sub(began), sinceAsked: now.Sub(s.askedAt), asked: s.asked, connected: s.connectedFeeds(),
+		})
+		if late {
+			s.asked, s.askedAt = s.asked+1, now
+		}
+		s.mu.Unlock()
+		if late {
+			s.setFailing(f)
+		}
+		if late || !opening {
+			return
+		}
 	}
 }
 
@@ -271,7 +289,7 @@
 	defer stream.Close()
 	defer stream.CloseWhenDone(ctx)()
 	received := make(chan struct{}, 1)
-	go watchSilence(ctx, func() { s.dropSession(cancel, f.address) }, s.common.Clock, received)
+	go watchSilence(ctx, func() { s.dropSession(cancel, f.address) }, s.common.Clock, received, openTimeout)
 	if err := stream.Send(s.newRefresh()); err != nil {
 		return false
 	}
@@ -281,7 +299,6 @@
 		if err := stream.Receive(update); err != nil {
 			break
 		}
-		signal(received)
 		if !admitted {
 			// The replica goes on once it hears that this process still waits for it.
 			admitted = true
@@ -294,6 +311,7 @@
 			break
 		}
 		delivered = true
+		signal(received)
 		s.view.apply(f.address, update)
 	}
 	if delivered {
@@ -346,6 +364,7 @@
 	}
 	before := f.state
 	f.state = feedConnected
+	s.asked = 0
 	s.mu.Unlock()
 	if before != feedConnected {
 		s.common.Log.Info("replica connected", zap.String("replica", string(f.address)))
