transport: a silent session of the log is noticed within two seconds (CONFIG)

The log's messages flow in one direction and have no timeout, so the session's own probe would have found it after 15 s, with the log perhaps without a leader meanwhile. Change: sessions of the log are probed every 0.5 s and are lost when an answer takes 1.5 s. Test: TestSilentSessionOfTheLogIsReplaced, fails with the probes of other sessions.

--- a/transport/pool.go
+++ b/transport/pool.go
@@ -15,10 +15,8 @@
 )
 
 const (
-	dialTimeout       = 2 * time.Second
-	keepAliveInterval = 5 * time.Second
-	writeTimeout      = 10 * time.Second
-	closeTimeout      = 30 * time.Second
+	dialTimeout  = 2 * time.Second
+	closeTimeout = 30 * time.Second
 	// streamWindow is the smallest window that yamux allows, in bytes. Packages that transfer large
 	// bodies bound memory with their own credits.
 	streamWindow  = 256 << 10
@@ -189,7 +187,11 @@
 	if err != nil {
 		return nil, figbank.WrapError("transport", "Dial", err, "address", address)
 	}
-	session, err := newSession(p.common.Clock, conn, yamux.Client)
+	probes := defaultProbes
+	if key.log {
+		probes = logProbes
+	}
+	session, err := newSession(p.common.Clock, conn, yamux.Client, probes)
 	if err != nil {
 		return nil, figbank.WrapError("transport", "Session", err, "address", address)
 	}
@@ -231,12 +233,12 @@
 	return dialer.DialContext(ctx, "tcp", string(address))
 }
 
-func sessionConfig() *yamux.Config {
+func sessionConfig(probes keepAlive) *yamux.Config {
 	config := yamux.DefaultConfig()
 	config.AcceptBacklog = acceptBacklog
 	// A session has a keep-alive of its own.
 	config.EnableKeepAlive = false
-	config.ConnectionWriteTimeout = writeTimeout
+	config.ConnectionWriteTimeout = probes.timeout
 	config.StreamCloseTimeout = closeTimeout
 	config.MaxStreamWindowSize = streamWindow
 	config.LogOutput = io.Discard
--- a/transport/server.go
+++ b/transport/server.go
@@ -66,7 +66,7 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	session, err := newSession(s.common.Clock, conn, yamux.Server)
+	session, err := newSession(s.common.Clock, conn, yamux.Server, defaultProbes)
 	if err != nil {
 		return
 	}
--- a/transport/session.go
+++ b/transport/session.go
@@ -14,7 +14,22 @@
 // readFailTimeout bounds how long a failed write waits for the goroutine that reads.
 const readFailTimeout = time.Second
 
+var (
+	// defaultProbes are for sessions whose streams have timeouts of their own.
+	defaultProbes = keepAlive{interval: 5 * time.Second, timeout: 10 * time.Second}
+	// logProbes are for the sessions of the replicated log. Its messages flow in one direction, so
+	// that only a probe shows that a connection is dead without an error. Until then the log's
+	// messages are lost.
+	logProbes = keepAlive{interval: 500 * time.Millisecond, timeout: 1500 * time.Millisecond}
+)
+
 type (
+	// keepAlive says how often a session probes its peer, and how long an answer, or a write, may
+	// take before the session is lost.
+	keepAlive struct {
+		interval, timeout time.Duration
+	}
+
 	// session is a yamux session. Its Close, and a failed write or keep-alive, end it by closing
 	// the connection, so that only the goroutine that reads from the connection shuts the session
 	// down. yamux wakes the readers of all streams first and then, if another goroutine shuts the
@@ -42,15 +57,15 @@
 )
 
 // newSession starts a session on a connection.
-func newSession(clock figbank.Clock, conn net.Conn, start startFunc) (*session, error) {
+func newSession(clock figbank.Clock, conn net.Conn, start startFunc, probes keepAlive) (*session, error) {
 	wrapped := &sessionConn{Conn: conn, clock: clock, closed: make(chan struct{}), readFailed: make(chan struct{})}
-	started, err := start(wrapped, sessionConfig())
+	started, err := start(wrapped, sessionConfig(probes))
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
 	s := &session{Session: started, conn: wrapped}
-	go s.keepAlive(clock)
+	go s.probe(clock, probes.interval)
 	return s, nil
 }
 
@@ -69,9 +84,9 @@
 	}
 }
 
-// keepAlive ends the session when the peer does not answer a ping.
-func (s *session) keepAlive(clock figbank.Clock) {
-	ticks, stop := clock.Tick(keepAliveInterval)
+// probe ends the session when the peer does not answer a ping in time.
+func (s *session) probe(clock figbank.Clock, interval time.Duration) {
+	ticks, stop := clock.Tick(interval)
 	defer stop()
 	for {
 		select {
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -256,3 +256,64 @@
 		stream.Close()
 	}
 }
+
+// silentConn is a connection on which nothing is carried any more once silent is closed, in either
+// direction and without an error.
+type silentConn struct {
+	net.Conn
+	silent chan struct{}
+}
+
+// Write drops the bytes of a silent connection.
+func (c silentConn) Write(b []byte) (int, error) {
+	select {
+	case <-c.silent:
+		return len(b), nil
+	default:
+		return c.Conn.Write(b)
+	}
+}
+
+// The connection that carries the log's messages goes silent for good, while new ones work. The feeds
+// used to notice it, as long as they shared the log's session. Until it is replaced, the other replica
+// hears nothing, and the log may have no leader.
+func TestSilentSessionOfTheLogIsReplaced(t *testing.T) {
+	const replaceTimeout = 4 * time.Second
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const log = schema.StreamKind_STREAM_KIND_RAFT
+	received := make(chan struct{}, 1000)
+	server := NewServer(common("server"), listener, Handlers{log: func(_ context.Context, _ figbank.ProcessID, stream *Stream) {
+		for stream.Receive(&schema.InspectRequest{}) == nil {
+			received <- struct{}{}
+		}
+	}})
+	defer server.Close()
+	silent, dials := make(chan struct{}), 0
+	pool := NewPool(common("client"), WithDialer(func(ctx context.Context, address figbank.Address) (net.Conn, error) {
+		conn, err := dialTCP(ctx, address)
+		if dials++; dials == 1 && err == nil {
+			conn = silentConn{Conn: conn, silent: silent}
+		}
+		return conn, err
+	}))
+	defer pool.Close()
+	stream := pool.NewReconnectingStream(figbank.Address(listener.Addr().String()), log, time.Second)
+	defer stream.Close()
+	if err := stream.Send(context.Background(), &schema.InspectRequest{}); err != nil {
+		t.Fatal(err)
+	}
+	<-received
+	close(silent)
+	for give := time.Now().Add(replaceTimeout); time.Now().Before(give); time.Sleep(50 * time.Millisecond) {
+		_ = stream.Send(context.Background(), &schema.InspectRequest{})
+		select {
+		case <-received:
+			return
+		default:
+		}
+	}
+	t.Errorf("no message arrived within %v after the connection went silent", replaceTimeout)
+}
