feed: a late process waits half a second for unread messages, not the whole timeout again

Change: after a timer that fired late a feed gets 0.5 s more, and a timer is late from 0.2 s on. Result: go test -race ./feed passes.

--- a/feed/silence.go
+++ b/feed/silence.go
@@ -15,12 +15,14 @@
 	// overloaded replica work for nobody.
 	openTimeout = 5 * time.Second
 	// maxTimerDelay is how late a timer may fire while the process runs normally.
-	maxTimerDelay = 100 * time.Millisecond
+	maxTimerDelay = 200 * time.Millisecond
+	// unreadGrace is how long a process that has not run waits for what its peers sent meanwhile.
+	unreadGrace = 500 * time.Millisecond
 )
 
 // watchSilence calls cancel and returns when nothing has arrived on received for a timeout: first, and
 // silenceTimeout after the first message. If this process itself has not run for part of that time, it
-// waits once more.
+// waits for unreadGrace more.
 func watchSilence(ctx context.Context, cancel context.CancelFunc, clock figbank.Clock, received <-chan struct{}, first time.Duration) {
 	timeout, repeated := first, false
 	for {
@@ -35,7 +37,7 @@
 				cancel()
 				return
 			}
-			repeated = true
+			timeout, repeated = unreadGrace, true
 		}
 	}
 }
