--- a/measure/lostreplica_test.go
+++ b/feed/manyfollowers/lostreplica_test.go
@@ -1,4 +1,7 @@
-package measure
+// Package manyfollowers tests replicas under as many followers as a large deployment has, with as
+// little processor time. Its tests run in real time without the race detector, which takes ten times
+// as much of it.
+package manyfollowers
 
 import (
 	"context"
@@ -10,13 +13,18 @@
 	"time"
 
 	"figbank"
+	"figbank/clock"
 	"figbank/configuration"
 	"figbank/fake"
 	"figbank/feed"
 	"figbank/raft"
 	"figbank/replica"
 	"figbank/schema"
+	"figbank/timeline"
 	"figbank/transport"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
 )
 
 const (
@@ -124,6 +132,14 @@
 	return c.Conn.Write(b)
 }
 
+func newCommon(id string) figbank.Common {
+	process := figbank.ProcessID(id)
+	return figbank.Common{
+		Process: process, Log: zap.NewNop(), Clock: clock.System{}, Scope: tally.NoopScope,
+		Recorder: timeline.NewRecorder(process, clock.System{}, 16),
+	}
+}
+
 // newReplicaFleet starts replicas of one log, and the processes that follow their feeds.
 func newReplicaFleet(t *testing.T) *replicaFleet {
 	t.Helper()
