--- a/review/_cases/cluster.go
+++ b/review/_cases/cluster.go
@@ -117,7 +117,9 @@
 	replicas []*process
 	gateways []*process
 	agents   []*process
-	record   *recorder
+	// gone are replicas that were ended for good.
+	gone   []*process
+	record *recorder
 }
 
 func (c *cluster) ip(n int) string {
@@ -236,7 +238,7 @@
 }
 
 func (c *cluster) processes() []*process {
-	return slices.Concat(c.replicas, c.gateways, c.agents)
+	return slices.Concat(c.replicas, c.gateways, c.agents, c.gone)
 }
 
 func (c *cluster) start() error {
--- a/review/_cases/worker.go
+++ b/review/_cases/worker.go
@@ -31,7 +31,16 @@
 	cutFromControl bool
 	// saysLeaving adds Server-Leaving to all answers.
 	saysLeaving bool
-	runs        []workerRun
+	// refusesUntil makes it turn all requests away until then, with Retry-After.
+	refusesUntil time.Time
+	refusals     []refusal
+	runs         []workerRun
+}
+
+// refusal is one request that a worker turned away with Retry-After.
+type refusal struct {
+	at      time.Time
+	gateway string
 }
 
 // workerRun is one request that a worker ran.
@@ -181,6 +190,15 @@
 		response.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if left := time.Until(w.refusesUntil); left > 0 {
+		w.refusals = append(w.refusals, refusal{at: arrived, gateway: r.Header.Get("Sent-To")})
+		w.mu.Unlock()
+		w.cluster.record.line("worker %s turns %s away for %.1f s (taken by %s)", w.id, id, left.Seconds(), r.Header.Get("Sent-To"))
+		header.Set("Not-Executed", "1")
+		header.Set("Retry-After", strconv.FormatFloat(left.Seconds(), 'f', 1, 64))
+		response.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if w.running >= serviceSlots {
 		w.mu.Unlock()
 		header.Set("Not-Executed", "1")
