Voters: what a lost replica last reported no longer proves who runs

One replica was replaced, another wiped and later replaced too, under one leader. The leader then proposed a learner that was gone, over and over; the third voter never came, and the next single loss left reads and changes of the configuration unanswered for good.

Cause: a replica keeps the last list of each lost replica, to have addresses to try after a partition. The voters were decided from that list too. It named the wiped host's first id, which proved that its second life had lost its disk, and was preferred as the spare since it was at the same address. Beside it, a replica that was never heard from counted as heard from just now, so in a short log it could have become a voter; and the silence of a learner outlived its removal.

Change: feed.View tells CurrentMembers from Members. voters.Replica.LastKnown marks what only a lost replica reported: it proves no lost disk, no spare, no departure, only the failure domain of an address. A voter that answers has its disk. A learner votes only after it has answered this leader; one that never did comes after the other spares for 10 s. The count of gateways was taken from the same list and uses current members now; members but replicas leave lists that are 10 s old.

The existing cases of TestNextMembership now state contacts explicitly: a learner that is to be promoted has answered, a voter whose address is reused has been silent for over 0.5 s.

--- a/app/platformreplica.go
+++ b/app/platformreplica.go
@@ -122,17 +122,22 @@
 }
 
 // knownReplicas returns this replica and the other replicas in the view whose replica id is
-// known.
+// known. Those that only a lost process has reported are marked.
 func knownReplicas(view *feed.View, self figbank.ProcessID, s *schema.PlatformSettings) []voters.Replica {
 	replicas := []voters.Replica{{
 		ID: self, Address: settings.ProcessAddress(s.GetProcess()),
 		Domain: figbank.FailureDomain(s.GetProcess().GetFailureDomain()),
 	}}
+	current := map[string]bool{}
+	for _, member := range view.CurrentMembers() {
+		current[member.GetId()] = true
+	}
 	for _, member := range view.Members() {
 		if member.GetRole() == schema.MemberRole_MEMBER_ROLE_REPLICA && member.GetReplicaId() != "" && member.GetId() != s.GetProcess().GetId() {
 			replicas = append(replicas, voters.Replica{
 				ID: figbank.ProcessID(member.GetReplicaId()), Address: figbank.Address(member.GetAddress()),
 				Domain: figbank.FailureDomain(member.GetFailureDomain()), Leaving: member.GetLeaving(),
+				LastKnown: !current[member.GetId()],
 			})
 		}
 	}
--- a/control/gateways.go
+++ b/control/gateways.go
@@ -68,10 +68,10 @@
 	}
 }
 
-// listedGateways counts the gateways among the members of the view.
+// listedGateways counts the gateways that subscribe to a running replica.
 func (c *Control) listedGateways() int64 {
 	listed := int64(0)
-	for _, member := range c.view.Members() {
+	for _, member := range c.view.CurrentMembers() {
 		if member.GetRole() == schema.MemberRole_MEMBER_ROLE_GATEWAY {
 			listed++
 		}
--- a/feed/members.go
+++ b/feed/members.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -11,6 +12,10 @@
 	"figbank/transport"
 )
 
+// staleListTime is how long the members in the list of a lost replica are kept. By then, those that
+// still run have subscribed to other replicas.
+const staleListTime = 10 * time.Second
+
 // subscriberRoles are the roles of processes that subscribe to feeds.
 var subscriberRoles = []schema.MemberRole{
 	schema.MemberRole_MEMBER_ROLE_REPLICA, schema.MemberRole_MEMBER_ROLE_GATEWAY, schema.MemberRole_MEMBER_ROLE_AGENT,
@@ -39,6 +44,8 @@
 	memberList struct {
 		members map[string]*schema.Member
 		stale   bool
+		// staleSince is when that replica last stopped feeding this process.
+		staleSince time.Time
 	}
 
 	// memberChange tells whose lists of members a change has altered.
@@ -130,20 +137,38 @@
 }
 
 // disconnect marks the list of a replica that no longer feeds this process as stale. The list
-// remains until that replica sends another. If drop is set, disconnect removes the list, because
-// other replicas report the same members.
-func (r *memberTable) disconnect(from figbank.Address, drop bool) memberChange {
+// remains until that replica sends another, or dropStale removes its members. If drop is set,
+// disconnect removes the list, because other replicas report the same members.
+func (r *memberTable) disconnect(now time.Time, from figbank.Address, drop bool) memberChange {
 	list, found := r.lists[from]
 	if !found {
 		return memberChange{}
 	}
-	list.stale = true
+	list.stale, list.staleSince = true, now
 	if drop {
 		delete(r.lists, from)
 	}
 	return r.refresh(slices.Collect(maps.Keys(list.members)))
 }
 
+// dropStale removes the members in lists that have been stale for staleListTime. Replicas stay: this
+// process may have no other way to learn their addresses once a network partition ends.
+func (r *memberTable) dropStale(now time.Time) memberChange {
+	var dropped []string
+	for _, list := range r.lists {
+		if !list.stale || now.Sub(list.staleSince) < staleListTime {
+			continue
+		}
+		for id, member := range list.members {
+			if member.GetRole() != schema.MemberRole_MEMBER_ROLE_REPLICA {
+				delete(list.members, id)
+				dropped = append(dropped, id)
+			}
+		}
+	}
+	return r.refresh(dropped)
+}
+
 // refresh updates the lists for readers after what is known of some members may have changed.
 func (r *memberTable) refresh(ids []string) memberChange {
 	var change memberChange
@@ -180,6 +205,19 @@
 	return newest
 }
 
+// isCurrent reports whether a member subscribes to this process, or to a replica that feeds it now.
+func (r *memberTable) isCurrent(id string) bool {
+	if _, found := r.subscribers[figbank.ProcessID(id)]; found {
+		return true
+	}
+	for _, list := range r.lists {
+		if _, found := list.members[id]; found && !list.stale {
+			return true
+		}
+	}
+	return false
+}
+
 // neededBy returns the member with an id if subscribers with the role need it, otherwise nil.
 func (r *memberTable) neededBy(role schema.MemberRole, id string) *schema.Member {
 	if role == schema.MemberRole_MEMBER_ROLE_REPLICA {
@@ -195,6 +233,17 @@
 	return nil
 }
 
+// merge returns a change that has altered all that either of both changes has.
+func (c memberChange) merge(other memberChange) memberChange {
+	merged := memberChange{known: c.known || other.known, roles: slices.Clone(c.roles)}
+	for _, role := range other.roles {
+		if !slices.Contains(merged.roles, role) {
+			merged.roles = append(merged.roles, role)
+		}
+	}
+	return merged
+}
+
 // sameMember reports whether a and b describe a process in the same way.
 func sameMember(a, b *schema.Member) bool {
 	return a == b || proto.Equal(a, b)
--- a/feed/members_test.go
+++ b/feed/members_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"figbank/schema"
 
@@ -39,7 +40,7 @@
 		},
 		{
 			name: "the list of a disconnected replica stays", want: []string{"b=1", "c=1"},
-			act: func(r *memberTable) memberChange { return r.disconnect("r1", false) },
+			act: func(r *memberTable) memberChange { return r.disconnect(time.Unix(100, 0), "r1", false) },
 		},
 		{
 			name: "a current list takes precedence over a stale one", changed: true, want: []string{"b=2", "c=1"},
@@ -53,7 +54,7 @@
 		},
 		{
 			name: "a list is removed when other replicas report its members", changed: true, want: nil,
-			act: func(r *memberTable) memberChange { return r.disconnect("r2", true) },
+			act: func(r *memberTable) memberChange { return r.disconnect(time.Unix(100, 0), "r2", true) },
 		},
 	}
 	r := newMemberTable()
@@ -151,7 +152,7 @@
 				return r.applyUpdate("r2", &schema.FeedUpdate{GoneMembers: []string{"g1"}})
 			},
 		},
-		{name: "the other replica is lost", act: func(r *memberTable) memberChange { return r.disconnect("r2", false) }},
+		{name: "the other replica is lost", act: func(r *memberTable) memberChange { return r.disconnect(time.Unix(100, 0), "r2", false) }},
 		{name: "it leaves here", act: func(r *memberTable) memberChange { return r.removeSubscriber("g1", nil) }, want: memberChange{known: true, roles: []schema.MemberRole{replica, gateway}}},
 	}
 	r := newMemberTable()
@@ -162,3 +163,37 @@
 		}
 	}
 }
+
+// A replica is gone for good, and after it a host that it had listed. The host must not stay in the
+// list of those that are known to run, or its address serves for ever as a proof that the next
+// replica there has lost its disk. The same holds for the count of gateways.
+func TestListOfLostReplicaProvesNothing(t *testing.T) {
+	start := time.Unix(100, 0)
+	before := &schema.Member{Id: "b", Role: replica, Address: "2", ReplicaId: "b#1"}
+	after := &schema.Member{Id: "b", Role: replica, Address: "2", ReplicaId: "b#2"}
+	r := newMemberTable()
+	r.applyUpdate("1", &schema.FeedUpdate{AllMembers: true, Members: []*schema.Member{before, gatewayNamed("g", "9")}})
+	r.applyUpdate("3", &schema.FeedUpdate{AllMembers: true})
+	r.disconnect(start, "1", false)
+	r.addSubscriber(after, nil)
+	if got := r.find("b").GetReplicaId(); got != "b#2" || !r.isCurrent("b") {
+		t.Errorf("b is known as %q, current: %t, want b#2, current", got, r.isCurrent("b"))
+	}
+	r.removeSubscriber("b", nil)
+	for _, id := range []string{"b", "g"} {
+		if r.isCurrent(id) {
+			t.Errorf("%s is current after the loss of all who reported it", id)
+		}
+	}
+	r.dropStale(start.Add(staleListTime - time.Millisecond))
+	if r.find("g") == nil {
+		t.Errorf("g was dropped before %v", staleListTime)
+	}
+	change := r.dropStale(start.Add(staleListTime))
+	if !change.known || r.find("g") != nil {
+		t.Errorf("g is still known after %v", staleListTime)
+	}
+	if r.find("b") == nil {
+		t.Error("the address of replica b is forgotten, it may be the only way back after a partition")
+	}
+}
--- a/feed/view.go
+++ b/feed/view.go
@@ -79,11 +79,29 @@
 
 // Members lists the known processes that subscribe to replicas, sorted by id. A replica knows all
 // of them. Any other process knows the replicas and the processes of its own role. While no replica
-// feeds the process, Members returns the last known list.
+// feeds the process, Members returns the last known list. Members tells which addresses are worth
+// trying. It does not prove that a process still runs, see CurrentMembers.
 func (v *View) Members() []*schema.Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	members := slices.Collect(maps.Values(v.members.known.members))
+	return sortedMembers(slices.Collect(maps.Values(v.members.known.members)))
+}
+
+// CurrentMembers lists the members that subscribe to this process, or to a replica that feeds it
+// now, sorted by id. It leaves out what only a replica that is lost has reported.
+func (v *View) CurrentMembers() []*schema.Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var current []*schema.Member
+	for id, member := range v.members.known.members {
+		if v.members.isCurrent(id) {
+			current = append(current, member)
+		}
+	}
+	return sortedMembers(current)
+}
+
+func sortedMembers(members []*schema.Member) []*schema.Member {
 	slices.SortFunc(members, func(a, b *schema.Member) int { return cmp.Compare(a.GetId(), b.GetId()) })
 	return members
 }
@@ -148,7 +166,7 @@
 	for _, state := range update.GetEngines() {
 		changed = v.registry.MergeEngine(now, state) || changed
 	}
-	members := v.members.applyUpdate(from, update)
+	members := v.members.applyUpdate(from, update).merge(v.members.dropStale(now))
 	renewed := v.registry.Revision() != before
 	v.mu.Unlock()
 	v.notifyOf(changed, renewed, members)
@@ -181,7 +199,7 @@
 // the list of members from that replica.
 func (v *View) disconnect(from figbank.Address, drop bool) {
 	v.mu.Lock()
-	change := v.members.disconnect(from, drop)
+	change := v.members.disconnect(v.common.Clock.Now(), from, drop)
 	v.mu.Unlock()
 	v.notifyOf(false, false, change)
 }
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -74,9 +74,22 @@
 
 func (n *Node) appendMembership(members *schema.Membership) {
 	n.appendEntry(&schema.Entry{Index: n.log.last() + 1, Term: n.term, Membership: members})
+	n.forgetRemovedPeers()
 	n.broadcastAppend()
 }
 
+// forgetRemovedPeers deletes the progress of replicas that the newest membership does not contain. One
+// that is added again later starts anew, and is not taken for silent since its removal.
+func (n *Node) forgetRemovedPeers() {
+	kept := map[figbank.ProcessID]*progress{}
+	n.eachPeer(func(id figbank.ProcessID) {
+		if p := n.progress[id]; p != nil {
+			kept[id] = p
+		}
+	})
+	n.progress = kept
+}
+
 // advanceMembershipChange continues a membership change once the newest membership is committed. If
 // that membership is a joint one, it appends the membership with only the new voters. Otherwise, a
 // leader that is not among the voters steps down.
--- a/replica/members.go
+++ b/replica/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -14,9 +15,13 @@
 	"go.uber.org/zap"
 )
 
-// reviewInterval is the interval between a leader's checks whether to change the
-// membership.
-const reviewInterval = 200 * time.Millisecond
+const (
+	// reviewInterval is the interval between a leader's checks whether to change the
+	// membership.
+	reviewInterval = 200 * time.Millisecond
+	// failedLearnerTime is how long a learner that never answered comes after all other spares.
+	failedLearnerTime = 10 * time.Second
+)
 
 // initialMembership returns the voters of a new log, or nil on a replica that will
 // be added later.
@@ -74,27 +79,48 @@
 		return
 	}
 	r.nextReview = now.Add(reviewInterval)
-	next := voters.NextMembership(r.clusterState(now))
+	state := r.clusterState(now)
+	next := voters.NextMembership(state)
 	if next == nil {
 		return
 	}
+	r.noteFailedLearners(now, state, next)
 	err := r.node.ProposeMembership(next)
 	r.common.Log.Info("membership change", zap.Strings("voters", idsOf(next.GetVoters())), zap.Strings("learners", idsOf(next.GetLearners())),
 		zap.Strings("before", idsOf(r.node.Membership().GetOutgoing())), zap.Bool("proposed", err == nil))
 }
 
+// noteFailedLearners remembers for failedLearnerTime which learners a change of the membership drops
+// without their having answered, so that another spare has its turn.
+func (r *Replica) noteFailedLearners(now time.Time, before voters.ClusterState, next *schema.Membership) {
+	for _, learner := range before.Membership.GetLearners() {
+		id := figbank.ProcessID(learner.GetId())
+		kept := slices.Contains(idsOf(next.GetVoters()), learner.GetId()) || slices.Contains(idsOf(next.GetLearners()), learner.GetId())
+		if !kept && !before.Contacts[id].Answered {
+			r.failedLearners[id] = now
+		}
+	}
+	maps.DeleteFunc(r.failedLearners, func(_ figbank.ProcessID, at time.Time) bool { return now.Sub(at) >= failedLearnerTime })
+}
+
 func (r *Replica) clusterState(now time.Time) voters.ClusterState {
 	members := r.node.Membership()
 	s := voters.ClusterState{
 		Membership: members, Replicas: r.knownReplicas(), VoterCount: voters.RequiredVoters(r.settings.LostDisks),
-		SinceContact: map[figbank.ProcessID]time.Duration{}, Lag: map[figbank.ProcessID]uint64{},
+		Contacts: map[figbank.ProcessID]voters.Contact{}, Failed: map[figbank.ProcessID]bool{},
+	}
+	for id, at := range r.failedLearners {
+		s.Failed[id] = now.Sub(at) < failedLearnerTime
 	}
 	for _, set := range [][]*schema.Voter{members.GetVoters(), members.GetLearners()} {
 		for _, voter := range set {
 			id := figbank.ProcessID(voter.GetId())
 			if id != r.common.Process {
-				s.SinceContact[id] = now.Sub(r.node.LastContact(id))
-				s.Lag[id] = uint64(r.node.CommitIndex()) - min(r.node.MatchIndex(id), uint64(r.node.CommitIndex()))
+				match := r.node.MatchIndex(id)
+				s.Contacts[id] = voters.Contact{
+					Silence: now.Sub(r.node.LastContact(id)), Answered: match > 0,
+					Lag: uint64(r.node.CommitIndex()) - min(match, uint64(r.node.CommitIndex())),
+				}
 			}
 		}
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -71,8 +71,10 @@
 		// sinceSnapshot counts entries applied since the last snapshot.
 		sinceSnapshot int
 
-		knownReplicas   func() []voters.Replica
-		nextReview      time.Time
+		knownReplicas func() []voters.Replica
+		nextReview    time.Time
+		// failedLearners holds when a learner was dropped that had never answered.
+		failedLearners  map[figbank.ProcessID]time.Time
 		onConfiguration func(*schema.Configuration)
 		onFleet         func(*schema.Fleet)
 		onFailure       func(error)
@@ -133,6 +135,7 @@
 		addresses:       map[figbank.ProcessID]figbank.Address{},
 		inbox:           make(chan input, inboxLength),
 		pending:         map[uint64]proposal{},
+		failedLearners:  map[figbank.ProcessID]time.Time{},
 		onConfiguration: func(*schema.Configuration) {},
 		onFleet:         func(*schema.Fleet) {},
 		onFailure:       func(error) {},
--- a/replica/simulatedfaults_test.go
+++ b/replica/simulatedfaults_test.go
@@ -59,10 +59,17 @@
 	m.lostReplica = h.id
 	h.disksLost++
 	h.replica, h.disk, h.initialVoter, h.rewriteLog = nil, fake.NewDisk(), false, false
-	h.id = figbank.ProcessID(fmt.Sprintf("h%d-%d", h.index, h.disksLost))
+	h.id = figbank.ProcessID(fmt.Sprintf("%s-%d", h.name(), h.disksLost))
 	m.start(h)
 }
 
+// replace ends a host for good. Another one with an empty disk starts at a new address.
+func (m *simulation) replace(h *simulatedHost) {
+	h.generation++
+	h.leaving = false
+	m.loseDisk(h)
+}
+
 // canLoseDisk reports whether the deployment can survive the loss of another disk: all replicas run
 // and agree on the voters, the wanted number of replicas votes, and no replica still lists
 // lostReplica.
--- a/replica/simulation_test.go
+++ b/replica/simulation_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -62,8 +64,10 @@
 	}
 
 	simulatedHost struct {
-		index        int
-		id           figbank.ProcessID
+		index int
+		id    figbank.ProcessID
+		// generation counts how often another host has taken this one's place for good.
+		generation   int
 		disksLost    int
 		initialVoter bool
 		disk         *fake.Disk
@@ -72,6 +76,14 @@
 		// log at the next start.
 		rewriteLog bool
 		leaving    bool
+		// lists holds what the replicas at other addresses last told this process.
+		lists map[figbank.Address]simulatedList
+	}
+
+	// simulatedList holds the subscribers of one replica by the names of their hosts.
+	simulatedList struct {
+		members map[string]voters.Replica
+		stale   bool
 	}
 
 	// pendingCommand is a command that waits for a replica's answer. If the replica
@@ -109,8 +121,20 @@
 	return m
 }
 
+// name is the id of the host's processes, which stays when the disk is lost.
+func (h *simulatedHost) name() string {
+	if h.generation == 0 {
+		return "h" + strconv.Itoa(h.index)
+	}
+	return fmt.Sprintf("h%d.%d", h.index, h.generation)
+}
+
 func (h *simulatedHost) address() figbank.Address {
-	return figbank.Address("a" + strconv.Itoa(h.index))
+	return figbank.Address("a" + h.name()[1:])
+}
+
+func (h *simulatedHost) description() voters.Replica {
+	return voters.Replica{ID: h.id, Address: h.address(), Leaving: h.leaving}
 }
 
 // start opens a replica with what its disk holds.
@@ -127,7 +151,7 @@
 		Recorder: timeline.NewRecorder(h.id, simulationClock{m}, 1),
 	}
 	random := rand.New(rand.NewPCG(m.random.Uint64(), 3))
-	r, err := open(common, settings, h.disk, nil, WithRandom(random), WithReplicas(m.knownReplicas))
+	r, err := open(common, settings, h.disk, nil, WithRandom(random), WithReplicas(func() []voters.Replica { return m.knownReplicas(h) }))
 	if err != nil {
 		if !h.rewriteLog {
 			m.fail("%s does not open its log: %v", h.id, err)
@@ -138,19 +162,49 @@
 		message.FromAddress = string(r.settings.Address)
 		m.inFlight = append(m.inFlight, proto.CloneOf(message))
 	}
-	h.replica, h.rewriteLog = r, false
+	h.replica, h.rewriteLog, h.lists = r, false, map[figbank.Address]simulatedList{}
 	m.checkState(h)
 }
 
-// knownReplicas lists all running replicas, as the feeds of a real deployment would.
-func (m *simulation) knownReplicas() []voters.Replica {
-	var list []voters.Replica
-	for _, h := range m.hosts {
-		if h.replica != nil {
-			list = append(list, voters.Replica{ID: h.id, Address: h.address(), Leaving: h.leaving})
+// knownReplicas lists the replicas that a host knows, as the feeds of a real deployment do: its own
+// subscribers, what the other replicas list, and what lost replicas listed last.
+func (m *simulation) knownReplicas(h *simulatedHost) []voters.Replica {
+	for address, list := range h.lists {
+		list.stale = true
+		h.lists[address] = list
+	}
+	known := map[string]voters.Replica{}
+	current := m.subscribers(h)
+	current[h.name()] = h.description()
+	for _, other := range m.hosts {
+		if _, feeds := current[other.name()]; feeds && other != h {
+			h.lists[other.address()] = simulatedList{members: m.subscribers(other)}
+		}
+	}
+	for _, stale := range []bool{true, false} {
+		for _, list := range h.lists {
+			for name, member := range list.members {
+				if list.stale == stale {
+					member.LastKnown = stale
+					known[name] = member
+				}
+			}
+		}
+	}
+	maps.Copy(known, current)
+	return slices.SortedFunc(maps.Values(known), func(a, b voters.Replica) int { return strings.Compare(string(a.ID), string(b.ID)) })
+}
+
+// subscribers returns the running replicas that reach a host and are reached by it.
+func (m *simulation) subscribers(h *simulatedHost) map[string]voters.Replica {
+	connected := map[string]voters.Replica{}
+	for _, other := range m.hosts {
+		cut := m.blocked[[2]int{h.index, other.index}] || m.blocked[[2]int{other.index, h.index}]
+		if other != h && other.replica != nil && !cut {
+			connected[other.name()] = other.description()
 		}
 	}
-	return list
+	return connected
 }
 
 // processReady does what a replica's loop does after each input.
--- a/replica/supervisor.go
+++ b/replica/supervisor.go
@@ -146,6 +146,6 @@
 	isVoter := func(id figbank.ProcessID) bool {
 		return slices.ContainsFunc(members.GetVoters(), func(v *schema.Voter) bool { return v.GetId() == string(id) })
 	}
-	spare := slices.ContainsFunc(replicas, func(k voters.Replica) bool { return !k.Leaving && !isVoter(k.ID) })
+	spare := slices.ContainsFunc(replicas, func(k voters.Replica) bool { return !k.LastKnown && !k.Leaving && !isVoter(k.ID) })
 	return spare && isVoter(r.common.Process)
 }
--- a/voters/voters.go
+++ b/voters/voters.go
@@ -7,6 +7,7 @@
 package voters
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -18,10 +19,11 @@
 	// maxSilence is how long the leader may hear nothing from a voter before a spare
 	// replaces it, or from a learner before it is removed.
 	maxSilence = 3 * time.Second
-	// maxPromotionSilence is how recently the leader must have heard from a learner to make it a
-	// voter. Without this limit, a learner that has just lost its disk could become a voter that
-	// does not answer. The loss of one more voter would then leave the rest without a majority.
-	maxPromotionSilence = 500 * time.Millisecond
+	// maxLiveSilence is how recently the leader must have heard from a replica to be sure that it
+	// runs with its disk. Without this limit, a learner that has just lost its disk could become a
+	// voter that does not answer. The loss of one more voter would then leave the rest without a
+	// majority.
+	maxLiveSilence = 500 * time.Millisecond
 	// maxPromotionLag is how many committed entries a learner may lack when it becomes a
 	// voter.
 	maxPromotionLag = 16
@@ -35,6 +37,20 @@
 		Domain  figbank.FailureDomain
 		// Leaving is set for a replica that is about to stop.
 		Leaving bool
+		// LastKnown is set for a replica that only a process which is lost has reported. It may be
+		// gone, so it proves nothing but in which failure domain its address is.
+		LastKnown bool
+	}
+
+	// Contact is what the leader has heard from a voter or learner.
+	Contact struct {
+		// Silence is the time since the leader last heard from it, or since the leader first sent
+		// to it.
+		Silence time.Duration
+		// Answered is set once it has confirmed to this leader what it has of the log.
+		Answered bool
+		// Lag is the number of committed entries that it still lacks.
+		Lag uint64
 	}
 
 	// ClusterState is what the leader of the log knows about the replicas.
@@ -43,15 +59,13 @@
 		Membership *schema.Membership
 		// VoterCount is how many replicas should vote, as RequiredVoters returns it.
 		VoterCount int
-		// Replicas lists the replicas that the leader's process is in contact with, including
-		// itself and replicas that are not members of the log.
+		// Replicas lists the replicas that the leader's process knows, including itself and
+		// replicas that are not members of the log.
 		Replicas []Replica
-		// SinceContact is the time since the leader last heard from each voter and learner. A
-		// missing id, such as the leader's own, counts as zero.
-		SinceContact map[figbank.ProcessID]time.Duration
-		// Lag is the number of committed entries that each learner still lacks. A missing id counts
-		// as zero.
-		Lag map[figbank.ProcessID]uint64
+		// Contacts holds all voters and learners but the leader itself.
+		Contacts map[figbank.ProcessID]Contact
+		// Failed holds replicas that were learners a short time ago and did not answer.
+		Failed map[figbank.ProcessID]bool
 	}
 )
 
@@ -85,9 +99,9 @@
 func (s ClusterState) promoteOrDropLearner(learner, toReplace *schema.Voter) *schema.Membership {
 	id := figbank.ProcessID(learner.GetId())
 	switch {
-	case toReplace == nil && len(s.Membership.GetVoters()) >= s.VoterCount, s.SinceContact[id] > maxSilence, s.addressReused(learner):
+	case toReplace == nil && len(s.Membership.GetVoters()) >= s.VoterCount, s.isSilent(learner), s.addressReused(learner):
 		return &schema.Membership{Voters: s.Membership.GetVoters()}
-	case s.SinceContact[id] > maxPromotionSilence, s.Lag[id] > maxPromotionLag:
+	case !s.isCaughtUp(id):
 		return nil
 	}
 	next := slices.Clone(s.Membership.GetVoters())
@@ -114,58 +128,100 @@
 	return nil
 }
 
-// addressReused reports whether another replica now runs at the voter's address, which
-// means that the voter has lost its disk.
+// addressReused reports whether another replica now runs at the voter's address, which means that
+// the voter has lost its disk. A voter that still answers has not, whoever else is reported there:
+// the report may be of an earlier life.
 func (s ClusterState) addressReused(voter *schema.Voter) bool {
-	return slices.ContainsFunc(s.Replicas, func(r Replica) bool {
-		return string(r.Address) == voter.GetAddress() && string(r.ID) != voter.GetId()
-	})
+	return s.Contacts[figbank.ProcessID(voter.GetId())].Silence > maxLiveSilence &&
+		slices.ContainsFunc(s.Replicas, func(r Replica) bool {
+			return !r.LastKnown && string(r.Address) == voter.GetAddress() && string(r.ID) != voter.GetId()
+		})
 }
 
 func (s ClusterState) isSilent(voter *schema.Voter) bool {
-	return s.SinceContact[figbank.ProcessID(voter.GetId())] > maxSilence
+	return s.Contacts[figbank.ProcessID(voter.GetId())].Silence > maxSilence
+}
+
+// isCaughtUp reports whether a learner can become a voter. One that has not answered yet cannot,
+// however short the log is.
+func (s ClusterState) isCaughtUp(learner figbank.ProcessID) bool {
+	contact := s.Contacts[learner]
+	return contact.Answered && contact.Silence <= maxLiveSilence && contact.Lag <= maxPromotionLag
 }
 
 func (s ClusterState) isLeaving(voter *schema.Voter) bool {
-	return slices.ContainsFunc(s.Replicas, func(r Replica) bool { return string(r.ID) == voter.GetId() && r.Leaving })
+	return slices.ContainsFunc(s.Replicas, func(r Replica) bool {
+		return !r.LastKnown && string(r.ID) == voter.GetId() && r.Leaving
+	})
 }
 
-// spareFor returns a replica that can replace a voter, or that can vote in addition
-// if voter is nil. It prefers the replica at the voter's own address, then one in the
-// failure domain with the fewest voters. It returns nil if there is none.
+// spareFor returns a replica that can replace a voter, or that can vote in addition if voter is nil.
+// It returns nil if there is none.
 func (s ClusterState) spareFor(voter *schema.Voter) *schema.Voter {
-	var spare *schema.Voter
+	spares := slices.DeleteFunc(slices.Clone(s.Replicas), func(r Replica) bool { return r.LastKnown || r.Leaving || s.isVoter(r.ID) })
+	if len(spares) == 0 {
+		return nil
+	}
+	best := slices.MinFunc(spares, s.preferSpare(voter))
+	return &schema.Voter{Id: string(best.ID), Address: string(best.Address)}
+}
+
+// preferSpare returns a comparison of two replicas that can replace a voter. One that has not just
+// failed as a learner comes first, then the one at the voter's own address, then one in the failure
+// domain with the fewest voters.
+func (s ClusterState) preferSpare(voter *schema.Voter) func(a, b Replica) int {
 	counts := s.votersByDomain(voter)
-	fewest := 0
-	for _, known := range s.Replicas {
-		if known.Leaving || s.isVoter(known.ID) {
-			continue
-		}
-		candidate := &schema.Voter{Id: string(known.ID), Address: string(known.Address)}
-		if voter != nil && candidate.GetAddress() == voter.GetAddress() {
-			return candidate
-		}
-		count := counts[known.Domain]
-		if spare == nil || count < fewest || count == fewest && candidate.GetId() < spare.GetId() {
-			spare, fewest = candidate, count
-		}
+	elsewhere := func(r Replica) bool { return voter == nil || string(r.Address) != voter.GetAddress() }
+	return func(a, b Replica) int {
+		return cmp.Or(
+			compareBools(s.Failed[a.ID], s.Failed[b.ID]),
+			compareBools(elsewhere(a), elsewhere(b)),
+			cmp.Compare(counts[a.Domain], counts[b.Domain]),
+			cmp.Compare(a.ID, b.ID),
+		)
+	}
+}
+
+// compareBools sorts false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
 	}
-	return spare
+	return -1
 }
 
 // votersByDomain counts the voters in each failure domain. It leaves out the voter passed as
-// excluded, if any, and voters at whose address no known replica runs.
+// excluded, if any, and voters at whose address no replica is known.
 func (s ClusterState) votersByDomain(excluded *schema.Voter) map[figbank.FailureDomain]int {
 	counts := map[figbank.FailureDomain]int{}
 	for _, voter := range s.Membership.GetVoters() {
-		i := slices.IndexFunc(s.Replicas, func(r Replica) bool { return string(r.Address) == voter.GetAddress() })
-		if i >= 0 && voter.GetId() != excluded.GetId() {
-			counts[s.Replicas[i].Domain]++
+		if domain, found := s.domainAt(voter.GetAddress()); found && voter.GetId() != excluded.GetId() {
+			counts[domain]++
 		}
 	}
 	return counts
 }
 
+// domainAt returns the failure domain of an address: that of the replica which runs there, or else
+// of the last one that is known.
+func (s ClusterState) domainAt(address string) (figbank.FailureDomain, bool) {
+	var domain figbank.FailureDomain
+	found := false
+	for _, r := range s.Replicas {
+		if string(r.Address) != address {
+			continue
+		}
+		if !r.LastKnown {
+			return r.Domain, true
+		}
+		domain, found = r.Domain, true
+	}
+	return domain, found
+}
+
 func (s ClusterState) isVoter(id figbank.ProcessID) bool {
 	return slices.ContainsFunc(s.Membership.GetVoters(), func(v *schema.Voter) bool { return v.GetId() == string(id) })
 }
--- a/voters/voters_test.go
+++ b/voters/voters_test.go
@@ -34,8 +34,13 @@
 }
 
 func TestNextMembership(t *testing.T) {
-	silent := map[figbank.ProcessID]time.Duration{"c": time.Minute}
+	silent := map[figbank.ProcessID]Contact{"c": {Silence: time.Minute, Answered: true}}
+	silentAndLearner := func(learner Contact) map[figbank.ProcessID]Contact {
+		return map[figbank.ProcessID]Contact{"c": {Silence: time.Minute, Answered: true}, "d": learner}
+	}
 	emptyDisk := append(replicas("a", "b"), Replica{ID: "c2", Address: "c:1"})
+	lastKnownAtAddress := append(replicas("a", "b", "c"), Replica{ID: "c0", Address: "c:1", LastKnown: true})
+	lastKnownSpare := append(replicas("a", "b"), Replica{ID: "d", Address: "d:1", LastKnown: true})
 	leaving := append(replicas("a", "b", "d"), Replica{ID: "c", Address: "c:1", Leaving: true})
 	emptyDiskLearner := members("", "a", "b", "c")
 	emptyDiskLearner.Learners = []*schema.Voter{{Id: "c2", Address: "c:1"}}
@@ -45,21 +50,60 @@
 		want *schema.Membership
 	}{
 		{name: "no change while no voter is silent", s: ClusterState{Membership: members("", "a", "b", "c"), Replicas: replicas("a", "b", "c", "d")}},
-		{name: "a silent voter without a spare stays", s: ClusterState{Membership: members("", "a", "b", "c"), Replicas: replicas("a", "b"), SinceContact: silent}},
-		{name: "a silent voter: the spare becomes a learner first", s: ClusterState{Membership: members("", "a", "b", "c"), Replicas: replicas("a", "b", "d"), SinceContact: silent}, want: members("d", "a", "b", "c")},
-		{name: "a learner that lags does not become a voter", s: ClusterState{Membership: members("d", "a", "b", "c"), Replicas: replicas("a", "b", "d"), SinceContact: silent, Lag: map[figbank.ProcessID]uint64{"d": 100}}},
-		{name: "a learner that has caught up replaces the silent voter", s: ClusterState{Membership: members("d", "a", "b", "c"), Replicas: replicas("a", "b", "d"), SinceContact: silent}, want: members("", "a", "b", "d")},
+		{name: "a silent voter without a spare stays", s: ClusterState{Membership: members("", "a", "b", "c"), Replicas: replicas("a", "b"), Contacts: silent}},
+		{name: "a silent voter: the spare becomes a learner first", s: ClusterState{Membership: members("", "a", "b", "c"), Replicas: replicas("a", "b", "d"), Contacts: silent}, want: members("d", "a", "b", "c")},
+		{name: "a learner that lags does not become a voter", s: ClusterState{Membership: members("d", "a", "b", "c"), Replicas: replicas("a", "b", "d"), Contacts: silentAndLearner(Contact{Answered: true, Lag: 100})}},
+		{name: "a learner that has never answered does not become a voter", s: ClusterState{Membership: members("d", "a", "b", "c"), Replicas: replicas("a", "b", "d"), Contacts: silentAndLearner(Contact{Lag: 3})}},
+		{name: "a learner that has caught up replaces the silent voter", s: ClusterState{Membership: members("d", "a", "b", "c"), Replicas: replicas("a", "b", "d"), Contacts: silentAndLearner(Contact{Answered: true})}, want: members("", "a", "b", "d")},
 		{name: "a learner is removed when the silent voter is back", s: ClusterState{Membership: members("d", "a", "b", "c"), Replicas: replicas("a", "b", "c", "d")}, want: members("", "a", "b", "c")},
 		{
-			name: "a host that is back with an empty disk becomes a learner at once", s: ClusterState{Membership: members("", "a", "b", "c"), Replicas: emptyDisk},
+			name: "a host that is back with an empty disk becomes a learner before its voter counts as silent",
+			s: ClusterState{
+				Membership: members("", "a", "b", "c"), Replicas: emptyDisk,
+				Contacts: map[figbank.ProcessID]Contact{"c": {Silence: maxLiveSilence + 1, Answered: true}},
+			},
 			want: emptyDiskLearner,
 		},
+		{
+			name: "a voter that answers has its disk, whatever is reported at its address",
+			s: ClusterState{
+				Membership: members("", "a", "b", "c"), Replicas: emptyDisk,
+				Contacts: map[figbank.ProcessID]Contact{"c": {Silence: maxLiveSilence, Answered: true}},
+			},
+		},
+		{
+			name: "what a lost replica reported does not prove a lost disk",
+			s: ClusterState{
+				Membership: members("", "a", "b", "c"), Replicas: lastKnownAtAddress,
+				Contacts: map[figbank.ProcessID]Contact{"c": {Silence: maxSilence, Answered: true}},
+			},
+		},
+		{
+			name: "what a lost replica reported does not prove a spare",
+			s:    ClusterState{Membership: members("", "a", "b", "c"), Replicas: lastKnownSpare, Contacts: silent},
+		},
+		{
+			name: "a spare that just failed as a learner comes after the others",
+			s: ClusterState{
+				Membership: members("", "a", "b", "c"), Replicas: replicas("a", "b", "d", "e"), Contacts: silent,
+				Failed: map[figbank.ProcessID]bool{"d": true},
+			},
+			want: members("e", "a", "b", "c"),
+		},
+		{
+			name: "a spare that just failed as a learner is tried again if it is the only one",
+			s: ClusterState{
+				Membership: members("", "a", "b", "c"), Replicas: replicas("a", "b", "d"), Contacts: silent,
+				Failed: map[figbank.ProcessID]bool{"d": true},
+			},
+			want: members("d", "a", "b", "c"),
+		},
 		{name: "planned replacement: the spare becomes a learner while the old voter still votes", s: ClusterState{Membership: members("", "a", "b", "c"), Replicas: leaving}, want: members("d", "a", "b", "c")},
 		{
 			name: "a learner that is silent too is removed",
 			s: ClusterState{
 				Membership: members("d", "a", "b", "c"), Replicas: replicas("a", "b"),
-				SinceContact: map[figbank.ProcessID]time.Duration{"c": time.Minute, "d": time.Minute},
+				Contacts: silentAndLearner(Contact{Silence: time.Minute}),
 			},
 			want: members("", "a", "b", "c"),
 		},
@@ -85,6 +129,10 @@
 		if next := NextMembership(s); next != nil {
 			s.Membership = next
 		}
+		s.Contacts = map[figbank.ProcessID]Contact{}
+		for _, learner := range s.Membership.GetLearners() {
+			s.Contacts[figbank.ProcessID(learner.GetId())] = Contact{Answered: true}
+		}
 	}
 	if got, want := s.Membership, members("", "a1", "b1", "c1", "d1", "a2"); !proto.Equal(got, want) {
 		t.Errorf("membership = %v, want %v", got, want)
@@ -97,7 +145,7 @@
 func TestReplacementKeepsVotersApart(t *testing.T) {
 	s := ClusterState{
 		Membership: members("", "a1", "b1", "c1"), VoterCount: RequiredVoters(1),
-		SinceContact: map[figbank.ProcessID]time.Duration{"c1": time.Minute},
+		Contacts: map[figbank.ProcessID]Contact{"c1": {Silence: time.Minute, Answered: true}},
 	}
 	for _, id := range []string{"a1", "a2", "b1", "c2"} {
 		s.Replicas = append(s.Replicas, Replica{ID: figbank.ProcessID(id), Address: figbank.Address(id + ":1"), Domain: figbank.FailureDomain(id[:1])})
@@ -106,3 +154,18 @@
 		t.Errorf("NextMembership() = %v, want %v", got, want)
 	}
 }
+
+// The leader knows a voter that answers only from the list of a lost replica, as happens while the
+// voter's feeds are reset. It still stands in its failure domain, and the spare must not join it there.
+func TestLastKnownVoterKeepsItsFailureDomain(t *testing.T) {
+	s := ClusterState{
+		Membership: members("", "a1", "b1", "c1"), VoterCount: RequiredVoters(1),
+		Contacts: map[figbank.ProcessID]Contact{"c1": {Silence: time.Minute, Answered: true}, "b1": {Answered: true}},
+	}
+	for _, id := range []string{"a1", "b1", "b2", "c2"} {
+		s.Replicas = append(s.Replicas, Replica{ID: figbank.ProcessID(id), Address: figbank.Address(id + ":1"), Domain: figbank.FailureDomain(id[:1]), LastKnown: id == "b1"})
+	}
+	if got, want := NextMembership(s), members("c2", "a1", "b1", "c1"); !proto.Equal(got, want) {
+		t.Errorf("NextMembership() = %v, want %v", got, want)
+	}
+}
