Staging: a load counts only if its pieces were right when the engine accepted it

An agent read the staged pieces back, stood still for 4 s in which a piece turned bad, and then ordered the engine to load.

Cause: nothing bounded the time from the reading to the moment at which the engine accepted the order, by any clock. A look at the clock before the order would leave the gap between that look and the order, an order that waits in a socket, a lost answer and a killed agent.

Change: an order proves itself only if the engine confirmed with 202, within 2.5 s of the begin of the reading by the boot-time clock, that it began to load. After any other load the pieces are read once more: nobody else writes them and they do not mend themselves, so if they are right now, they were right then. Until that is shown, callers are not sent there; wrong pieces are staged and loaded again. Before an order, a reading that is too old is repeated at most twice, so a slow host is served too. A new agent process asks the replicas whether an earlier one left a switch unended. Engine.Start now tells an order that began (202) from one that was already in effect (200).

--- a/app/platformagent.go
+++ b/app/platformagent.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"figbank"
+	"figbank/clock"
 	"figbank/feed"
 	"figbank/platform"
 	"figbank/schema"
@@ -92,7 +93,7 @@
 	}
 	stager := staging.New(common, staging.Settings{
 		Member: member, Service: figbank.ServiceName(s.GetNode().GetService()),
-		VersionTime: s.GetBounds().GetVersionTime().AsDuration(), Bandwidth: settings.WeightBandwidth(w),
+		VersionTime: s.GetBounds().GetVersionTime().AsDuration(), Bandwidth: settings.WeightBandwidth(w), Boot: clock.System{},
 	}, platform.NewEngine(connections, figbank.Address(s.GetNode().GetUpstream())), platform.NewOrigin(connections),
 		view, subscriber, store, active, newFetcher)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/figbank.go
+++ b/figbank.go
@@ -63,6 +63,12 @@
 		Tick(d time.Duration) (ticks <-chan time.Time, stop func())
 	}
 
+	// BootClock tells time that goes on while the host is suspended. Clock may stand still then.
+	BootClock interface {
+		// SinceBoot returns the time since the host started.
+		SinceBoot() time.Duration
+	}
+
 	// Engine is a back end that runs a model. The interface of the real engine is not yet
 	// known, so agents access their engine only through Engine. On a platform, the interface of
 	// the engines is known, and agents use staging.Engine instead.
--- a/staging/decide.go
+++ b/staging/decide.go
@@ -44,18 +44,20 @@
 		// MaySwitch is set if the other upstreams have enough capacity for this one to
 		// leave service.
 		MaySwitch bool
+		// Wrong is set if the engine has loaded pieces that were found wrong. It is out of service.
+		Wrong bool
 	}
 )
 
 // Decide returns what to do next. An engine that has no version loaded, or lacks layers, switches
 // as soon as the wanted version is on this host and the engine is not busy. An engine with all
-// layers also waits until it may leave service.
+// layers also waits until it may leave service, unless its weights were found wrong.
 func Decide(input DecisionInput) Action {
 	allLayersLoaded := input.Layers >= input.AllLayers
 	switch {
 	case !input.Known:
 		return ActionWait
-	case input.Loaded == input.Wanted && allLayersLoaded:
+	case input.Loaded == input.Wanted && allLayersLoaded && !input.Wrong:
 		return decideServing(input)
 	case input.Held:
 		return decideHeld(input, allLayersLoaded)
@@ -77,7 +79,7 @@
 // decideHeld returns what to do if the wanted version is on this host: switch,
 // unless the engine is busy or may not leave service yet.
 func decideHeld(input DecisionInput, allLayersLoaded bool) Action {
-	incomplete := input.Loaded == 0 || !allLayersLoaded
+	incomplete := input.Loaded == 0 || !allLayersLoaded || input.Wrong
 	if !input.Busy && (incomplete || input.MaySwitch) {
 		return ActionSwitch
 	}
--- a/staging/fetch.go
+++ b/staging/fetch.go
@@ -149,6 +149,31 @@
 	}
 }
 
+// heldNumber returns the complete version with a number, or nil.
+func (s *Stager) heldNumber(number int64) (Source, *weights.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for source, version := range s.held {
+		if source.Version == number {
+			return source, version
+		}
+	}
+	return Source{}, nil
+}
+
+// heldOther returns another complete version of the same model, or nil. An engine that has wrong
+// pieces of a version loaded loads that version again only after another one.
+func (s *Stager) heldOther(wanted Source) (Source, *weights.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for source, version := range s.held {
+		if source.Model == wanted.Model && source.Version != wanted.Version {
+			return source, version
+		}
+	}
+	return Source{}, nil
+}
+
 func (s *Stager) heldVersion(source Source) *weights.Version {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/staging/stager.go
+++ b/staging/stager.go
@@ -59,6 +59,8 @@
 		// Bandwidth is the bytes of weights per second that this host may receive, 0 for no
 		// limit.
 		Bandwidth figbank.Bytes
+		// Boot is a clock that goes on while the host is suspended.
+		Boot figbank.BootClock
 	}
 
 	// Stager manages the weights of one engine. Start it with Run.
@@ -74,6 +76,9 @@
 		fetcher    *transfer.Fetcher
 		peers      *peerList
 
+		// load is the last order that the engine was sent, nil if what the engine has loaded is
+		// verified.
+		load *orderedLoad
 		// state is the state that was published last.
 		state    *schema.EngineState
 		fetching fetchJob
@@ -131,6 +136,7 @@
 
 // Run manages the engine until ctx ends.
 func (s *Stager) Run(ctx context.Context) {
+	previousBorn, wasSwitching := s.awaitPreviousState(ctx)
 	ticks, stop := s.common.Clock.Tick(pollInterval)
 	defer stop()
 	reachable := true
@@ -140,9 +146,12 @@
 			reachable = err == nil
 			s.common.Log.Info("engine reachability changed", zap.Bool("reachable", reachable), zap.String("engine", s.settings.Member.GetUpstream()))
 		}
+		if err == nil && wasSwitching {
+			s.resumeLoad(report, previousBorn)
+			wasSwitching = false
+		}
 		if err == nil {
-			s.publish(report, s.draining(report))
-			s.step(ctx, report)
+			s.handleReport(ctx, report)
 		}
 		select {
 		case <-ctx.Done():
@@ -152,6 +161,13 @@
 	}
 }
 
+// handleReport publishes the engine's state and takes the next action.
+func (s *Stager) handleReport(ctx context.Context, report Report) {
+	s.settleLoad(ctx, report)
+	s.publish(report, s.draining(report) || s.load.withheld(report))
+	s.step(ctx, report)
+}
+
 // step decides on the next action and carries it out. If the action is a switch, step
 // waits until the switch has ended or failed.
 func (s *Stager) step(ctx context.Context, report Report) {
@@ -166,6 +182,7 @@
 	input := DecisionInput{
 		Known: known, Loaded: report.Loaded.GetVersion(), Wanted: wanted.source.Version,
 		Layers: report.Loaded.GetLayers(), AllLayers: wanted.layers, Busy: report.Busy, Held: held != nil,
+		Wrong: s.load.mustReload(report),
 	}
 	input.HeldShare = s.active.Progress().Share()
 	if known && input.Loaded != input.Wanted {
@@ -175,7 +192,13 @@
 	case ActionDrain:
 		s.drain(report)
 	case ActionSwitch:
-		s.switchTo(ctx, wanted, held, input.Loaded > 0)
+		source := wanted.source
+		if input.Wrong && s.load.alreadyLoaded {
+			source, held = s.heldOther(wanted.source)
+		}
+		if held != nil {
+			s.switchTo(ctx, source, held, input.Loaded > 0)
+		}
 	case ActionWait, ActionFetch, ActionSeed:
 	}
 }
--- a/staging/staging.go
+++ b/staging/staging.go
@@ -34,8 +34,9 @@
 		Report(ctx context.Context) (Report, error)
 		// Start orders the engine to load the staged version once its running requests
 		// have ended. The engine refuses the order unless orders equals the number of
-		// orders it has accepted.
-		Start(ctx context.Context, model string, version int64, orders uint64) error
+		// orders it has accepted. begun is false if the engine has not begun to load, because it
+		// has the version loaded already.
+		Start(ctx context.Context, model string, version int64, orders uint64) (begun bool, err error)
 		// Put stages one piece. The engine does not verify it.
 		Put(ctx context.Context, model string, piece int, content []byte) error
 		// Get reads a staged piece back.
--- a/staging/switch.go
+++ b/staging/switch.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -13,33 +14,56 @@
 
 // switchTo stages a version, orders the engine to load it, and waits until the engine has carried
 // out the order. It gives up after switchTimeout. serving must be set if the engine has a version
-// loaded. switchTo then announces before the order that the engine leaves service.
-func (s *Stager) switchTo(ctx context.Context, wanted target, version *weights.Version, serving bool) {
+// loaded. switchTo announces before the order that the engine leaves service.
+func (s *Stager) switchTo(ctx context.Context, source Source, version *weights.Version, serving bool) {
 	ctx, cancel := context.WithTimeout(ctx, switchTimeout)
 	defer cancel()
 	began := s.common.Clock.Now()
-	if err := s.stage(ctx, wanted.source.Model, version); err != nil {
-		s.common.Log.Warn("staging weights failed", zap.Int64("version", wanted.source.Version), figbank.ErrorField(err))
+	readAt, err := s.stage(ctx, source.Model, version)
+	if err != nil {
+		s.common.Log.Warn("staging weights failed", zap.Int64("version", source.Version), figbank.ErrorField(err))
 		return
 	}
 	report, err := s.engine.Report(ctx)
 	if err != nil || report.Busy {
 		return
 	}
-	if serving && !s.state.GetSwitching() {
-		s.publish(report, true)
+	announced := s.state.GetSwitching()
+	s.publish(report, true)
+	if serving && !announced {
 		<-s.common.Clock.After(switchNoticeTime)
 	}
-	err = s.engine.Start(ctx, wanted.source.Model, wanted.source.Version, report.Orders)
-	s.common.Log.Info("ordered the engine to load the staged version", zap.Int64("version", wanted.source.Version), zap.Int64("from", report.Loaded.GetVersion()),
-		zap.Int64("running", report.Running), zap.Duration("staging", s.common.Clock.Now().Sub(began)), zap.Bool("accepted", err == nil))
+	for rereads := 0; !mayOrder(s.settings.Boot.SinceBoot()-readAt, rereads); rereads++ {
+		if readAt, err = s.readBack(ctx, source.Model, version); err != nil {
+			s.common.Log.Warn("reading staged weights again failed", zap.Int64("version", source.Version), figbank.ErrorField(err))
+			return
+		}
+	}
+	err = s.order(ctx, source, report, readAt)
+	s.common.Log.Info("ordered the engine to load the staged version", zap.Int64("version", source.Version), zap.Int64("from", report.Loaded.GetVersion()),
+		zap.Int64("running", report.Running), zap.Duration("staging", s.common.Clock.Now().Sub(began)), zap.Bool("accepted", err == nil),
+		zap.Bool("inTime", s.load.inTime), zap.Bool("alreadyLoaded", s.load.alreadyLoaded))
 	if err != nil {
 		// The engine may have accepted the order even so. Its next report will show that.
 		s.common.Log.Warn("ordering the engine to load failed", figbank.ErrorField(err))
 		<-s.common.Clock.After(retryDelay)
 		return
 	}
-	s.awaitSwitch(ctx, wanted.source.Version, report)
+	s.awaitSwitch(ctx, source.Version, report)
+}
+
+// order orders the engine to load the staged version. before is the engine's state. readAt is when
+// the last reading of all pieces began.
+func (s *Stager) order(ctx context.Context, source Source, before Report, readAt time.Duration) error {
+	unverified := s.load.withheld(before)
+	s.load = &orderedLoad{version: source.Version, bornUnixMilli: before.BornUnixMilli, orders: before.Orders, replacesUnverified: unverified}
+	begun, err := s.engine.Start(ctx, source.Model, source.Version, before.Orders)
+	if err != nil {
+		return err
+	}
+	s.load.inTime = begun && s.settings.Boot.SinceBoot()-readAt <= maxReadAge
+	s.load.alreadyLoaded = !begun
+	return nil
 }
 
 // awaitSwitch polls the engine until it serves the version, has restarted, or has ended the order
@@ -54,7 +78,8 @@
 		}
 		restarted := report.BornUnixMilli != before.BornUnixMilli
 		if report.Loaded.GetVersion() == version && !report.Busy || restarted || report.Orders > before.Orders && !report.Busy {
-			s.publish(report, false)
+			s.settleLoad(ctx, report)
+			s.publish(report, s.load.withheld(report))
 			s.common.Log.Info("switch has ended", zap.Int64("version", report.Loaded.GetVersion()), zap.Int64("layers", report.Loaded.GetLayers()))
 			return
 		}
@@ -62,24 +87,31 @@
 }
 
 // stage stages all pieces. The engine loads what is staged without verifying it, so stage then
-// reads all pieces back, right before the order. It stages a piece again if the piece does not read
-// back correctly.
-func (s *Stager) stage(ctx context.Context, model string, version *weights.Version) error {
+// reads all pieces back. It returns when that reading began, on the clock that goes on while the host
+// is suspended.
+func (s *Stager) stage(ctx context.Context, model string, version *weights.Version) (readAt time.Duration, err error) {
 	for i := range version.Manifest.GetChunks() {
 		if err := s.stagePiece(ctx, model, version, figbank.ChunkIndex(i)); err != nil {
-			return err
+			return 0, err
 		}
 	}
+	return s.readBack(ctx, model, version)
+}
+
+// readBack reads all staged pieces. It stages a piece again if the piece does not read back correctly.
+// It returns when it began.
+func (s *Stager) readBack(ctx context.Context, model string, version *weights.Version) (readAt time.Duration, err error) {
+	readAt = s.settings.Boot.SinceBoot()
 	for i := range version.Manifest.GetChunks() {
 		piece := figbank.ChunkIndex(i)
-		if s.stagedCorrectly(ctx, model, version, piece) {
+		if right, err := s.stagedCorrectly(ctx, model, version, piece); right && err == nil {
 			continue
 		}
 		if err := s.stagePiece(ctx, model, version, piece); err != nil {
-			return err
+			return 0, err
 		}
 	}
-	return nil
+	return readAt, nil
 }
 
 // stagePiece stages one piece until the piece reads back correctly. It returns a CorruptError after
@@ -93,18 +125,20 @@
 		if err = s.engine.Put(ctx, model, int(piece), content); err != nil {
 			return err
 		}
-		if s.stagedCorrectly(ctx, model, version, piece) {
+		if right, err := s.stagedCorrectly(ctx, model, version, piece); right && err == nil {
 			return nil
 		}
 	}
 	return figbank.CorruptError{Subject: "staged piece", Detail: "content read back does not match its SHA-256"}
 }
 
-func (s *Stager) stagedCorrectly(ctx context.Context, model string, version *weights.Version, piece figbank.ChunkIndex) bool {
+// stagedCorrectly reports whether a staged piece reads back correctly. It returns an error if the piece
+// cannot be read.
+func (s *Stager) stagedCorrectly(ctx context.Context, model string, version *weights.Version, piece figbank.ChunkIndex) (bool, error) {
 	staged, err := s.engine.Get(ctx, model, int(piece))
 	if err != nil {
-		return false
+		return false, err
 	}
 	sum := sha256.Sum256(staged)
-	return bytes.Equal(sum[:], version.Manifest.GetChunks()[piece].GetDigest())
+	return bytes.Equal(sum[:], version.Manifest.GetChunks()[piece].GetDigest()), nil
 }
