Control: a leave is acknowledged once it is in the log

A replica acknowledged a DELETE and was killed right after. Gateways sent the upstream 128 more requests on, until it exited and cut three off that may not be repeated.

Cause: the acknowledgement waited for nobody. The leave was in the memory of one replica, and its feeds wait up to 20 ms before they send. A report with the state draining is the same promise and was acknowledged in the same way.

Change: a leave is a command of the log. DELETE, and the first report of an incarnation that it drains, are answered with 200 once a majority has synced it, otherwise with 503 within 0.9 s. Each replica reports the leaves that its log holds in its view, after a restart too. The replica that got the call changes its own view at once, so gateways in a domain that is cut off stop all the same. An upstream that a replica does not know is not acknowledged there.

On the code before, Leave returned nil without a majority and Announce too: TestAcknowledgedLeaveOutlivesReplica asks for NotAcceptedError there.

--- a/app/platformreplica.go
+++ b/app/platformreplica.go
@@ -37,7 +37,7 @@
 	return fx.New(
 		platformOptions(s, schema.MemberRole_MEMBER_ROLE_REPLICA),
 		fx.Supply(file),
-		fx.Provide(newLogReplica, newPlatformProposer),
+		fx.Provide(control.NewLeaves, newLogReplica, newPlatformProposer),
 		fx.Invoke(watchSettings, expireLeases, serveReplica, serveControl, announceReplica, logReplicaWork),
 		fx.Options(options...),
 	)
@@ -53,7 +53,7 @@
 // newLogReplica starts the replica under the identity stored on the disk. See
 // loadOrCreateIdentity for an empty disk.
 func newLogReplica(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings,
-	pool *transport.Pool, fleet *configuration.FleetHolder, view *feed.View,
+	pool *transport.Pool, fleet *configuration.FleetHolder, view *feed.View, leaves *control.Leaves,
 ) (logReplica, error) {
 	folder, err := disk.OpenFolder(s.GetProcess().GetDataFolder())
 	if err != nil {
@@ -71,6 +71,7 @@
 		settings.RewriteLog = rewrite
 		return replica.NewReplica(common, settings, folder, pool,
 			replica.WithFleet(func(f *schema.Fleet) { fleet.Offer(f) }),
+			replica.WithLeaves(leaves.Add),
 			replica.WithReplicas(func() []voters.Replica { return knownReplicas(view, common.Process, s) }),
 			replica.WithFailure(failed),
 		)
@@ -217,9 +218,9 @@
 // serveControl serves the control API to operators and upstreams. It also keeps the number of
 // gateways that the log records up to date.
 func serveControl(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, proposer figbank.Proposer,
-	view *feed.View, r logReplica, fleet *configuration.FleetHolder,
+	view *feed.View, r logReplica, fleet *configuration.FleetHolder, leaves *control.Leaves,
 ) error {
-	c := control.New(common, proposer, view)
+	c := control.New(common, proposer, view, control.WithLeaves(leaves))
 	ctx, cancel := context.WithCancel(context.Background())
 	go c.CountGateways(ctx, r.IsLeader, fleet.Current)
 	lifecycle.Append(fx.StopHook(cancel))
--- a/control/control.go
+++ b/control/control.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"figbank"
 	"figbank/feed"
@@ -16,22 +17,41 @@
 	"go.uber.org/zap"
 )
 
-// Control carries out requests of operators and upstreams. It is safe for
-// concurrent use.
-type Control struct {
-	common   figbank.Common
-	proposer figbank.Proposer
-	view     *feed.View
+// leaveTimeout bounds the time to put a leave into the log. Upstreams wait a second for an answer.
+const leaveTimeout = 900 * time.Millisecond
+
+type (
+	// Control carries out requests of operators and upstreams. It is safe for
+	// concurrent use.
+	Control struct {
+		common   figbank.Common
+		proposer figbank.Proposer
+		view     *feed.View
+		leaves   *Leaves
+	}
+
+	// Option changes a Control under construction.
+	Option func(*Control)
+)
+
+// WithLeaves sets the record of what the log holds of leaves.
+func WithLeaves(leaves *Leaves) Option {
+	return func(c *Control) { c.leaves = leaves }
 }
 
 // New returns a Control that proposes its commands through proposer.
-func New(common figbank.Common, proposer figbank.Proposer, view *feed.View) *Control {
-	return &Control{common: common.Named("control"), proposer: proposer, view: view}
+func New(common figbank.Common, proposer figbank.Proposer, view *feed.View, options ...Option) *Control {
+	c := &Control{common: common.Named("control"), proposer: proposer, view: view, leaves: NewLeaves(view)}
+	for _, option := range options {
+		option(c)
+	}
+	return c
 }
 
-// Announce merges an upstream's announcement into the view. It returns an InvalidError if the
-// announcement can't describe an upstream.
-func (c *Control) Announce(_ context.Context, instance *schema.Instance) error {
+// Announce merges an upstream's announcement into the view. If the upstream says that it leaves, Announce
+// returns only once that is in the log. It returns an InvalidError if the announcement can't describe an
+// upstream.
+func (c *Control) Announce(ctx context.Context, instance *schema.Instance) error {
 	if err := registry.CheckInstance(c.common.Clock.Now(), instance); err != nil {
 		return err
 	}
@@ -42,14 +62,30 @@
 			zap.Int64("version", instance.GetLoaded().GetVersion()), zap.Int64("layers", instance.GetLoaded().GetLayers()),
 			zap.Int64("coldMilliseconds", instance.GetColdMilliseconds()))
 	}
-	return nil
+	return c.recordLeave(ctx, c.view.Instance(figbank.UpstreamID(instance.GetId())))
 }
 
-// Leave records in the view that the current incarnation of an upstream leaves for good.
-// The error is always nil.
-func (c *Control) Leave(_ context.Context, id figbank.UpstreamID) error {
-	c.view.Leave(id)
-	return nil
+// Leave records in the view that the current incarnation of an upstream leaves for good, and returns once
+// that is in the log. Gateways that this process feeds hear of it at once, also while the log accepts
+// nothing. It returns a NotAcceptedError if this process does not know the upstream, since other
+// processes may.
+func (c *Control) Leave(ctx context.Context, id figbank.UpstreamID) error {
+	record := c.view.Leave(id)
+	if record == nil {
+		return figbank.NotAcceptedError{Detail: "this replica does not know upstream " + string(id)}
+	}
+	return c.recordLeave(ctx, record)
+}
+
+// recordLeave puts the leave of an upstream into the log, unless it is there or the upstream does not
+// leave. Without that, what was acknowledged would be lost with this process.
+func (c *Control) recordLeave(ctx context.Context, record *schema.Instance) error {
+	if !registry.IsLeave(record.GetState()) || c.leaves.recorded(record) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	return c.propose(ctx, &schema.Command{Action: &schema.Command_Leave{Leave: &schema.Leave{Upstream: record}}})
 }
 
 // Publish checks traffic rules and puts them in force. If the rules in force have the
--- /dev/null
+++ b/control/leaves_test.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"figbank"
+	"figbank/clock"
+	"figbank/configuration"
+	"figbank/fake"
+	"figbank/feed"
+	"figbank/registry"
+	"figbank/schema"
+	"figbank/timeline"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+)
+
+const (
+	ready   = schema.InstanceState_INSTANCE_STATE_READY
+	leaving = schema.InstanceState_INSTANCE_STATE_LEAVING
+	gone    = schema.InstanceState_INSTANCE_STATE_GONE
+)
+
+func newView() *feed.View {
+	common := testCommon()
+	return feed.NewView(common, time.Minute, configuration.NewFleetHolder(common.Recorder))
+}
+
+func testCommon() figbank.Common {
+	return figbank.Common{Process: "r", Log: zap.NewNop(), Clock: clock.System{}, Scope: tally.NoopScope, Recorder: timeline.NewRecorder("r", clock.System{}, 16)}
+}
+
+func upstream(born int64, sequence uint64, state schema.InstanceState) *schema.Instance {
+	return &schema.Instance{Id: "i", Service: "s", Address: "10.0.0.1:80", BornUnixMilli: born, Sequence: sequence, State: state}
+}
+
+// A replica acknowledges that an upstream leaves and is killed, with its disk, before its feeds have told
+// anyone. Gateways that know the upstream as ready must hear of it from the others. So it must not
+// acknowledge before the log holds the leave, and the log must report it to every replica.
+func TestAcknowledgedLeaveOutlivesReplica(t *testing.T) {
+	scenarios := []struct {
+		name  string
+		leave func(c *Control) error
+		want  schema.InstanceState
+	}{
+		{name: "gone", leave: func(c *Control) error { return c.Leave(context.Background(), "i") }, want: gone},
+		{name: "leaving", leave: func(c *Control) error { return c.Announce(context.Background(), upstream(1, 2, leaving)) }, want: leaving},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			log := fake.NewProposer(clock.System{})
+			view := newView()
+			c := New(testCommon(), log, view)
+			if err := c.Announce(context.Background(), upstream(1, 1, ready)); err != nil {
+				t.Fatalf("Announce() = %v", err)
+			}
+			log.SetDown(true)
+			if err := s.leave(c); !errors.As(err, new(figbank.NotAcceptedError)) {
+				t.Errorf("without a majority the leave is answered with %v, want NotAcceptedError", err)
+			}
+			if got := view.Instance("i").GetState(); got != s.want {
+				t.Errorf("without a majority the replica's own view has %v, want %v", got, s.want)
+			}
+			log.SetDown(false)
+			if err := s.leave(c); err != nil {
+				t.Fatalf("the leave is answered with %v, want an acknowledgement", err)
+			}
+			other := newView()
+			other.Announce(upstream(1, 1, ready))
+			NewLeaves(other).Add(log.TakeLeaves())
+			if got := other.Instance("i").GetState(); got != s.want {
+				t.Errorf("another replica reports %v, want %v", got, s.want)
+			}
+		})
+	}
+}
+
+// An upstream that drains says so every second or so. Only the first report costs an entry in the log.
+func TestRepeatedLeaveCostsNoEntry(t *testing.T) {
+	log := fake.NewProposer(clock.System{})
+	view := newView()
+	leaves := NewLeaves(view)
+	c := New(testCommon(), log, view, WithLeaves(leaves))
+	if err := c.Announce(context.Background(), upstream(1, 1, leaving)); err != nil {
+		t.Fatalf("Announce() = %v", err)
+	}
+	leaves.Add(log.TakeLeaves())
+	log.SetDown(true)
+	if err := c.Announce(context.Background(), upstream(1, 2, leaving)); err != nil {
+		t.Errorf("a repeated report is answered with %v, want an acknowledgement without the log", err)
+	}
+	if err := c.Leave(context.Background(), "i"); err == nil {
+		t.Error("the upstream is gone now, which is new, and was acknowledged without the log")
+	}
+	if err := c.Announce(context.Background(), upstream(2, 1, ready)); err != nil || !registry.Serving(view.Instance("i").GetState()) {
+		t.Errorf("the next incarnation is %v (%v), want it ready", view.Instance("i"), err)
+	}
+}
+
+// A replica that has just started without knowing an upstream cannot tell the gateways that it leaves.
+func TestLeaveOfUnknownUpstreamIsNotAcknowledged(t *testing.T) {
+	c := New(testCommon(), fake.NewProposer(clock.System{}), newView())
+	if err := c.Leave(context.Background(), "i"); !errors.As(err, new(figbank.NotAcceptedError)) {
+		t.Errorf("Leave() = %v, want NotAcceptedError", err)
+	}
+}
--- a/fake/proposer.go
+++ b/fake/proposer.go
@@ -36,6 +36,13 @@
 	return p.state.Configuration()
 }
 
+// TakeLeaves returns the upstreams whose leaves the log has stored since the last call.
+func (p *Proposer) TakeLeaves() []*schema.Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.TakeLeaves()
+}
+
 // SetDown makes the log refuse all commands, as a replica without a majority does.
 func (p *Proposer) SetDown(down bool) {
 	p.mu.Lock()
--- a/feed/view.go
+++ b/feed/view.go
@@ -125,14 +125,22 @@
 	return changed
 }
 
-// Leave records that the current incarnation of an upstream leaves for good. It returns false if
-// the upstream is unknown or has already left.
-func (v *View) Leave(id figbank.UpstreamID) bool {
+// Leave records that the current incarnation of an upstream leaves for good. It returns the record of
+// that incarnation, or nil if the upstream is unknown.
+func (v *View) Leave(id figbank.UpstreamID) *schema.Instance {
 	v.mu.Lock()
 	left := v.registry.Leave(v.common.Clock.Now(), id)
+	record := v.registry.Instance(id)
 	v.mu.Unlock()
 	v.notifyOf(left, false, memberChange{})
-	return left
+	return record
+}
+
+// Instance returns the newest record of an upstream, or nil.
+func (v *View) Instance(id figbank.UpstreamID) *schema.Instance {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.registry.Instance(id)
 }
 
 // mergeEngine merges an agent's report on its engine. It ignores a report without an address.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -1,6 +1,6 @@
 // Package ledger is the state machine of the replicated log. Its state holds the
 // declarations in force, idempotency claims, rollout grants, traffic rules, evacuations,
-// named versions and the gateway count. It is deterministic: the same entries lead to the
+// named versions, the gateway count and the leaves of upstreams. It is deterministic: the same entries lead to the
 // same state on every replica.
 package ledger
 
@@ -30,6 +30,10 @@
 		document []byte
 		// orders holds the ids of the latest evacuations and withdrawals, oldest first.
 		orders []string
+		// leaves holds the latest leaves of upstreams, oldest first. newLeaves holds those that
+		// TakeLeaves has not returned.
+		leaves    []*schema.LeaveRecord
+		newLeaves []*schema.Instance
 	}
 
 	claimKey struct {
@@ -71,6 +75,10 @@
 		s.fleet = stored.GetFleet().GetFleet()
 		s.document = stored.GetFleet().GetPackedDocument()
 		s.orders = stored.GetFleet().GetOrders()
+		s.leaves = stored.GetFleet().GetLeaves()
+		for _, record := range s.leaves {
+			s.newLeaves = append(s.newLeaves, record.GetUpstream())
+		}
 	}
 	for _, record := range stored.GetClaims() {
 		s.putClaim(record)
@@ -88,7 +96,7 @@
 		AppliedIndex:  s.applied,
 		TimeUnixNano:  s.now.UnixNano(),
 		Configuration: s.configuration,
-		Fleet:         &schema.FleetRecord{Fleet: s.fleet, PackedDocument: s.document, Orders: s.orders},
+		Fleet:         &schema.FleetRecord{Fleet: s.fleet, PackedDocument: s.document, Orders: s.orders, Leaves: s.leaves},
 	}
 	for _, key := range s.claimOrder {
 		stored.Claims = append(stored.Claims, s.claims[key])
@@ -159,6 +167,8 @@
 		return s.countGateways(action.CountGateways)
 	case *schema.Command_ReadTraffic:
 		return s.readTraffic()
+	case *schema.Command_Leave:
+		return s.leave(action.Leave)
 	}
 	return refuse(schema.Refusal_REFUSAL_INVALID, "command of unknown kind")
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -73,7 +73,7 @@
 	}
 	id := figbank.UpstreamID(record.GetId())
 	known, found := r.instances[id]
-	if found && !supersedes(record, known.record) {
+	if found && !Supersedes(record, known.record) {
 		return false
 	}
 	if !found {
@@ -211,6 +211,19 @@
 	return upstream
 }
 
+// Instance returns the newest record of an upstream, or nil.
+func (r *Registry) Instance(id figbank.UpstreamID) *schema.Instance {
+	if known, found := r.instances[id]; found {
+		return known.record
+	}
+	return nil
+}
+
+// IsLeave reports whether an instance in the given state gets no new requests for good.
+func IsLeave(state schema.InstanceState) bool {
+	return state == schema.InstanceState_INSTANCE_STATE_LEAVING || state == schema.InstanceState_INSTANCE_STATE_GONE
+}
+
 // Serving reports whether an instance in the given state may get new requests.
 func Serving(state schema.InstanceState) bool {
 	return state == schema.InstanceState_INSTANCE_STATE_READY
@@ -229,11 +242,11 @@
 		!sameWeights(a.GetLoaded(), b.GetLoaded())
 }
 
-// supersedes reports whether a replaces b, a record of the same id. Records are ordered by
+// Supersedes reports whether a replaces b, a record of the same id. Records are ordered by
 // incarnation, then by the rank of their state (gone over leaving over the others), then by
 // sequence. At equal sequence, a silent record replaces a ready one. The next announcement, with
 // a higher sequence, replaces the silent record.
-func supersedes(a, b *schema.Instance) bool {
+func Supersedes(a, b *schema.Instance) bool {
 	if a.GetBornUnixMilli() != b.GetBornUnixMilli() {
 		return a.GetBornUnixMilli() > b.GetBornUnixMilli()
 	}
--- a/replica/lostdisks_test.go
+++ b/replica/lostdisks_test.go
@@ -1,10 +1,12 @@
 package replica
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
 	"figbank/raft"
+	"figbank/schema"
 )
 
 // A deployment configured for the loss of two disks loses the disks of the leader
@@ -58,3 +60,33 @@
 	}
 	return int(h.replica.state.Applied())
 }
+
+// Upstreams that have been told that their leave is known are still known to leave after the replicas
+// that told them lost their disks and all hosts lost power.
+func TestAcknowledgedLeavesSurviveLostDisks(t *testing.T) {
+	for seed := range uint64(10) {
+		m := newSimulation(seed, 1, t.Fatalf)
+		m.advance(2 * silenceTicks)
+		for i := range 20 {
+			m.propose(m.leaderOr(m.hosts[0]), &schema.Command{Action: &schema.Command_Leave{Leave: &schema.Leave{Upstream: &schema.Instance{
+				Id: fmt.Sprint("i", i), Service: "s", Address: "10.0.0.1:80", BornUnixMilli: 1, State: schema.InstanceState_INSTANCE_STATE_GONE,
+			}}}}, -1)
+		}
+		m.advance(1)
+		if got := len(m.pending); got != 0 {
+			t.Fatalf("seed %d: %d leaves are not acknowledged", seed, got)
+		}
+		first := m.votersByProgress()[0]
+		for _, h := range m.hosts {
+			m.stop(h, true, 0)
+		}
+		m.loseDisk(first)
+		m.startAll()
+		m.advance(2 * silenceTicks)
+		for _, h := range m.hosts {
+			if got, want := len(h.leaves), 20; h.replica.node.CommitIndex() > 0 && got != want {
+				t.Fatalf("seed %d: %s reports %d leaves, want %d:%s", seed, h.id, got, want, m.describe())
+			}
+		}
+	}
+}
--- a/replica/options.go
+++ b/replica/options.go
@@ -31,6 +31,12 @@
 	return func(r *Replica) { r.onFleet = callback }
 }
 
+// WithLeaves calls callback with the upstreams whose leaves the log holds at the start, and with each one
+// that is committed later. callback must not block.
+func WithLeaves(callback func([]*schema.Instance)) Option {
+	return func(r *Replica) { r.onLeaves = callback }
+}
+
 // WithFailure calls callback with the error that makes the replica stop by itself, in
 // most cases a failure of its disk. callback must not call Close, which would wait for
 // callback to return.
--- a/replica/ready.go
+++ b/replica/ready.go
@@ -59,9 +59,17 @@
 	r.common.Log.Info("installed snapshot from leader", zap.Uint64("index", ready.Snapshot.GetIndex()))
 	r.onConfiguration(state.Configuration())
 	r.onFleet(state.Fleet())
+	r.reportLeaves()
 	return nil
 }
 
+// reportLeaves reports the leaves of upstreams that the state has stored since the last call.
+func (r *Replica) reportLeaves() {
+	if leaves := r.state.TakeLeaves(); len(leaves) > 0 {
+		r.onLeaves(leaves)
+	}
+}
+
 func (r *Replica) apply(entry *schema.Entry) {
 	configurationBefore, fleetBefore := r.state.Configuration(), r.state.Fleet()
 	result := r.state.Apply(entry)
@@ -74,6 +82,7 @@
 		r.common.Recorder.Record(&schema.Event{Part: "replica", Name: "Committed", CommitIndex: entry.GetIndex()})
 		r.onFleet(after)
 	}
+	r.reportLeaves()
 	p, found := r.pending[entry.GetIndex()]
 	if !found {
 		return
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -77,6 +77,7 @@
 		failedLearners  map[figbank.ProcessID]time.Time
 		onConfiguration func(*schema.Configuration)
 		onFleet         func(*schema.Fleet)
+		onLeaves        func([]*schema.Instance)
 		onFailure       func(error)
 
 		status  atomic.Pointer[schema.ReplicaStatus]
@@ -138,6 +139,7 @@
 		failedLearners:  map[figbank.ProcessID]time.Time{},
 		onConfiguration: func(*schema.Configuration) {},
 		onFleet:         func(*schema.Fleet) {},
+		onLeaves:        func([]*schema.Instance) {},
 		onFailure:       func(error) {},
 		stopped:         make(chan struct{}),
 	}
@@ -216,6 +218,7 @@
 	r.cancel = cancel
 	r.onConfiguration(r.state.Configuration())
 	r.onFleet(r.state.Fleet())
+	r.reportLeaves()
 	r.group.Go(func() { r.run(ctx) })
 }
 
--- a/replica/simulation_test.go
+++ b/replica/simulation_test.go
@@ -76,6 +76,8 @@
 		// log at the next start.
 		rewriteLog bool
 		leaving    bool
+		// leaves holds the upstreams of which this process has reported that they leave.
+		leaves map[string]bool
 		// lists holds what the replicas at other addresses last told this process.
 		lists map[figbank.Address]simulatedList
 	}
@@ -151,7 +153,9 @@
 		Recorder: timeline.NewRecorder(h.id, simulationClock{m}, 1),
 	}
 	random := rand.New(rand.NewPCG(m.random.Uint64(), 3))
-	r, err := open(common, settings, h.disk, nil, WithRandom(random), WithReplicas(func() []voters.Replica { return m.knownReplicas(h) }))
+	h.leaves = map[string]bool{}
+	r, err := open(common, settings, h.disk, nil, WithRandom(random), WithLeaves(h.addLeaves),
+		WithReplicas(func() []voters.Replica { return m.knownReplicas(h) }))
 	if err != nil {
 		if !h.rewriteLog {
 			m.fail("%s does not open its log: %v", h.id, err)
@@ -163,9 +167,16 @@
 		m.inFlight = append(m.inFlight, proto.CloneOf(message))
 	}
 	h.replica, h.rewriteLog, h.lists = r, false, map[figbank.Address]simulatedList{}
+	r.reportLeaves()
 	m.checkState(h)
 }
 
+func (h *simulatedHost) addLeaves(upstreams []*schema.Instance) {
+	for _, upstream := range upstreams {
+		h.leaves[upstream.GetId()] = true
+	}
+}
+
 // knownReplicas lists the replicas that a host knows, as the feeds of a real deployment do: its own
 // subscribers, what the other replicas list, and what lost replicas listed last.
 func (m *simulation) knownReplicas(h *simulatedHost) []voters.Replica {
