Control: a call that was held up is not carried out after newer orders

A frozen replica woke up, read a withdrawal from its socket that had been acknowledged elsewhere, and carried it out after a newer evacuation: 81 requests reached the evacuated domain on.

Cause: orders carry no number. Each call got a new id when it was read, and nothing looked at its age, neither where it is read nor where it is applied.

The command names the order that it follows; the log refuses it if another one was accepted since, and the caller gets 503 and repeats it. What is in force already is acknowledged. DELETE gets the same look, and names the incarnation known before it; the count of gateways names the count it replaces.

--- a/app/common.go
+++ b/app/common.go
@@ -10,6 +10,7 @@
 
 	"figbank"
 	"figbank/clock"
+	"figbank/httpserver"
 	"figbank/schema"
 	"figbank/timeline"
 
@@ -99,5 +100,7 @@
 }
 
 func newHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader}
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnContext: httpserver.WithConn,
+	}
 }
--- a/control/control.go
+++ b/control/control.go
@@ -9,6 +9,7 @@
 
 	"figbank"
 	"figbank/feed"
+	"figbank/ledger"
 	"figbank/registry"
 	"figbank/schema"
 	"figbank/traffic"
@@ -68,13 +69,17 @@
 // Leave records in the view that the current incarnation of an upstream leaves for good, and returns once
 // that is in the log. Gateways that this process feeds hear of it at once, also while the log accepts
 // nothing. It returns a NotAcceptedError if this process does not know the upstream, since other
-// processes may.
-func (c *Control) Leave(ctx context.Context, id figbank.UpstreamID) error {
-	record := c.view.Leave(id)
+// processes may, and a CallerGoneError if the caller has given up: the call may come from an earlier
+// incarnation.
+func (c *Control) Leave(ctx context.Context, id figbank.UpstreamID, caller figbank.Caller) error {
+	record := c.view.Instance(id)
+	if !caller.Waits() {
+		return figbank.CallerGoneError{}
+	}
 	if record == nil {
 		return figbank.NotAcceptedError{Detail: "this replica does not know upstream " + string(id)}
 	}
-	return c.recordLeave(ctx, record)
+	return c.recordLeave(ctx, c.view.Leave(id, record.GetBornUnixMilli()))
 }
 
 // recordLeave puts the leave of an upstream into the log, unless it is there or the upstream does not
@@ -121,10 +126,17 @@
 	return traffic.Unpack(result.GetPackedDocument())
 }
 
-// Evacuate takes a failure domain out of service, or puts it back if withdraw is set.
-func (c *Control) Evacuate(ctx context.Context, domain figbank.FailureDomain, withdraw bool) error {
+// Evacuate takes a failure domain out of service, or puts it back if withdraw is set. It returns a
+// CallerGoneError if the caller has given up, and a NotAcceptedError if a newer order was accepted after
+// the call came in. The newest order is looked up before the caller is: whatever delays the command after
+// that, in this process, on its way or at the leader, the log compares the two.
+func (c *Control) Evacuate(ctx context.Context, domain figbank.FailureDomain, withdraw bool, caller figbank.Caller) error {
+	newest := ledger.LastEvacuationOrder(c.view.Fleet(), string(domain))
+	if !caller.Waits() {
+		return figbank.CallerGoneError{}
+	}
 	return c.propose(ctx, &schema.Command{Action: &schema.Command_Evacuate{Evacuate: &schema.Evacuate{
-		FailureDomain: string(domain), Withdraw: withdraw, Order: uuid.NewString(),
+		FailureDomain: string(domain), Withdraw: withdraw, Order: uuid.NewString(), Follows: &newest,
 	}}})
 }
 
@@ -136,14 +148,19 @@
 	}}})
 }
 
-// propose proposes a command. It returns an InvalidError if the log refused it.
+// propose proposes a command. It returns a NotAcceptedError if the log refused it because of a newer one,
+// and an InvalidError if the log refused it for another reason.
 func (c *Control) propose(ctx context.Context, command *schema.Command) error {
 	result, err := c.proposer.Propose(ctx, command)
 	if err != nil {
 		return err
 	}
-	if result.GetRefusal() != schema.Refusal_REFUSAL_NONE {
+	switch result.GetRefusal() {
+	case schema.Refusal_REFUSAL_NONE:
+		return nil
+	case schema.Refusal_REFUSAL_SUPERSEDED:
+		return figbank.NotAcceptedError{Detail: result.GetDetail()}
+	default:
 		return figbank.InvalidError{Subject: "command", Detail: result.GetDetail()}
 	}
-	return nil
 }
--- a/control/gateways.go
+++ b/control/gateways.go
@@ -55,11 +55,12 @@
 			counter = gatewayCounter{}
 			continue
 		}
-		count, shouldRecord := counter.observe(c.common.Clock.Now(), c.listedGateways(), fleet().GetGateways())
+		recorded := fleet().GetGateways()
+		count, shouldRecord := counter.observe(c.common.Clock.Now(), c.listedGateways(), recorded)
 		if !shouldRecord {
 			continue
 		}
-		err := c.propose(ctx, &schema.Command{Action: &schema.Command_CountGateways{CountGateways: &schema.CountGateways{Gateways: count}}})
+		err := c.propose(ctx, &schema.Command{Action: &schema.Command_CountGateways{CountGateways: &schema.CountGateways{Gateways: count, Replaces: &recorded}}})
 		if err != nil {
 			c.common.Log.Warn("failed to record the gateway count", figbank.ErrorField(err))
 			continue
--- a/control/leaves_test.go
+++ b/control/leaves_test.go
@@ -25,6 +25,11 @@
 	gone    = schema.InstanceState_INSTANCE_STATE_GONE
 )
 
+// waiting is a caller that still waits, or not.
+type waiting bool
+
+func (w waiting) Waits() bool { return bool(w) }
+
 func newView() *feed.View {
 	common := testCommon()
 	return feed.NewView(common, time.Minute, configuration.NewFleetHolder(common.Recorder))
@@ -47,7 +52,7 @@
 		leave func(c *Control) error
 		want  schema.InstanceState
 	}{
-		{name: "gone", leave: func(c *Control) error { return c.Leave(context.Background(), "i") }, want: gone},
+		{name: "gone", leave: func(c *Control) error { return c.Leave(context.Background(), "i", waiting(true)) }, want: gone},
 		{name: "leaving", leave: func(c *Control) error { return c.Announce(context.Background(), upstream(1, 2, leaving)) }, want: leaving},
 	}
 	for _, s := range scenarios {
@@ -93,7 +98,7 @@
 	if err := c.Announce(context.Background(), upstream(1, 2, leaving)); err != nil {
 		t.Errorf("a repeated report is answered with %v, want an acknowledgement without the log", err)
 	}
-	if err := c.Leave(context.Background(), "i"); err == nil {
+	if err := c.Leave(context.Background(), "i", waiting(true)); err == nil {
 		t.Error("the upstream is gone now, which is new, and was acknowledged without the log")
 	}
 	if err := c.Announce(context.Background(), upstream(2, 1, ready)); err != nil || !registry.Serving(view.Instance("i").GetState()) {
@@ -104,7 +109,7 @@
 // A replica that has just started without knowing an upstream cannot tell the gateways that it leaves.
 func TestLeaveOfUnknownUpstreamIsNotAcknowledged(t *testing.T) {
 	c := New(testCommon(), fake.NewProposer(clock.System{}), newView())
-	if err := c.Leave(context.Background(), "i"); !errors.As(err, new(figbank.NotAcceptedError)) {
+	if err := c.Leave(context.Background(), "i", waiting(true)); !errors.As(err, new(figbank.NotAcceptedError)) {
 		t.Errorf("Leave() = %v, want NotAcceptedError", err)
 	}
 }
--- a/fake/proposer.go
+++ b/fake/proposer.go
@@ -36,6 +36,13 @@
 	return p.state.Configuration()
 }
 
+// Fleet returns the fleet state in force.
+func (p *Proposer) Fleet() *schema.Fleet {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Fleet()
+}
+
 // TakeLeaves returns the upstreams whose leaves the log has stored since the last call.
 func (p *Proposer) TakeLeaves() []*schema.Instance {
 	p.mu.Lock()
--- a/feed/view.go
+++ b/feed/view.go
@@ -125,11 +125,11 @@
 	return changed
 }
 
-// Leave records that the current incarnation of an upstream leaves for good. It returns the record of
-// that incarnation, or nil if the upstream is unknown.
-func (v *View) Leave(id figbank.UpstreamID) *schema.Instance {
+// Leave records that an incarnation of an upstream leaves for good. It returns the newest record of the
+// upstream, which may be that of a later incarnation, or nil if the upstream is unknown.
+func (v *View) Leave(id figbank.UpstreamID, bornUnixMilli int64) *schema.Instance {
 	v.mu.Lock()
-	left := v.registry.Leave(v.common.Clock.Now(), id)
+	left := v.registry.Leave(v.common.Clock.Now(), id, bornUnixMilli)
 	record := v.registry.Instance(id)
 	v.mu.Unlock()
 	v.notifyOf(left, false, memberChange{})
--- a/figbank.go
+++ b/figbank.go
@@ -63,6 +63,13 @@
 		Tick(d time.Duration) (ticks <-chan time.Time, stop func())
 	}
 
+	// Caller is the other end of a call that carries no number. Such a call may be held up on its way,
+	// while its caller gives it up, repeats it elsewhere and goes on with others.
+	Caller interface {
+		// Waits reports whether the caller still waits for the answer, as far as can be seen here.
+		Waits() bool
+	}
+
 	// BootClock tells time that goes on while the host is suspended. Clock may stand still then.
 	BootClock interface {
 		// SinceBoot returns the time since the host started.
--- a/ledger/fleet.go
+++ b/ledger/fleet.go
@@ -33,26 +33,41 @@
 
 // evacuate takes a failure domain out of service, or puts it back if the request is a withdrawal. A
 // request whose order id is already known has no effect, even if another request has taken effect
-// since.
+// since. A request that does not follow the newest accepted order for the domain is refused, unless it
+// asks for what is in force.
 func (s *State) evacuate(request *schema.Evacuate) *schema.Result {
-	if !s.isNewOrder(request.GetOrder()) {
-		return &schema.Result{CommitIndex: s.fleet.GetCommitIndex()}
+	unchanged := slices.Contains(s.fleet.GetEvacuated(), request.GetFailureDomain()) != request.GetWithdraw()
+	follows := request.Follows == nil || request.GetFollows() == LastEvacuationOrder(s.fleet, request.GetFailureDomain())
+	if !follows && !unchanged && !slices.Contains(s.orders, request.GetOrder()) {
+		return refuse(schema.Refusal_REFUSAL_SUPERSEDED, "a newer order for this failure domain has been accepted")
 	}
-	isEvacuated := slices.Contains(s.fleet.GetEvacuated(), request.GetFailureDomain())
-	if isEvacuated != request.GetWithdraw() {
+	if !s.isNewOrder(request.GetOrder()) || !follows || request.Follows == nil && unchanged {
 		return &schema.Result{CommitIndex: s.fleet.GetCommitIndex()}
 	}
 	next := s.nextFleet()
-	if request.GetWithdraw() {
-		next.Evacuated = slices.DeleteFunc(next.Evacuated, func(d string) bool { return d == request.GetFailureDomain() })
-	} else {
+	next.Evacuated = slices.DeleteFunc(next.Evacuated, func(d string) bool { return d == request.GetFailureDomain() })
+	if !request.GetWithdraw() {
 		next.Evacuated = append(next.Evacuated, request.GetFailureDomain())
 		slices.Sort(next.Evacuated)
 	}
+	next.EvacuationOrders = slices.DeleteFunc(next.EvacuationOrders, func(o *schema.EvacuationOrder) bool {
+		return o.GetFailureDomain() == request.GetFailureDomain()
+	})
+	next.EvacuationOrders = append(next.EvacuationOrders, &schema.EvacuationOrder{FailureDomain: request.GetFailureDomain(), CommitIndex: s.applied})
 	s.fleet = next
 	return &schema.Result{CommitIndex: s.applied}
 }
 
+// LastEvacuationOrder returns the index of the newest accepted order for a failure domain, or 0.
+func LastEvacuationOrder(fleet *schema.Fleet, domain string) uint64 {
+	for _, order := range fleet.GetEvacuationOrders() {
+		if order.GetFailureDomain() == domain {
+			return order.GetCommitIndex()
+		}
+	}
+	return 0
+}
+
 // isNewOrder records the id of an evacuation or withdrawal and reports whether the id is
 // new. An empty id always counts as new.
 func (s *State) isNewOrder(order string) bool {
@@ -85,8 +100,10 @@
 	return &schema.Result{CommitIndex: s.applied}
 }
 
+// countGateways records the number of gateways, unless the number that it replaces is not recorded any more.
 func (s *State) countGateways(counted *schema.CountGateways) *schema.Result {
-	if counted.GetGateways() == s.fleet.GetGateways() {
+	superseded := counted.Replaces != nil && counted.GetReplaces() != s.fleet.GetGateways()
+	if superseded || counted.GetGateways() == s.fleet.GetGateways() {
 		return &schema.Result{CommitIndex: s.fleet.GetCommitIndex()}
 	}
 	next := s.nextFleet()
@@ -124,5 +141,7 @@
 		Evacuated:     slices.Clone(s.fleet.GetEvacuated()),
 		Versions:      slices.Clone(s.fleet.GetVersions()),
 		Gateways:      s.fleet.GetGateways(),
+
+		EvacuationOrders: slices.Clone(s.fleet.GetEvacuationOrders()),
 	}
 }
--- a/ledger/fleet_test.go
+++ b/ledger/fleet_test.go
@@ -166,3 +166,17 @@
 		t.Errorf("fleet returned before the changes = %v, want it unchanged: %v", before, unchanged)
 	}
 }
+
+// A deposed leader's count of gateways reaches the log late. It must not replace a newer one.
+func TestLateCountOfGatewaysHasNoEffect(t *testing.T) {
+	m := newMachine(t)
+	count := func(gateways, replaces int64) {
+		m.apply(&schema.Command{Action: &schema.Command_CountGateways{CountGateways: &schema.CountGateways{Gateways: gateways, Replaces: &replaces}}})
+	}
+	count(8, 0)
+	count(12, 8)
+	count(7, 8)
+	if got, want := m.state.Fleet().GetGateways(), int64(12); got != want {
+		t.Errorf("gateways recorded = %d, want %d", got, want)
+	}
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -87,11 +87,11 @@
 	return affectsRouting
 }
 
-// Leave records that the current incarnation of an upstream leaves for good. It returns false if
-// the upstream is unknown or has already left.
-func (r *Registry) Leave(now time.Time, id figbank.UpstreamID) bool {
+// Leave records that an incarnation of an upstream leaves for good. It returns false if that is not the
+// newest incarnation or has already left.
+func (r *Registry) Leave(now time.Time, id figbank.UpstreamID, bornUnixMilli int64) bool {
 	known, found := r.instances[id]
-	if !found || known.record.GetState() == schema.InstanceState_INSTANCE_STATE_GONE {
+	if !found || known.record.GetBornUnixMilli() != bornUnixMilli || known.record.GetState() == schema.InstanceState_INSTANCE_STATE_GONE {
 		return false
 	}
 	return r.Announce(now, withState(known.record, schema.InstanceState_INSTANCE_STATE_GONE))
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -49,7 +49,7 @@
 			name: "an announcement after Leave does not make the incarnation ready again",
 			apply: func(r *Registry) {
 				r.Announce(start, instance(1, 5, ready))
-				r.Leave(start, "i")
+				r.Leave(start, "i", 1)
 				r.Announce(start, instance(1, 6, ready))
 			},
 			want: gone, born: 1,
@@ -58,7 +58,7 @@
 			name: "a new incarnation under the same id replaces the one that left",
 			apply: func(r *Registry) {
 				r.Announce(start, instance(1, 5, ready))
-				r.Leave(start, "i")
+				r.Leave(start, "i", 1)
 				r.Announce(start, instance(2, 1, ready))
 			},
 			want: ready, born: 2,
--- a/replica/client.go
+++ b/replica/client.go
@@ -79,6 +79,9 @@
 	unknown := false
 	for {
 		for _, replica := range c.leaderFirst() {
+			if ctx.Err() != nil {
+				break
+			}
 			answer, maybeAccepted := c.try(ctx, replica, command)
 			unknown = unknown || maybeAccepted
 			if answer.GetResult() != nil {
