Gateway: a planned stop answers every request that it has read

Found here: what still ran or waited when the grace time ended had its connection closed without an answer. On a connection on which nothing had come yet, net/http reads a request after the notice and closes the connection without an answer; it does not pass it on.

Change: 0.3 s before the graceful shutdown ends, the requests that still run are canceled, so each is answered with what its attempts prove: 503 if it has not run, 502 if it may have. Connections from which no byte has been read are closed when the notice is over; a byte that arrives at the same moment is dropped, so the caller knows that nothing was read.

--- a/app/platform.go
+++ b/app/platform.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"os"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"figbank"
@@ -120,8 +119,3 @@
 
 // SettingsFile is the path of the settings file.
 type SettingsFile string
-
-// stopFlag is set once the process has been asked to stop.
-type stopFlag struct {
-	atomic.Bool
-}
--- a/app/platformgateway.go
+++ b/app/platformgateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"figbank"
@@ -29,13 +28,17 @@
 	noticeTime = 2300 * time.Millisecond
 	// stopMargin is the part of GraceTime that remains after the graceful shutdown.
 	stopMargin = 500 * time.Millisecond
+	// answerMargin is how long before the end of the graceful shutdown the requests that still run are
+	// ended, so that each caller is told whether its request may have run.
+	answerMargin = 300 * time.Millisecond
 )
 
 // NewPlatformGateway returns the application that runs a gateway on a platform.
 func NewPlatformGateway(s *schema.PlatformSettings, file SettingsFile, options ...fx.Option) *fx.App {
 	return fx.New(
 		platformOptions(s, schema.MemberRole_MEMBER_ROLE_GATEWAY),
-		fx.Supply(file, &stopFlag{}),
+		fx.Supply(file),
+		fx.Provide(newStopState),
 		fx.Provide(newUpstreamPool, newDispatcher),
 		fx.Invoke(watchSettings, shareLoad, serveReadiness, servePlatformCallers),
 		fx.Options(options...),
@@ -93,32 +96,34 @@
 	return nil
 }
 
-func serveReadiness(lifecycle fx.Lifecycle, s *schema.PlatformSettings, d *dispatch.Dispatcher, stopping *stopFlag) error {
-	ready := func() bool { return d.Table() != nil && !stopping.Load() }
+func serveReadiness(lifecycle fx.Lifecycle, s *schema.PlatformSettings, d *dispatch.Dispatcher, stopping *stopState) error {
+	ready := func() bool { return d.Table() != nil && !stopping.begun.Load() }
 	return serveHTTP(lifecycle, s.GetNode().GetListenReadiness(), platform.ReadinessHandler(ready))
 }
 
 // servePlatformCallers serves callers. It is invoked last, so that fx stops it first:
 // running requests can still use all other parts during the graceful shutdown.
 func servePlatformCallers(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings,
-	d *dispatch.Dispatcher, stopping *stopFlag, _ *transport.Pool,
+	d *dispatch.Dispatcher, stopping *stopState, _ *transport.Pool,
 ) error {
 	listener, err := listen(s.GetNode().GetListenCallers())
 	if err != nil {
 		return err
 	}
 	handler := platform.NewFrontServer(common, d).Handler()
-	server := httpserver.New(common, closeConnectionsWhen(stopping, handler), func() httpserver.Limits { return callerLimits(d.Table()) })
+	server := httpserver.New(common, stopping.handler(handler), func() httpserver.Limits { return callerLimits(d.Table()) })
 	go server.Serve(listener)
 	common.Log.Info("gateway: started", zap.String("callers", listener.Addr().String()))
 	lifecycle.Append(fx.StopHook(func(ctx context.Context) error {
 		common.Log.Info("gateway: stopping")
-		stopping.Store(true)
+		stopping.begun.Store(true)
 		// The load balancer sends callers here until it sees that this gateway is not
 		// ready.
 		<-common.Clock.After(noticeTime)
-		ctx, cancel := context.WithTimeout(ctx, s.GetBounds().GetGraceTime().AsDuration()-noticeTime-stopMargin)
+		left := s.GetBounds().GetGraceTime().AsDuration() - noticeTime - stopMargin
+		ctx, cancel := context.WithTimeout(ctx, left)
 		defer cancel()
+		go stopping.endAfter(ctx, common.Clock.After(left-answerMargin))
 		err := server.Shutdown(ctx)
 		common.Log.Info("gateway: stopped", zap.Bool("whole", err == nil))
 		return nil
@@ -145,14 +150,3 @@
 	}
 	return limits
 }
-
-// closeConnectionsWhen returns a handler that, once stopping is set, tells callers to close their
-// connections, so that they connect to another gateway.
-func closeConnectionsWhen(stopping *stopFlag, handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(w, r)
-	})
-}
--- a/httpserver/conn.go
+++ b/httpserver/conn.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 )
@@ -14,6 +16,16 @@
 // would close the connection without an answer.
 const headTimeoutAnswer = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
+// The states of a connection with regard to its first request.
+const (
+	// connUnread means that no byte has been read from the connection.
+	connUnread int32 = iota
+	// connRead means that bytes have been read.
+	connRead
+	// connAbandoned means that the connection was closed before a byte was read. Nothing is read any more.
+	connAbandoned
+)
+
 type (
 	// conn is a caller's connection.
 	conn struct {
@@ -24,7 +36,9 @@
 		partialHead atomic.Bool
 		// serving is set from the end of a head to the end of its answer.
 		serving atomic.Bool
-		closed  sync.Once
+		// first is the state with regard to the first request.
+		first  atomic.Int32
+		closed sync.Once
 	}
 
 	// connQueue is a listener whose connections were accepted by another listener.
@@ -32,14 +46,19 @@
 		accepted chan net.Conn
 		done     chan struct{}
 		close    sync.Once
-		// open counts the connections that are not closed yet.
-		open atomic.Int64
+
+		mu sync.Mutex
+		// open holds the connections that are not closed yet.
+		open map[*conn]struct{}
 	}
 )
 
 func newConn(accepted net.Conn, queue *connQueue) *conn {
-	queue.open.Add(1)
-	return &conn{Conn: accepted, queue: queue}
+	c := &conn{Conn: accepted, queue: queue}
+	queue.mu.Lock()
+	defer queue.mu.Unlock()
+	queue.open[c] = struct{}{}
+	return c
 }
 
 // Read answers a request whose head has not arrived before the read deadline.
@@ -48,6 +67,9 @@
 	if c.serving.Load() {
 		return n, err
 	}
+	if n > 0 && !c.first.CompareAndSwap(connUnread, connRead) && c.first.Load() == connAbandoned {
+		return 0, net.ErrClosed
+	}
 	if n > 0 {
 		c.partialHead.Store(true)
 	}
@@ -61,10 +83,18 @@
 
 // Close closes the connection.
 func (c *conn) Close() error {
-	c.closed.Do(func() { c.queue.open.Add(-1) })
+	c.closed.Do(func() { c.queue.remove(c) })
 	return c.Conn.Close()
 }
 
+// closeUnread closes the connection unless a byte has been read from it. Its caller then knows that this
+// process has not read a request, and may send it elsewhere.
+func (c *conn) closeUnread() {
+	if c.first.CompareAndSwap(connUnread, connAbandoned) {
+		_ = c.Close()
+	}
+}
+
 // trackState follows the state of a connection, as net/http reports it.
 func trackState(changed net.Conn, state http.ConnState) {
 	c, isConn := changed.(*conn)
@@ -82,7 +112,20 @@
 }
 
 func newConnQueue() *connQueue {
-	return &connQueue{accepted: make(chan net.Conn), done: make(chan struct{})}
+	return &connQueue{accepted: make(chan net.Conn), done: make(chan struct{}), open: map[*conn]struct{}{}}
+}
+
+func (q *connQueue) remove(c *conn) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.open, c)
+}
+
+// openConns lists the connections that are not closed yet.
+func (q *connQueue) openConns() []*conn {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.Collect(maps.Keys(q.open))
 }
 
 // offer passes a connection on. It returns false if the queue is closed.
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -96,7 +96,8 @@
 }
 
 // Shutdown stops accepting connections and waits until the running requests have ended, or
-// until ctx ends.
+// until ctx ends. It closes connections on which nothing has come yet: net/http would still read a request
+// there, and close the connection without an answer.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	s.stopped = true
@@ -111,6 +112,9 @@
 	// All of them together, so that none goes on taking requests while another one ends.
 	var group errgroup.Group
 	for _, server := range servers {
+		for _, c := range server.conns.openConns() {
+			c.closeUnread()
+		}
 		group.Go(func() error { return server.server.Shutdown(ctx) })
 	}
 	return figbank.WrapError("httpserver", "Shutdown", group.Wait())
@@ -138,7 +142,7 @@
 func (s *Server) closeUnused() {
 	var used []*limitedServer
 	for _, server := range s.older {
-		if server.conns.open.Load() > 0 {
+		if len(server.conns.openConns()) > 0 {
 			used = append(used, server)
 			continue
 		}
