Registry: an incarnation that serves on after a leave is renewed by its reports

A DELETE that a partition held up ended the next incarnation under the same id for good; none of its service's requests was served.

Cause: DELETE carries no birth.

Change: three reports, newer than the leave and spaced by half a second or more, show that the leave was not that of this incarnation. Its record is renewed; renewals order before states, so the merge still does not depend on the order of arrival.

TestIncarnationThatServesOnIsRenewed fails without the rule, since the state stays gone.

--- a/control/control.go
+++ b/control/control.go
@@ -56,8 +56,9 @@
 	if err := registry.CheckInstance(c.common.Clock.Now(), instance); err != nil {
 		return err
 	}
-	if c.view.Announce(instance) {
-		c.common.Log.Info("upstream changed", zap.String("upstream", instance.GetId()), zap.String("service", instance.GetService()),
+	if c.view.Report(instance) {
+		known := c.view.Instance(figbank.UpstreamID(instance.GetId()))
+		c.common.Log.Info("upstream changed", zap.Uint64("renewals", known.GetRenewals()), zap.String("upstream", instance.GetId()), zap.String("service", instance.GetService()),
 			zap.String("address", instance.GetAddress()), zap.Stringer("state", instance.GetState()),
 			zap.Int64("born", instance.GetBornUnixMilli()), zap.Uint64("sequence", instance.GetSequence()),
 			zap.Int64("version", instance.GetLoaded().GetVersion()), zap.Int64("layers", instance.GetLoaded().GetLayers()),
--- a/control/leaves.go
+++ b/control/leaves.go
@@ -42,6 +42,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.stored[figbank.UpstreamID(record.GetId())]
-	return known.GetBornUnixMilli() == record.GetBornUnixMilli() && known != nil &&
+	return known != nil && known.GetBornUnixMilli() == record.GetBornUnixMilli() && known.GetRenewals() == record.GetRenewals() &&
 		(known.GetState() == record.GetState() || known.GetState() == schema.InstanceState_INSTANCE_STATE_GONE)
 }
--- a/feed/view.go
+++ b/feed/view.go
@@ -113,12 +113,20 @@
 	return uint64(v.members.known.revision)
 }
 
-// Announce merges an upstream's announcement. It reports whether anything that
-// affects routing changed.
+// Announce merges what is known of an upstream. It reports whether anything that affects routing changed.
 func (v *View) Announce(record *schema.Instance) bool {
+	return v.merge((*registry.Registry).Announce, record)
+}
+
+// Report merges an upstream's own announcement, like Announce.
+func (v *View) Report(record *schema.Instance) bool {
+	return v.merge((*registry.Registry).Report, record)
+}
+
+func (v *View) merge(into func(*registry.Registry, time.Time, *schema.Instance) bool, record *schema.Instance) bool {
 	v.mu.Lock()
 	before := v.registry.Revision()
-	changed := v.registry.Announce(v.common.Clock.Now(), record)
+	changed := into(v.registry, v.common.Clock.Now(), record)
 	renewed := v.registry.Revision() != before
 	v.mu.Unlock()
 	v.notifyOf(changed, renewed, memberChange{})
--- a/registry/check.go
+++ b/registry/check.go
@@ -24,6 +24,8 @@
 	maxCold = 24 * time.Hour
 	// maxName bounds ids and names in bytes.
 	maxName = 1 << 10
+	// maxRenewals bounds how often an incarnation may serve on after a leave.
+	maxRenewals = 1 << 20
 )
 
 // CheckInstance returns an InvalidError if a record can't describe an upstream. A record of
@@ -39,6 +41,8 @@
 		return invalidInstance("the birth is out of range")
 	case record.GetSequence() > maxSequence:
 		return invalidInstance("the sequence is out of range")
+	case record.GetRenewals() > maxRenewals:
+		return invalidInstance("the number of renewals is out of range")
 	case record.GetSlots() < 0 || record.GetSlots() > maxSlots:
 		return invalidInstance("the number of slots is out of range")
 	case record.GetColdMilliseconds() < 0 || record.GetColdMilliseconds() > maxCold.Milliseconds():
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -12,6 +12,8 @@
 	"figbank"
 	"figbank/changelog"
 	"figbank/schema"
+
+	"google.golang.org/protobuf/proto"
 )
 
 type (
@@ -34,6 +36,8 @@
 	instanceEntry struct {
 		record      *schema.Instance
 		announcedAt time.Time
+		// later are the reports that came after the incarnation was recorded as gone.
+		later laterReports
 	}
 
 	// recordKey names a record: an instance or an engine. The other field is empty.
@@ -87,6 +91,23 @@
 	return affectsRouting
 }
 
+// Report merges an upstream's own announcement. Announcements of an incarnation that is recorded as gone are
+// ignored, until there are so many that it must serve on.
+func (r *Registry) Report(now time.Time, report *schema.Instance) bool {
+	known, found := r.instances[figbank.UpstreamID(report.GetId())]
+	if !found || known.record.GetBornUnixMilli() != report.GetBornUnixMilli() || CheckInstance(now, report) != nil {
+		return r.Announce(now, report)
+	}
+	report = proto.CloneOf(report)
+	report.Renewals = known.record.GetRenewals()
+	if known.record.GetState() == schema.InstanceState_INSTANCE_STATE_GONE && Serving(report.GetState()) &&
+		known.later.disprove(now, known.announcedAt, known.record, report) {
+		report.Renewals++
+		known.later = laterReports{}
+	}
+	return r.Announce(now, report)
+}
+
 // Leave records that an incarnation of an upstream leaves for good. It returns false if that is not the
 // newest incarnation or has already left.
 func (r *Registry) Leave(now time.Time, id figbank.UpstreamID, bornUnixMilli int64) bool {
@@ -243,13 +264,16 @@
 }
 
 // Supersedes reports whether a replaces b, a record of the same id. Records are ordered by
-// incarnation, then by the rank of their state (gone over leaving over the others), then by
+// incarnation, then by renewals, then by the rank of their state (gone over leaving over the others), then by
 // sequence. At equal sequence, a silent record replaces a ready one. The next announcement, with
 // a higher sequence, replaces the silent record.
 func Supersedes(a, b *schema.Instance) bool {
 	if a.GetBornUnixMilli() != b.GetBornUnixMilli() {
 		return a.GetBornUnixMilli() > b.GetBornUnixMilli()
 	}
+	if a.GetRenewals() != b.GetRenewals() {
+		return a.GetRenewals() > b.GetRenewals()
+	}
 	if stateRank(a) != stateRank(b) {
 		return stateRank(a) > stateRank(b)
 	}
@@ -259,7 +283,7 @@
 	return a.GetState() == schema.InstanceState_INSTANCE_STATE_SILENT && Serving(b.GetState())
 }
 
-// stateRank returns the rank of a record's state. An incarnation never goes back to
+// stateRank returns the rank of a record's state. Between two renewals, an incarnation never goes back to
 // a state of lower rank.
 func stateRank(record *schema.Instance) int {
 	switch record.GetState() {
@@ -298,6 +322,6 @@
 		Id: record.GetId(), Service: record.GetService(), Address: record.GetAddress(),
 		FailureDomain: record.GetFailureDomain(), BornUnixMilli: record.GetBornUnixMilli(),
 		Sequence: record.GetSequence(), State: state, Slots: record.GetSlots(),
-		ColdMilliseconds: record.GetColdMilliseconds(), Loaded: record.GetLoaded(),
+		ColdMilliseconds: record.GetColdMilliseconds(), Loaded: record.GetLoaded(), Renewals: record.GetRenewals(),
 	}
 }
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -136,3 +136,54 @@
 		t.Errorf("changes including repeated announcements = %d, want 1", got)
 	}
 }
+
+// A DELETE that a partition held up ends the next incarnation under the same id, which serves on. Its reports
+// go on too, and must bring it back; a report or two that the network delivers late must not bring back one
+// that has left.
+func TestIncarnationThatServesOnIsRenewed(t *testing.T) {
+	type report struct {
+		after    time.Duration
+		sequence uint64
+	}
+	const beat = 1200 * time.Millisecond
+	scenarios := []struct {
+		name    string
+		reports []report
+		want    schema.InstanceState
+	}{
+		{name: "reports go on", reports: []report{{beat, 6}, {2 * beat, 7}, {3 * beat, 8}}, want: ready},
+		{name: "two late reports", reports: []report{{beat, 6}, {2 * beat, 7}}, want: gone},
+		{name: "many reports that were held up arrive together", reports: []report{{beat, 6}, {beat, 7}, {beat, 8}, {beat, 9}}, want: gone},
+		{name: "one report arrives again and again", reports: []report{{beat, 6}, {2 * beat, 6}, {3 * beat, 6}, {4 * beat, 6}}, want: gone},
+		{name: "reports from before the leave", reports: []report{{beat, 3}, {2 * beat, 4}, {3 * beat, 5}}, want: gone},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			r := New(lease)
+			r.Report(start, instance(2, 5, ready))
+			left := start.Add(time.Second)
+			r.Leave(left, "i", 2)
+			leave := r.Instance("i")
+			for _, report := range s.reports {
+				r.Report(left.Add(report.after), instance(2, report.sequence, ready))
+			}
+			if got := r.Instance("i").GetState(); got != s.want {
+				t.Fatalf("state = %v, want %v", got, s.want)
+			}
+			if s.want != ready {
+				return
+			}
+			// Another process learns of both in any order, and a second leave counts again.
+			other := New(lease)
+			other.Announce(left, r.Instance("i"))
+			other.Announce(left, leave)
+			if got := other.Instance("i").GetState(); got != ready {
+				t.Errorf("state at another process after the late leave = %v, want it ready", got)
+			}
+			r.Report(left.Add(5*beat), instance(2, 9, leaving))
+			if got := r.Instance("i").GetState(); got != leaving {
+				t.Errorf("state after it says that it drains = %v, want %v", got, leaving)
+			}
+		})
+	}
+}
