Staging: a list of digests that the origin's pieces contradict is read again

One wrong digest in the origin's list, and the agent rejected the right bytes of that piece for ever; its upstream served nothing any more.

Cause: the list was read once and trusted more than the pieces, though both come from the same origin, and the loop that fetches pieces ends only when all are there.

Change: two wrong answers of the origin to one piece put the list in doubt. The fetch ends with a typed error and the next try reads the list again; if it is the same, the fetch goes on with what is there.

--- a/transfer/fetcher.go
+++ b/transfer/fetcher.go
@@ -35,6 +35,9 @@
 	// with reduced bandwidth.
 	narrowLinkShare = 60
 	percent         = 100
+	// maxOriginMismatches is how often the origin's bytes of one chunk may differ from the manifest before
+	// the manifest is in doubt. A few answers of the origin may be spoilt, but rarely two to one chunk.
+	maxOriginMismatches = 2
 )
 
 type (
@@ -77,6 +80,12 @@
 		New bool
 	}
 
+	// ManifestDoubtError reports that the origin's bytes of a chunk have not matched the manifest, again and
+	// again. The manifest may be wrong, as it came from the origin too.
+	ManifestDoubtError struct {
+		Chunk figbank.ChunkIndex
+	}
+
 	// Origin fetches from a server that stores every version of the weights.
 	Origin interface {
 		// Manifest fetches a manifest's bytes. The caller verifies them.
@@ -120,6 +129,11 @@
 	}
 )
 
+// Error names the chunk.
+func (e ManifestDoubtError) Error() string {
+	return "the origin's bytes do not match the manifest, chunk " + strconv.FormatUint(uint64(e.Chunk), 10)
+}
+
 // NewFetcher returns a fetcher. The function peers returns the current list of
 // peers and a channel that is closed when the list changes.
 func NewFetcher(common figbank.Common, settings Settings, store *weights.Store, active *Active,
@@ -154,7 +168,8 @@
 }
 
 // FetchKnown is like Fetch, for a version whose manifest is already known. It does not wait until
-// the list of peers is stable.
+// the list of peers is stable. It returns a ManifestDoubtError after maxOriginMismatches wrong answers of the
+// origin to one chunk. A later call with the same manifest goes on with the chunks that are there.
 func (f *Fetcher) FetchKnown(ctx context.Context, want Want) (*weights.Version, error) {
 	if version := f.store.Version(want.Digest); version != nil {
 		return version, nil
@@ -215,6 +230,7 @@
 	inbox := make(chan planUpdate, inboxLength)
 	followed := &followedPeers{stops: map[figbank.Address]context.CancelFunc{}}
 	changed := f.updatePeers(ctx, plan, partial, followed, inbox)
+	mismatches := map[figbank.ChunkIndex]int{}
 	for !plan.Complete() {
 		f.startFetches(ctx, plan, partial, inbox)
 		select {
@@ -224,12 +240,29 @@
 			changed = f.updatePeers(ctx, plan, partial, followed, inbox)
 		case update := <-inbox:
 			f.applyUpdate(plan, update)
+			if err := countMismatch(mismatches, update); err != nil {
+				return err
+			}
 		case <-f.common.Clock.After(planInterval):
 		}
 	}
 	return nil
 }
 
+// countMismatch counts the origin's wrong answers to each chunk. It returns a ManifestDoubtError once there are
+// too many.
+func countMismatch(mismatches map[figbank.ChunkIndex]int, update planUpdate) error {
+	if update.fetch == nil || update.fetch.Peer != "" || !errors.As(update.err, new(figbank.CorruptError)) {
+		return nil
+	}
+	chunk := update.fetch.Chunk
+	mismatches[chunk]++
+	if mismatches[chunk] < maxOriginMismatches {
+		return nil
+	}
+	return figbank.WrapError("transfer", "ManifestDoubt", ManifestDoubtError{Chunk: chunk})
+}
+
 // originDelay returns the time before the first fetch from the origin.
 func (f *Fetcher) originDelay(want Want) time.Duration {
 	switch {
