Dispatch: upstreams that say in an answer that they leave, or refuse for a time, are left alone

Change: a notice counts from the chosen upstream's answer to this request only, with any status. It is kept with the incarnation's load, also while the upstream is in no table; a new incarnation starts clean. It is checked when a target is chosen, after a place was reserved, and once more when there is a connection, right before the request is sent. When all upstreams refuse for a time, callers are refused at once, with a time that is not before the first may be asked.

--- a/app/platformgateway.go
+++ b/app/platformgateway.go
@@ -63,7 +63,7 @@
 			VersionTime:   s.GetBounds().GetVersionTime().AsDuration(),
 		},
 		Retries: retry.Allowance{Percent: s.GetBounds().GetRetryPercent(), Slack: s.GetBounds().GetRetrySlack()},
-	}, platform.NewTransport(pool), view)
+	}, platform.NewTransport(common.Clock, pool), view)
 	lifecycle.Append(fx.StopHook(dispatcher.Close))
 	return dispatcher
 }
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -36,6 +36,8 @@
 		RecordLimit: func(limit figbank.RequestsPerSecond) {
 			r.recordLimit(target, LimitNotice{Named: true, PerSecond: limit})
 		},
+		RecordNotice: func(notice UpstreamNotice) { r.recordNotice(target, notice) },
+		MaySend:      r.maySend(target),
 	})
 	if err != nil {
 		r.recordFailure(ctx, target, err)
@@ -107,6 +109,8 @@
 	}
 	switch {
 	case ctx.Err() != nil, errors.As(err, new(figbank.CallerGoneError)):
+	case provedNotRun && notRun.Reason == figbank.ReasonUpstreamLeaving:
+		// The upstream was not asked.
 	case provedNotRun && notRun.Reason == figbank.ReasonUpstreamBusy:
 		target.Load.recordBusy(now)
 	case errors.As(err, new(figbank.FailedAnswerError)):
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -39,6 +39,9 @@
 		now = r.common.Clock.Now()
 		demand := r.demand(now, attempt)
 		decision := placement.Decide(demand, candidates, random)
+		if wait := earliestReturn(table, r.request.Service, now); decision.Index < 0 && len(candidates) == 0 && wait > 0 {
+			decision = placement.RefuseUntil(figbank.ReasonNoUpstream, wait, random)
+		}
 		if asked > maxReservations {
 			decision = placement.Refuse(figbank.ReasonQueueFull, 0, random)
 		}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -60,6 +60,12 @@
 		// RecordLimit is called with the limit that the upstream's answer names, a refusal too. It
 		// may be nil.
 		RecordLimit func(figbank.RequestsPerSecond)
+		// RecordNotice is called with what the upstream's answer, a refusal too, says of further
+		// requests. It may be nil.
+		RecordNotice func(UpstreamNotice)
+		// MaySend is called right before the request is sent. If it returns false, the request is not
+		// sent, and Send returns a NotRunError. It may be nil.
+		MaySend func() bool
 	}
 
 	// Answer is an upstream's answer with its body still to be read. The receiver must
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -48,6 +48,7 @@
 	rateFullUntil                        atomic.Int64
 	turns                                sharedRate
 	named                                namedLimit
+	standing                             standing
 	late                                 lateness
 }
 
--- /dev/null
+++ b/dispatch/standing_test.go
@@ -0,0 +1,197 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"figbank"
+	"figbank/registry"
+	"figbank/schema"
+	"figbank/traffic"
+)
+
+// noticeTransport simulates upstreams of a plain service. The one with the id "needy" gives a notice with each
+// answer.
+type noticeTransport struct {
+	notice UpstreamNotice
+	// refuses is set if the needy upstream refuses its requests too. all is set if all upstreams are like
+	// the needy one.
+	refuses, all bool
+	// connect is the time before a request is sent.
+	connect time.Duration
+	mu      sync.Mutex
+	// sent holds the times of requests to upstreams that give notices.
+	sent []time.Time
+}
+
+func (n *noticeTransport) Send(_ context.Context, request *Request, attempt Attempt) (*Answer, error) {
+	time.Sleep(n.connect)
+	if !attempt.MaySend() {
+		return nil, figbank.NotRunError{Reason: figbank.ReasonUpstreamLeaving}
+	}
+	if n.all || attempt.Upstream == "needy" {
+		n.mu.Lock()
+		n.sent = append(n.sent, time.Now())
+		n.mu.Unlock()
+	}
+	time.Sleep(20 * time.Millisecond)
+	if n.all || attempt.Upstream == "needy" {
+		attempt.RecordNotice(n.notice)
+		if n.refuses {
+			return nil, figbank.NotRunError{Reason: figbank.ReasonUpstreamBusy}
+		}
+	}
+	return &Answer{Status: http.StatusOK, Length: -1, Body: io.NopCloser(strings.NewReader(string(request.ID)))}, nil
+}
+
+// sentAfter returns how many requests were sent later than d after the first answer with a notice.
+func (n *noticeTransport) sentAfter(d time.Duration) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for _, at := range n.sent {
+		if at.Sub(n.sent[0]) > 20*time.Millisecond+d {
+			count++
+		}
+	}
+	return count
+}
+
+func noticeUpstreams(ids ...string) []registry.Upstream {
+	var upstreams []registry.Upstream
+	for _, id := range ids {
+		upstreams = append(upstreams, registry.Upstream{Record: &schema.Instance{
+			Id: id, Address: id, Service: "s", State: schema.InstanceState_INSTANCE_STATE_READY, Slots: 8, BornUnixMilli: 7,
+		}})
+	}
+	return upstreams
+}
+
+func rebuild(d *Dispatcher, upstreams []registry.Upstream) {
+	rules := traffic.NewTable(&schema.Traffic{Number: 1, Services: []*schema.RoutedService{{Name: "s"}}})
+	d.table.Store(NewTable(d.table.Load(), Location{}, Sources{Fleet: &schema.Fleet{}, Traffic: rules, Upstreams: upstreams, Gateways: 1, Now: time.Now()}))
+}
+
+func serveOne(d *Dispatcher, id string) error {
+	now := time.Now()
+	return d.Serve(context.Background(), &Request{
+		ID: figbank.RequestID(id), Service: "s", Target: "/" + id, Route: &traffic.Route{Route: &schema.Route{Kind: schema.CallKind_CALL_KIND_SAFE, MaxUpstreams: 2}, LatencyTarget: 400 * time.Millisecond},
+		ReceivedAt: now, Deadline: now.Add(3 * time.Second),
+	}, &responseRecorder{})
+}
+
+// An upstream says in an answer that it leaves, or refuses with a time. Many requests are waiting for their
+// connections then, and many come later. None of them may be sent to it, and all must be served elsewhere.
+func TestNoticeKeepsRequestsAway(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		notice  UpstreamNotice
+		refuses bool
+	}{
+		{name: "leaving, in a success", notice: UpstreamNotice{Leaving: true}},
+		{name: "leaving, in a refusal", notice: UpstreamNotice{Leaving: true}, refuses: true},
+		{name: "refused for a time", notice: UpstreamNotice{RefusedFor: 30 * time.Second}, refuses: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				transport := &noticeTransport{notice: s.notice, refuses: s.refuses, connect: 50 * time.Millisecond}
+				d := newTestDispatcher(transport)
+				rebuild(d, noticeUpstreams("needy", "a", "b", "c"))
+				var group sync.WaitGroup
+				for i := range 300 {
+					group.Go(func() {
+						time.Sleep(time.Duration(i) * time.Millisecond)
+						if err := serveOne(d, fmt.Sprint("r", i)); err != nil {
+							t.Errorf("request %d: %v", i, err)
+						}
+					})
+				}
+				group.Wait()
+				if len(transport.sent) == 0 {
+					t.Fatal("the upstream got no request at all")
+				}
+				if got := transport.sentAfter(0); got > 0 {
+					t.Errorf("%d requests were sent to the upstream after its first notice, want none", got)
+				}
+			})
+		})
+	}
+}
+
+// What an upstream has said outlives its absence. A new incarnation starts clean, and so does one whose time is
+// over.
+func TestNoticeOutlivesAbsence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(&noticeTransport{})
+		rebuild(d, noticeUpstreams("left", "refusing", "a"))
+		now := time.Now()
+		d.Table().Load("left", 7).standing.record(now, UpstreamNotice{Leaving: true})
+		d.Table().Load("refusing", 7).standing.record(now, UpstreamNotice{RefusedFor: 4 * time.Second})
+		d.Table().Load("refusing", 7).standing.record(now, UpstreamNotice{RefusedFor: time.Second})
+		rebuild(d, noticeUpstreams("a"))
+		rebuild(d, noticeUpstreams("left", "refusing", "a"))
+		ready := func() string {
+			var ids []string
+			for _, target := range d.Table().Targets("s") {
+				if target.ready(time.Now()) {
+					ids = append(ids, string(target.ID))
+				}
+			}
+			return strings.Join(ids, " ")
+		}
+		if got, want := ready(), "a"; got != want {
+			t.Errorf("ready upstreams = %q, want %q", got, want)
+		}
+		time.Sleep(4 * time.Second)
+		if got, want := ready(), "refusing a"; got != want {
+			t.Errorf("ready upstreams after the time = %q, want %q", got, want)
+		}
+		born := noticeUpstreams("left", "refusing", "a")
+		born[0].Record.BornUnixMilli = 8
+		rebuild(d, born)
+		if got, want := ready(), "left refusing a"; got != want {
+			t.Errorf("ready upstreams after a restart of the one that left = %q, want %q", got, want)
+		}
+	})
+}
+
+// All upstreams of a service refuse requests for a time. Callers are refused at once, with a time that is not
+// before the first upstream can be asked again.
+func TestAllUpstreamsRefuseForATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		transport := &noticeTransport{notice: UpstreamNotice{RefusedFor: 10 * time.Second}, refuses: true, all: true}
+		d := newTestDispatcher(transport)
+		rebuild(d, noticeUpstreams("a", "b", "c"))
+		_ = serveOne(d, "first")
+		_ = serveOne(d, "second")
+		sent := len(transport.sent)
+		began := time.Now()
+		err := serveOne(d, "third")
+		var refused figbank.NotRunError
+		if !errors.As(err, &refused) || refused.RetryAfter < 9*time.Second || time.Since(began) > 0 {
+			t.Errorf("after %v: %v, retry after %v, want a refusal at once, with 9 s or more", time.Since(began), err, refused.RetryAfter)
+		}
+		if got := len(transport.sent); got != sent {
+			t.Errorf("%d requests were sent to upstreams that refuse, want none", got-sent)
+		}
+	})
+}
+
+// An upstream cannot take itself out for ever by a slip.
+func TestRefusalIsBounded(t *testing.T) {
+	s := standing{}
+	now := time.Unix(100, 0)
+	s.record(now, UpstreamNotice{RefusedFor: 1 << 62})
+	if !s.refuses(now.Add(maxRefusal-1)) || s.refuses(now.Add(maxRefusal)) {
+		t.Errorf("the upstream does not refuse for %v", maxRefusal)
+	}
+}
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -136,6 +136,7 @@
 		target.Engine = engines[name]
 		t.services[name] = append(t.services[name], target)
 	}
+	t.keepAbsent(previous, sources.Now)
 	return t
 }
 
@@ -246,7 +247,7 @@
 // ready reports whether the target may get a request now.
 func (t *Target) ready(now time.Time) bool {
 	switch {
-	case t.tooOld(now):
+	case t.tooOld(now), t.Load.standing.refuses(now):
 		return false
 	case t.Silent && !t.Load.succeededWithin(now, silentGrace):
 		return false
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -147,3 +147,9 @@
 	wait = min(max(wait, minWait), maxWait)
 	return Decision{Index: -1, Reason: reason, RetryAfter: wait + time.Duration(random.Int64N(int64(wait)))}
 }
+
+// RefuseUntil returns a refusal when no upstream may be asked before the given time has passed. The retry delay
+// is not shorter, and drawn at random above it, so that callers do not all retry together.
+func RefuseUntil(reason figbank.Reason, wait time.Duration, random *rand.Rand) Decision {
+	return Decision{Index: -1, Reason: reason, RetryAfter: wait + time.Duration(random.Int64N(int64(max(minWait, wait/2))))}
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -39,6 +39,9 @@
 		Body   []byte
 		// Close closes the connection after the response instead of keeping it.
 		Close bool
+		// MaySend is called once there is a connection. If it returns false, nothing is sent. It may be
+		// nil.
+		MaySend func() bool
 	}
 
 	// Answer is a response whose head has been read. Body must be closed. A body
@@ -59,7 +62,8 @@
 )
 
 // Exchange sends a request and returns when the head of the response has been
-// read. An error of type NotRunError proves that no byte of the request was sent.
+// read. An error of type NotRunError proves that no byte of the request was sent; its reason is
+// UpstreamLeaving if MaySend forbade that.
 // After any other error it is unknown whether the request ran. When ctx ends before
 // the body has been read to its end, the connection is reset.
 func (p *Pool) Exchange(ctx context.Context, call *Call) (*Answer, error) {
@@ -67,6 +71,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if call.MaySend != nil && !call.MaySend() {
+		c.release()
+		return nil, figbank.WrapError("upstream", "NotSent", figbank.NotRunError{Reason: figbank.ReasonUpstreamLeaving}, "address", call.Address)
+	}
 	stop := context.AfterFunc(ctx, c.reset)
 	written := make(chan error, 1)
 	if err := c.send(call, written); err != nil {
