--- a/staging/load.go
+++ b/staging/load.go
@@ -116,6 +116,7 @@
 	}
 }
 
+// verifyLoad reads what the engine has loaded without proof, and records whether it is right.
 func (s *Stager) verifyLoad(ctx context.Context, report Report) {
 	if s.load.wrong {
 		return
@@ -126,7 +127,9 @@
 	}
 	source, version := s.heldNumber(s.load.version)
 	if version == nil {
-		// Without its digests nothing can be verified. They are fetched like those of any version.
+		// Without its digests nothing can be verified. They come with the version, unless another one is
+		// wanted by now, which the engine then loads at once.
+		s.load.wrong = s.fetching.cancel != nil && s.fetching.source.Version != s.load.version
 		return
 	}
 	for i := range version.Manifest.GetChunks() {
--- a/staging/load_test.go
+++ b/staging/load_test.go
@@ -370,3 +370,19 @@
 		}
 	}
 }
+
+// An engine is out of service with a version that cannot be verified, since its digests are gone, when
+// another one is already wanted. It must not wait for its turn to switch.
+func TestUnverifiableLoadGivesWayToWantedVersion(t *testing.T) {
+	s, engine := newTestStager(t, t.TempDir())
+	engine.orders = 1
+	delete(s.held, Source{Model: testModel, Version: 1})
+	s.fetching = fetchJob{source: Source{Model: testModel, Version: 2}, cancel: func() {}}
+	report, _ := engine.Report(context.Background())
+	s.resumeLoad(report, engine.born)
+	s.settleLoad(context.Background(), report)
+	if !s.load.withheld(report) || !s.load.mustReload(report) {
+		t.Errorf("order %+v, want the engine out of service and loading the wanted version", s.load)
+	}
+	s.pollUntilServed(t, engine)
+}
