Replica: a leader that stops sees that it leaves, and is replaced as a voter

Cause: a replica that stops tells the others that it leaves. Its own list of replicas, by which a leader chooses voters, named itself without that. So a leader that stopped waited 3 s for a successor that it never proposed, and left a voter that was gone; the next leader replaced it only after another 3 s of silence. A second loss meanwhile would take the majority for good.

Change: the process's own entry says that it leaves.

--- a/app/platformreplica.go
+++ b/app/platformreplica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"figbank"
@@ -48,6 +49,8 @@
 	*replica.Supervisor
 	// id identifies the replica in the log.
 	id string
+	// leaving is set once the process is about to stop. If it leads the log, it replaces itself as a voter.
+	leaving *atomic.Bool
 }
 
 // newLogReplica starts the replica under the identity stored on the disk. See
@@ -66,13 +69,14 @@
 	common.Log.Info("replica: identified", zap.String("id", identity.GetId()), zap.Int("firstVoters", len(identity.GetVoters())),
 		zap.Bool("bootstrap", s.GetNode().GetBootstrap()))
 	common.Process = figbank.ProcessID(identity.GetId())
+	leaving := &atomic.Bool{}
 	supervisor, err := replica.NewSupervisor(common, func(failed func(error), rewrite bool) (*replica.Replica, error) {
 		settings := replicaSettings(s, identity)
 		settings.RewriteLog = rewrite
 		return replica.NewReplica(common, settings, folder, pool,
 			replica.WithFleet(func(f *schema.Fleet) { fleet.Offer(f) }),
 			replica.WithLeaves(leaves.Add),
-			replica.WithReplicas(func() []voters.Replica { return knownReplicas(view, common.Process, s) }),
+			replica.WithReplicas(func() []voters.Replica { return knownReplicas(view, common.Process, leaving.Load(), s) }),
 			replica.WithFailure(failed),
 		)
 	})
@@ -80,7 +84,7 @@
 		return logReplica{}, err
 	}
 	lifecycle.Append(fx.StopHook(supervisor.Close))
-	return logReplica{Supervisor: supervisor, id: identity.GetId()}, nil
+	return logReplica{Supervisor: supervisor, id: identity.GetId(), leaving: leaving}, nil
 }
 
 func replicaSettings(s *schema.PlatformSettings, identity *schema.ReplicaIdentity) replica.Settings {
@@ -124,10 +128,10 @@
 
 // knownReplicas returns this replica and the other replicas in the view whose replica id is
 // known. Those that only a lost process has reported are marked.
-func knownReplicas(view *feed.View, self figbank.ProcessID, s *schema.PlatformSettings) []voters.Replica {
+func knownReplicas(view *feed.View, self figbank.ProcessID, leaving bool, s *schema.PlatformSettings) []voters.Replica {
 	replicas := []voters.Replica{{
 		ID: self, Address: settings.ProcessAddress(s.GetProcess()),
-		Domain: figbank.FailureDomain(s.GetProcess().GetFailureDomain()),
+		Domain: figbank.FailureDomain(s.GetProcess().GetFailureDomain()), Leaving: leaving,
 	}}
 	current := map[string]bool{}
 	for _, member := range view.CurrentMembers() {
@@ -158,9 +162,10 @@
 		leaving := memberOf(s, schema.MemberRole_MEMBER_ROLE_REPLICA)
 		leaving.ReplicaId, leaving.Leaving = r.id, true
 		subscriber.SetMember(leaving)
+		r.leaving.Store(true)
 		common.Log.Info("replica: stopping", zap.String("id", r.id))
 		for range leavePolls {
-			if !r.NeedsSuccessor(knownReplicas(view, figbank.ProcessID(r.id), s)) {
+			if !r.NeedsSuccessor(knownReplicas(view, figbank.ProcessID(r.id), true, s)) {
 				return
 			}
 			<-common.Clock.After(leavePollInterval)
