--- a/transfer/fetcher.go
+++ b/transfer/fetcher.go
@@ -35,9 +35,6 @@
 	// with reduced bandwidth.
 	narrowLinkShare = 60
 	percent         = 100
-	// maxOriginMismatches is how often the origin's bytes of one chunk may differ from the manifest before
-	// the manifest is in doubt. A few answers of the origin may be spoilt, but rarely two to one chunk.
-	maxOriginMismatches = 2
 )
 
 type (
@@ -80,12 +77,6 @@
 		New bool
 	}
 
-	// ManifestDoubtError reports that the origin's bytes of a chunk have not matched the manifest, again and
-	// again. The manifest may be wrong, as it came from the origin too.
-	ManifestDoubtError struct {
-		Chunk figbank.ChunkIndex
-	}
-
 	// Origin fetches from a server that stores every version of the weights.
 	Origin interface {
 		// Manifest fetches a manifest's bytes. The caller verifies them.
@@ -129,11 +120,6 @@
 	}
 )
 
-// Error names the chunk.
-func (e ManifestDoubtError) Error() string {
-	return "the origin's bytes do not match the manifest, chunk " + strconv.FormatUint(uint64(e.Chunk), 10)
-}
-
 // NewFetcher returns a fetcher. The function peers returns the current list of
 // peers and a channel that is closed when the list changes.
 func NewFetcher(common figbank.Common, settings Settings, store *weights.Store, active *Active,
@@ -249,20 +235,6 @@
 	return nil
 }
 
-// countMismatch counts the origin's wrong answers to each chunk. It returns a ManifestDoubtError once there are
-// too many.
-func countMismatch(mismatches map[figbank.ChunkIndex]int, update planUpdate) error {
-	if update.fetch == nil || update.fetch.Peer != "" || !errors.As(update.err, new(figbank.CorruptError)) {
-		return nil
-	}
-	chunk := update.fetch.Chunk
-	mismatches[chunk]++
-	if mismatches[chunk] < maxOriginMismatches {
-		return nil
-	}
-	return figbank.WrapError("transfer", "ManifestDoubt", ManifestDoubtError{Chunk: chunk})
-}
-
 // originDelay returns the time before the first fetch from the origin.
 func (f *Fetcher) originDelay(want Want) time.Duration {
 	switch {
--- a/voters/voters.go
+++ b/voters/voters.go
@@ -130,7 +130,7 @@
 
 // addressReused reports whether another replica now runs at the voter's address, which means that
 // the voter has lost its disk. A voter that still answers has not, whoever else is reported there:
-// the report may be of an earlier life.
+// the report may be of an earlier incarnation.
 func (s ClusterState) addressReused(voter *schema.Voter) bool {
 	return s.Contacts[figbank.ProcessID(voter.GetId())].Silence > maxLiveSilence &&
 		slices.ContainsFunc(s.Replicas, func(r Replica) bool {
