--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -99,23 +99,33 @@
 // It marks the target as tried and updates the service's retry budget.
 func (r *run) shouldRetry(attempt int, target *Target, err error) bool {
 	r.tried[target.ID] = true
-	retried := r.mayRetry(attempt, err)
-	r.log.Info("attempt failed", zap.String("upstream", string(target.ID)), zap.Int("attempt", attempt),
-		zap.Bool("again", retried), zap.Int("events", r.events), zap.Strings("parts", r.request.SharedParts), figbank.ErrorField(err))
-	return retried
+	budget := r.budgets.For(r.request.Service)
+	action := r.decideRetry(attempt, err, budget)
+	scope := r.common.Scope.Tagged(map[string]string{"service": string(r.request.Service)})
+	switch action {
+	case retry.RetryElsewhere:
+		scope.Counter("retries").Inc(1)
+	case retry.BudgetSpent:
+		scope.Counter("retries_over_budget").Inc(1)
+	case retry.GiveUp, retry.Requeue:
+	}
+	r.log.Info("attempt failed", zap.String("service", string(r.request.Service)), zap.String("upstream", string(target.ID)),
+		zap.Int("attempt", attempt), zap.Bool("again", !action.Ends()), zap.Bool("budgetSpent", action == retry.BudgetSpent),
+		zap.Float64("retriesLeft", budget.Tokens()), zap.Int("events", r.events), zap.Strings("parts", r.request.SharedParts), figbank.ErrorField(err))
+	return !action.Ends()
 }
 
-func (r *run) mayRetry(attempt int, err error) bool {
+func (r *run) decideRetry(attempt int, err error, budget *retry.Budget) retry.Action {
 	if r.lastEvent != r.request.LastEvent && !r.request.Route.GetResumable() || attempt >= maxAttempts {
-		return false
+		return retry.GiveUp
 	}
 	if r.outcome.MayHaveRun() >= int(max(1, r.request.Route.GetMaxUpstreams())) && !errors.As(err, new(figbank.NotRunError)) {
-		return false
+		return retry.GiveUp
 	}
 	resumable := r.request.Route.Streamed() && r.request.Route.GetResumable()
 	return retry.Decide(retry.Failure{
 		Err: err, Repeatable: r.request.Route.Repeatable(), AnswerStarted: r.response.Started() && !resumable,
-	}, r.budgets.For(r.request.Service)) != retry.GiveUp
+	}, budget)
 }
 
 // giveUp returns the result of a request that goes to no further upstream for the given
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -161,7 +161,7 @@
 			return nil
 		}
 		action := retry.Decide(retry.Failure{Err: err, Repeatable: request.Repeatable, AnswerStarted: response.Started()}, r.budget)
-		if action == retry.GiveUp || !r.common.Clock.Now().Before(deadline) {
+		if action.Ends() || !r.common.Clock.Now().Before(deadline) {
 			return outcome.Error(err)
 		}
 		if action == retry.RetryElsewhere {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -54,6 +54,13 @@
 	return true
 }
 
+// Tokens returns how many retries are left.
+func (b *Budget) Tokens() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens
+}
+
 // setMaxTokens sets how many retries may be saved up.
 func (b *Budget) setMaxTokens(maxTokens float64) {
 	b.mu.Lock()
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -15,6 +15,8 @@
 	Requeue
 	// RetryElsewhere retries at another upstream. One retry has been taken from the budget.
 	RetryElsewhere
+	// BudgetSpent returns the failure to the caller, since no retry is left in the budget.
+	BudgetSpent
 )
 
 type (
@@ -48,5 +50,10 @@
 	case budget.Withdraw():
 		return RetryElsewhere
 	}
-	return GiveUp
+	return BudgetSpent
+}
+
+// Ends reports whether the request goes no further.
+func (a Action) Ends() bool {
+	return a == GiveUp || a == BudgetSpent
 }
