--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -46,8 +46,9 @@
 			decision = placement.Refuse(figbank.ReasonQueueFull, 0, random)
 		}
 		if decision.Index < 0 {
-			r.log.Info("refused", zap.String("reason", string(decision.Reason)), zap.Duration("retryAfter", decision.RetryAfter),
-				zap.Int("candidates", len(candidates)), zap.Int("asked", asked), zap.Int("attempt", attempt), zap.Uint64("table", uint64(table.Index)))
+			r.log.Info("refused", append(r.sizeFields(demand), zap.String("reason", string(decision.Reason)), zap.Duration("retryAfter", decision.RetryAfter),
+				zap.Duration("predicted", decision.Predicted), zap.Int("candidates", len(candidates)), zap.Int("asked", asked),
+				zap.Int("attempt", attempt), zap.Uint64("table", uint64(table.Index)))...)
 			return nil, figbank.NotRunError{Reason: decision.Reason, RetryAfter: decision.RetryAfter}
 		}
 		target := targets[decision.Index]
@@ -55,15 +56,23 @@
 			continue
 		}
 		r.predicted = cmp.Or(candidates[decision.Index].Known, decision.Predicted)
-		r.log.Info("placed", zap.String("upstream", string(target.ID)), zap.Int("attempt", attempt),
-			zap.Int("prompt", r.request.PromptTokens), zap.Int("outstanding", candidates[decision.Index].Outstanding),
+		r.log.Info("placed", append(r.sizeFields(demand), zap.String("upstream", string(target.ID)), zap.Int("attempt", attempt),
+			zap.Int("outstanding", candidates[decision.Index].Outstanding),
 			zap.Duration("loadAge", target.Load.Age(now)), zap.Bool("reserved", r.place != nil), zap.Int("asked", asked),
-			zap.Duration("predicted", r.predicted), zap.Duration("late", target.Load.late.current(now)), zap.Float64("drift", demand.Drift),
-			zap.Int64("version", target.Version), zap.Int("candidates", len(candidates)), zap.Uint64("table", uint64(table.Index)))
+			zap.Duration("predicted", r.predicted), zap.Duration("late", target.Load.late.current(now)),
+			zap.Int64("version", target.Version), zap.Int("candidates", len(candidates)), zap.Uint64("table", uint64(table.Index)))...)
 		return target, nil
 	}
 }
 
+// sizeFields returns the log fields that tell whether the request's size decides where it goes.
+func (r *run) sizeFields(demand placement.Demand) []zap.Field {
+	return []zap.Field{
+		zap.String("route", r.request.Route.GetName()), zap.Int("prompt", r.request.PromptTokens), zap.Int("answer", r.request.AnswerTokens),
+		zap.Duration("allowed", demand.Allowed()), zap.Float64("drift", demand.Drift), zap.Duration("left", demand.TimeLeft),
+	}
+}
+
 // demand describes the request as placement needs it.
 func (r *run) demand(now time.Time, attempt int) placement.Demand {
 	demand := placement.Demand{
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/bits"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -161,6 +163,9 @@
 	r.log.Info("finished", append(fields, zap.String("outcome", outcome))...)
 	scope := r.common.Scope.Tagged(map[string]string{"outcome": outcome})
 	scope.Counter("requests").Inc(1)
+	if tokens := r.request.PromptTokens; tokens > 0 {
+		scope.Tagged(map[string]string{"route": r.request.Route.GetName(), "prompt_bits": strconv.Itoa(bits.Len(uint(tokens)))}).Counter("requests_by_size").Inc(1)
+	}
 	if r.firstByteTime > 0 {
 		scope.Timer("first_byte").Record(r.firstByteTime)
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -79,8 +79,8 @@
 	Decision struct {
 		// Index is the index of the chosen candidate, -1 for a refusal.
 		Index int
-		// Predicted is the chosen candidate's predicted time to the first byte or event, not
-		// corrected by Drift.
+		// Predicted is the predicted time to the first byte or event at the candidate with the lowest
+		// cost, not corrected by Drift. It is 0 if there was no candidate.
 		Predicted time.Duration
 		// Reason and RetryAfter are set only for a refusal.
 		Reason     figbank.Reason
@@ -112,7 +112,9 @@
 		return Refuse(figbank.ReasonNoUpstream, noUpstreamWait, random)
 	}
 	if excess := bestPredicted - demand.Allowed(); excess > 0 {
-		return Refuse(figbank.ReasonQueueFull, excess, random)
+		refusal := Refuse(figbank.ReasonQueueFull, excess, random)
+		refusal.Predicted = bestPredicted
+		return refusal
 	}
 	return Decision{Index: best, Predicted: bestPredicted}
 }
