--- a/cmd/figbank/soak.go
+++ b/cmd/figbank/soak.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
 	"figbank"
@@ -26,9 +27,10 @@
 		Seed: 1, Length: soakLength, Output: os.Stdout,
 		Size: soak.Size{Replicas: soakReplicas, Gateways: soakGateways, Agents: 2 * soakGateways},
 	}
-	runs := 1
+	runs, scenario := 1, ""
 	c.sub.UInt64(&options.Seed, "", "seed", "First seed.")
 	c.sub.Int(&runs, "n", "runs", "How many seeds to run, one after the other.")
+	c.sub.String(&scenario, "", "scenario", "Plan to carry out in place of the random faults: "+strings.Join(soak.ScenarioNames(), ", ")+".")
 	c.sub.Duration(&options.Length, "", "length", "How long faults are injected in each run.")
 	c.sub.Int(&options.Size.Replicas, "", "replicas", "Replicas of the log, an odd number.")
 	c.sub.Int(&options.Size.Gateways, "", "gateways", "Gateways.")
@@ -40,6 +42,9 @@
 			return figbank.WrapError("figbank", "Executable", err)
 		}
 		options.Binary = binary
+		if options.Plan, err = soak.Scenario(scenario, options.Length); err != nil {
+			return err
+		}
 		return runSoak(ctx, options, runs)
 	}
 	return c
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -9,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -42,6 +44,9 @@
 
 	sentRequest struct {
 		route string
+		// at is when the request was sent. unreachable is set if the gateway took no connection.
+		at          time.Time
+		unreachable bool
 		// notRun is set when the answer was 503 or 429. Both statuses mean that the request was
 		// not run.
 		notRun bool
@@ -85,7 +90,7 @@
 	if route == standin.Stream {
 		events = 1 + rand.IntN(maxEvents) //nolint:gosec // spreads load, no secret
 	}
-	request := &sentRequest{route: route, planned: c.planned.Load()}
+	request := &sentRequest{route: route, at: wall.Now(), planned: c.planned.Load()}
 	c.mu.Lock()
 	c.sent[id] = request
 	c.mu.Unlock()
@@ -94,6 +99,7 @@
 	switch {
 	case got.Err != nil:
 		request.lost = true
+		request.unreachable = errors.Is(got.Err, syscall.ECONNREFUSED)
 		request.planned = request.planned && c.planned.Load()
 	case got.Status == http.StatusServiceUnavailable, got.Status == http.StatusTooManyRequests:
 		request.notRun = true
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -217,12 +217,14 @@
 AnnounceInterval = 200ms
 GraceTime = 4s
 LostDisks = 1
+RetryPercent = %d
+RetrySlack = %d
 [Weights]
 OneCopy = yes
 OriginDelay = 100ms
 StallTime = 1s
 `, id, failureDomain, failureDomain, c.listenAddress(n, portProcess), c.proxyAddress(n, portProcess), filepath.Join(c.folder, id),
-		strings.Join(c.control, ", "), c.listenAddress(n, portMetrics), node)
+		strings.Join(c.control, ", "), c.listenAddress(n, portMetrics), node, retryPercent, retrySlack)
 }
 
 // addUpstream starts the nth upstream of a service behind a new proxy.
@@ -294,6 +296,19 @@
 	return all
 }
 
+// currentUpstreams returns the running incarnations of a service's upstreams.
+func (c *cluster) currentUpstreams(service string) []*standin.Upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var running []*standin.Upstream
+	for _, u := range c.upstreams {
+		if u.config.Service == service {
+			running = append(running, u.current)
+		}
+	}
+	return running
+}
+
 // runCounts returns how often each request has run, by its id.
 func (c *cluster) runCounts() map[string]int {
 	counts := map[string]int{}
@@ -303,6 +318,15 @@
 	return counts
 }
 
+// arrivals returns all arrivals of requests at the upstreams, by service.
+func (c *cluster) arrivals() map[string][]standin.Arrival {
+	arrivals := map[string][]standin.Arrival{}
+	for _, u := range c.allIncarnations() {
+		arrivals[u.Service()] = append(arrivals[u.Service()], u.Arrivals()...)
+	}
+	return arrivals
+}
+
 // close ends everything that start and newCluster have started.
 func (c *cluster) close() {
 	var group sync.WaitGroup
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -24,6 +24,9 @@
 	standin.TruncateEvent, standin.Refuse, standin.AnswerWithOtherID, standin.TruncateBody, standin.Fail, standin.NoFault,
 }
 
+// services lists the services that RefuseService chooses from.
+var services = []string{standin.AppService, standin.ModelService}
+
 // injector injects the faults of a plan.
 type injector struct {
 	cluster   *cluster
@@ -61,6 +64,10 @@
 		domain := domainOf(int(fault.RandomBits % domainCount))
 		i.record.mark("operator", fault.Duration, "evacuate %s", domain)
 		i.operators.evacuate(ctx, domain, fault.Duration)
+	case RefuseService:
+		i.refuse(fault)
+	case KillGateways:
+		i.killGateways(fault)
 	case CorruptUpstream, CrashUpstream:
 		i.injectUpstreamFault(fault)
 	case DelayLink, ResetLink, CutIn, CutOut, Silence, Refuse:
@@ -70,6 +77,33 @@
 	}
 }
 
+// refuse makes all upstreams of a service refuse requests.
+func (i *injector) refuse(fault Fault) {
+	service := services[fault.RandomBits%uint64(len(services))]
+	i.record.mark("upstream", fault.Duration, "all upstreams of %s refuse", service)
+	upstreams := i.cluster.currentUpstreams(service)
+	for _, u := range upstreams {
+		u.SetFault(standin.Refuse)
+	}
+	wall.sleep(fault.Duration)
+	for _, u := range upstreams {
+		u.SetFault(standin.NoFault)
+	}
+}
+
+// killGateways kills all gateways at the same moment, and starts them again.
+func (i *injector) killGateways(fault Fault) {
+	var group sync.WaitGroup
+	for n, p := range i.cluster.processes {
+		if p.role == roleGateway {
+			killed := fault
+			killed.Kind, killed.Target = KillProcess, n
+			group.Go(func() { i.injectProcessFault(killed) })
+		}
+	}
+	group.Wait()
+}
+
 func (i *injector) injectUpstreamFault(fault Fault) {
 	i.cluster.mu.Lock()
 	current := i.cluster.upstreams[fault.Target].current
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -49,6 +49,8 @@
 		// Folder receives settings, logs and data. They are kept after the run.
 		Folder string
 		Output io.Writer
+		// Plan replaces the random faults of the seed, unless it is nil.
+		Plan []Fault
 	}
 
 	// Report is the result of a run.
@@ -101,7 +103,10 @@
 		return nil, figbank.WrapError("soak", "Folder", err)
 	}
 	r := &run{Options: options, record: newRecord()}
-	plan := NewPlan(options.Seed, options.Length, options.Size)
+	plan := options.Plan
+	if plan == nil {
+		plan = NewPlan(options.Seed, options.Length, options.Size)
+	}
 	err := r.run(ctx, plan)
 	if err != nil {
 		return nil, err
@@ -142,6 +147,7 @@
 	r.checkFinalState(ctx)
 	r.stopAll()
 	r.callers.checkRuns(r.cluster.runCounts())
+	r.checkRetries()
 	return figbank.WrapError("soak", "Cancelled", ctx.Err())
 }
 
