--- a/app/platformgateway.go
+++ b/app/platformgateway.go
@@ -62,7 +62,9 @@
 			Regions:       settings.RegionsOf(s),
 			VersionTime:   s.GetBounds().GetVersionTime().AsDuration(),
 		},
-		Retries: retry.Allowance{Percent: s.GetBounds().GetRetryPercent(), Slack: s.GetBounds().GetRetrySlack()},
+		Retries: retry.Allowance{
+			Percent: s.GetBounds().GetRetryPercent(), Slack: s.GetBounds().GetRetrySlack(), Window: s.GetBounds().GetRetryWindow().AsDuration(),
+		},
 	}, platform.NewTransport(common.Clock, pool), view)
 	lifecycle.Append(fx.StopHook(dispatcher.Close))
 	return dispatcher
--- a/dispatch/build.go
+++ b/dispatch/build.go
@@ -50,7 +50,7 @@
 		d.common.Log.Info("gateways sharing the upstreams", zap.Int("gateways", gateways), zap.Int("listed", listed),
 			zap.Int64("recorded", fleet.GetGateways()))
 	}
-	d.budgets.SetGateways(gateways)
+	d.budgets.SetGateways(now, gateways, d.gatewayCount.settledAt())
 	d.table.Store(NewTable(previous, d.settings.Location, Sources{
 		Fleet: fleet, Traffic: rules, Upstreams: d.view.Upstreams(), Named: d.named, Gateways: gateways,
 		SettledAt: d.gatewayCount.settledAt(), Now: now,
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -54,7 +54,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	d := &Dispatcher{
 		common: common.Named("dispatch"), settings: settings, transport: transport, view: view,
-		budgets: retry.NewBudgets(settings.Retries), crashers: crashers.NewSet(),
+		budgets: retry.NewBudgets(settings.Retries, common.Clock.Now()), crashers: crashers.NewSet(),
 		rebuild: make(chan struct{}, 1), stop: stop,
 		named: map[Version]time.Time{},
 	}
@@ -106,7 +106,7 @@
 func (d *Dispatcher) Serve(ctx context.Context, request *Request, response ResponseWriter) error {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	d.budgets.For(request.Service).Deposit()
+	d.budgets.For(request.Service).Deposit(d.common.Clock.Now())
 	r := &run{
 		Dispatcher: d, request: request, response: response, tried: map[figbank.UpstreamID]bool{}, lastEvent: request.LastEvent, order: newEventOrder(request.LastEvent),
 		log:      d.common.Log.With(zap.String("request", string(request.ID))),
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -102,7 +102,8 @@
 func (r *run) shouldRetry(attempt int, target *Target, err error) bool {
 	r.tried[target.ID] = true
 	budget := r.budgets.For(r.request.Service)
-	action := r.decideRetry(attempt, err, budget)
+	now := r.common.Clock.Now()
+	action := r.decideRetry(now, attempt, err, budget)
 	scope := r.common.Scope.Tagged(map[string]string{"service": string(r.request.Service)})
 	switch action {
 	case retry.RetryElsewhere:
@@ -113,11 +114,11 @@
 	}
 	r.log.Info("attempt failed", zap.String("service", string(r.request.Service)), zap.String("upstream", string(target.ID)),
 		zap.Int("attempt", attempt), zap.Bool("again", !action.Ends()), zap.Bool("budgetSpent", action == retry.BudgetSpent),
-		zap.Float64("retriesLeft", budget.Tokens()), zap.Int("events", r.events), zap.Strings("parts", r.request.SharedParts), figbank.ErrorField(err))
+		zap.Float64("retriesLeft", budget.Tokens(now)), zap.Int("events", r.events), zap.Strings("parts", r.request.SharedParts), figbank.ErrorField(err))
 	return !action.Ends()
 }
 
-func (r *run) decideRetry(attempt int, err error, budget *retry.Budget) retry.Action {
+func (r *run) decideRetry(now time.Time, attempt int, err error, budget *retry.Budget) retry.Action {
 	if r.lastEvent != r.request.LastEvent && !r.request.Route.GetResumable() || attempt >= maxAttempts {
 		return retry.GiveUp
 	}
@@ -125,7 +126,7 @@
 		return retry.GiveUp
 	}
 	resumable := r.request.Route.Streamed() && r.request.Route.GetResumable()
-	return retry.Decide(retry.Failure{
+	return retry.Decide(now, retry.Failure{
 		Err: err, Repeatable: r.request.Route.Repeatable(), AnswerStarted: r.response.Started() && !resumable,
 	}, budget)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -92,7 +92,7 @@
 func New(common figbank.Common, settings Settings, holder *configuration.Holder, pool *transport.Pool) *Relay {
 	r := &Relay{
 		common: common.Named("relay"), settings: settings, holder: holder, pool: pool,
-		budget: retry.NewBudget(settings.RetryShare),
+		budget: retry.NewBudget(settings.RetryShare, common.Clock.Now()),
 	}
 	r.table.Store(routing.NewTable(nil, settings.Location, holder.Current(), nil))
 	r.scheduler = newScheduler(common.Clock, &r.table, func() *admission.Queue {
@@ -145,7 +145,7 @@
 func (r *Relay) Serve(ctx context.Context, request *Request, response ResponseWriter) error {
 	route := &routing.Request{Service: request.Service, Cost: request.Cost, Affinity: request.Affinity}
 	random := newRandom()
-	r.budget.Deposit()
+	r.budget.Deposit(r.common.Clock.Now())
 	deadline := r.common.Clock.Now().Add(r.settings.Deadline)
 	var outcome retry.Outcome
 	for number := 1; ; number++ {
@@ -160,7 +160,7 @@
 		if err == nil {
 			return nil
 		}
-		action := retry.Decide(retry.Failure{Err: err, Repeatable: request.Repeatable, AnswerStarted: response.Started()}, r.budget)
+		action := retry.Decide(r.common.Clock.Now(), retry.Failure{Err: err, Repeatable: request.Repeatable, AnswerStarted: response.Started()}, r.budget)
 		if action.Ends() || !r.common.Clock.Now().Before(deadline) {
 			return outcome.Error(err)
 		}
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"figbank"
 )
@@ -35,7 +36,7 @@
 
 // Decide returns what to do after a failed attempt. It never retries a call that may have
 // run and is not repeatable, nor one whose caller has received part of an answer.
-func Decide(failure Failure, budget *Budget) Action {
+func Decide(now time.Time, failure Failure, budget *Budget) Action {
 	var notRun figbank.NotRunError
 	provedNotRun := errors.As(failure.Err, &notRun)
 	switch {
@@ -47,7 +48,7 @@
 		return Requeue
 	case !provedNotRun && !failure.Repeatable:
 		return GiveUp
-	case budget.Withdraw():
+	case budget.Withdraw(now):
 		return RetryElsewhere
 	}
 	return BudgetSpent
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -219,12 +219,13 @@
 LostDisks = 1
 RetryPercent = %d
 RetrySlack = %d
+RetryWindow = %v
 [Weights]
 OneCopy = yes
 OriginDelay = 100ms
 StallTime = 1s
 `, id, failureDomain, failureDomain, c.listenAddress(n, portProcess), c.proxyAddress(n, portProcess), filepath.Join(c.folder, id),
-		strings.Join(c.control, ", "), c.listenAddress(n, portMetrics), node, retryPercent, retrySlack)
+		strings.Join(c.control, ", "), c.listenAddress(n, portMetrics), node, retryPercent, retrySlack, retryWindow)
 }
 
 // addUpstream starts the nth upstream of a service behind a new proxy.
