--- a/app/platformgateway.go
+++ b/app/platformgateway.go
@@ -63,7 +63,7 @@
 			VersionTime:   s.GetBounds().GetVersionTime().AsDuration(),
 		},
 		Retries: retry.Allowance{
-			Percent: s.GetBounds().GetRetryPercent(), Slack: s.GetBounds().GetRetrySlack(), Window: s.GetBounds().GetRetryWindow().AsDuration(),
+			Ratio: s.GetBounds().GetRetryRatio(), Slack: s.GetBounds().GetRetrySlack(), Window: s.GetBounds().GetRetryWindow().AsDuration(),
 		},
 	}, platform.NewTransport(common.Clock, pool), view)
 	lifecycle.Append(fx.StopHook(dispatcher.Close))
--- a/dispatch/cancel_test.go
+++ b/dispatch/cancel_test.go
@@ -60,7 +60,7 @@
 func newTestDispatcher(transport Transport) *Dispatcher {
 	return &Dispatcher{
 		common:    figbank.Common{Log: zap.NewNop(), Clock: clock.System{}, Scope: tally.NoopScope},
-		transport: transport, budgets: retry.NewBudgets(retry.Allowance{Percent: 20, Slack: 100, Window: 10 * time.Second}, time.Now().Add(-time.Minute)), crashers: crashers.NewSet(),
+		transport: transport, budgets: retry.NewBudgets(retry.Allowance{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, time.Now().Add(-time.Minute)), crashers: crashers.NewSet(),
 	}
 }
 
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -23,9 +23,9 @@
 type (
 	// Allowance bounds the retries that all gateways together may send to a service.
 	Allowance struct {
-		// Percent is the number of retries allowed per hundred requests of the service.
-		Percent int64
-		// Slack is the number of retries allowed above Percent in any time of the length Window.
+		// Ratio is the number of retries allowed per request of the service.
+		Ratio float64
+		// Slack is the number of retries allowed besides in any time of the length Window.
 		Slack  int64
 		Window time.Duration
 	}
@@ -70,7 +70,7 @@
 	budget, found := b.budgets[service]
 	if !found {
 		budget = &Budget{
-			share: usedShare * float64(b.allowance.Percent) / 100, perSecond: b.perSecond(), maxTokens: b.maxTokens(),
+			share: usedShare * b.allowance.Ratio, perSecond: b.perSecond(), maxTokens: b.maxTokens(),
 			earnsFrom: b.earnsFrom, at: b.earnsFrom, draw: b.draw,
 		}
 		b.budgets[service] = budget
--- a/retry/budgets_test.go
+++ b/retry/budgets_test.go
@@ -26,7 +26,7 @@
 // must not use the retries that the requests of the large service allow.
 func TestBudgetsOfServicesAreSeparate(t *testing.T) {
 	const gateways, seconds, small, large = 8, 30, 2, 20
-	allowance := Allowance{Percent: 20, Slack: 104, Window: window}
+	allowance := Allowance{Ratio: 0.2, Slack: 104, Window: window}
 	start := time.Unix(100, 0)
 	var retries []time.Duration
 	for range gateways {
@@ -49,7 +49,7 @@
 	slices.Sort(retries)
 	got := busiestWindow(retries)
 	requests := int64(gateways * small * int(window/time.Second))
-	most := int(allowance.Percent*requests/100 + allowance.Slack)
+	most := int(allowance.Ratio*float64(requests)) + int(allowance.Slack)
 	if got > most {
 		t.Errorf("retries of the small service: got %d, want at most %d", got, most)
 	}
@@ -81,7 +81,7 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
-			allowance := Allowance{Percent: 20, Slack: 102, Window: window}
+			allowance := Allowance{Ratio: 0.2, Slack: 102, Window: window}
 			start := time.Unix(100, 0)
 			all := make([]*Budgets, s.gateways)
 			startedAt := make([]time.Time, s.gateways)
@@ -168,7 +168,7 @@
 // A service that is first asked for long after the start has the retries that the time has earned.
 func TestServiceThatIsNewHasRetries(t *testing.T) {
 	start := time.Unix(100, 0)
-	budgets := NewBudgets(Allowance{Percent: 20, Slack: 100, Window: window}, start)
+	budgets := NewBudgets(Allowance{Ratio: 0.2, Slack: 100, Window: window}, start)
 	if got, want := budgets.For("s").Tokens(start.Add(window)), earnedShare*100; got < want-1 || got > want+1 {
 		t.Errorf("retries left after one window = %v, want %v", got, want)
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -122,7 +123,7 @@
 		{name: "bound of zero", content: strings.Replace(platformFile, "8s", "0s", 1), want: "p.ini:12: [Bounds] VersionTime: 0s is out of range"},
 		{name: "bound without a unit", content: strings.Replace(platformFile, "8s", "8", 1), want: "p.ini:12: [Bounds] VersionTime: "},
 		{name: "key that was removed", content: platformFile + "DrainTime = 2s\n", want: "p.ini:14: [Bounds] DrainTime: unknown key; allowed: AnnounceInterval"},
-		{name: "retry percentage above 100", content: platformFile + "RetryPercent = 101\n", want: "p.ini:14: [Bounds] RetryPercent: "},
+		{name: "retry ratio above 1", content: platformFile + "RetryRatio = 1.01\n", want: "p.ini:14: [Bounds] RetryRatio: "},
 		{name: "heartbeat interval too long", content: platformFile + "[Log]\nElectionTimeout = 200ms\nHeartbeatInterval = 100ms\n", want: "p.ini:16: [Log] HeartbeatInterval: must be at most a third"},
 		{name: "template placeholder that was not replaced", content: strings.Replace(platformFile, "8s", "{{bounds.version_ms}}ms", 1), want: "p.ini:12: [Bounds] VersionTime: "},
 	}
@@ -176,3 +177,26 @@
 		}
 	})
 }
+
+// The ratio of retries that the platform names was not read, so that the default was used whatever
+// it said.
+func TestDeployedSettingsFollowTheBoundsOfRetries(t *testing.T) {
+	content, err := os.ReadFile("../deploy/settings.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for setting, bound := range map[string]string{
+		"RetryRatio": "{{bounds.retry_budget_ratio}}", "RetrySlack": "{{bounds.retry_slack}}", "RetryWindow": "{{bounds.retry_window_s}}s",
+	} {
+		if want := "\n" + setting + " = " + bound + "\n"; !strings.Contains(string(content), want) {
+			t.Errorf("deploy/settings.ini has no line %q", want)
+		}
+	}
+	got, err := ParsePlatform("p.ini", []byte(platformFile+"RetryRatio = 0.05\nRetryWindow = 4s\n"))
+	if err != nil {
+		t.Fatalf("ParsePlatform() = %v", err)
+	}
+	if ratio, window := got.GetBounds().GetRetryRatio(), got.GetBounds().GetRetryWindow().AsDuration(); ratio != 0.05 || window != 4*time.Second {
+		t.Errorf("ratio, window = %v, %v, want 0.05, 4s", ratio, window)
+	}
+}
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -217,7 +217,7 @@
 AnnounceInterval = 200ms
 GraceTime = 4s
 LostDisks = 1
-RetryPercent = %d
+RetryRatio = %v
 RetrySlack = %d
 RetryWindow = %v
 [Weights]
@@ -225,7 +225,7 @@
 OriginDelay = 100ms
 StallTime = 1s
 `, id, failureDomain, failureDomain, c.listenAddress(n, portProcess), c.proxyAddress(n, portProcess), filepath.Join(c.folder, id),
-		strings.Join(c.control, ", "), c.listenAddress(n, portMetrics), node, retryPercent, retrySlack, retryWindow)
+		strings.Join(c.control, ", "), c.listenAddress(n, portMetrics), node, retryRatio, retrySlack, retryWindow)
 }
 
 // addUpstream starts the nth upstream of a service behind a new proxy.
--- a/soak/retries.go
+++ b/soak/retries.go
@@ -10,9 +10,9 @@
 // Retries that all gateways together may send to a service in any window of time. The settings of
 // the processes say the same.
 const (
-	retryPercent = 20
-	retrySlack   = 30
-	retryWindow  = 10 * time.Second
+	retryRatio  = 0.2
+	retrySlack  = 30
+	retryWindow = 10 * time.Second
 )
 
 type (
@@ -42,7 +42,7 @@
 		for _, back := range []time.Duration{0, retryWindow / 2, retryWindow} {
 			window.requests = max(window.requests, countFrom(t.requests, from.Add(-back)))
 		}
-		window.allowed = retrySlack + window.requests*retryPercent/100
+		window.allowed = retrySlack + int(retryRatio*float64(window.requests))
 		if window.repeats > window.allowed && (!found || window.repeats-window.allowed > worst.repeats-worst.allowed) {
 			worst, found = window, true
 		}
