--- a/cmd/figbank/soak.go
+++ b/cmd/figbank/soak.go
@@ -42,7 +42,7 @@
 			return figbank.WrapError("figbank", "Executable", err)
 		}
 		options.Binary = binary
-		if options.Plan, err = soak.Scenario(scenario, options.Length); err != nil {
+		if options.Scenario, err = soak.FindScenario(scenario); err != nil {
 			return err
 		}
 		return runSoak(ctx, options, runs)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -34,6 +34,8 @@
 	callers struct {
 		gateways []string
 		record   *record
+		// sized is set if all requests are streams, with prompts of different lengths.
+		sized bool
 		// planned is set during the planned restarts, while no faults are injected.
 		planned atomic.Bool
 
@@ -47,6 +49,10 @@
 		// at is when the request was sent. unreachable is set if the gateway took no connection.
 		at          time.Time
 		unreachable bool
+		// prompt is the length of the prompt, 0 for a usual one. served is set once the answer is
+		// complete.
+		prompt int
+		served bool
 		// notRun is set when the answer was 503 or 429. Both statuses mean that the request was
 		// not run.
 		notRun bool
@@ -79,7 +85,13 @@
 	client := &http.Client{Transport: transport, Timeout: callTimeout}
 	for ctx.Err() == nil {
 		route := routes[rand.IntN(len(routes))] //nolint:gosec // spreads load, no secret
-		c.call(client, gateway, route)
+		if c.sized {
+			route = standin.Stream
+		}
+		status := c.call(client, gateway, route)
+		if c.sized {
+			pauseAfterRefusal(status)
+		}
 		wall.sleep(time.Duration(rand.Int64N(int64(thinkTime)))) //nolint:gosec // spreads load, no secret
 	}
 }
@@ -91,10 +103,13 @@
 		events = 1 + rand.IntN(maxEvents) //nolint:gosec // spreads load, no secret
 	}
 	request := &sentRequest{route: route, at: wall.Now(), planned: c.planned.Load()}
+	if c.sized && route == standin.Stream {
+		events, request.prompt = sizedEvents, drawPrompt()
+	}
 	c.mu.Lock()
 	c.sent[id] = request
 	c.mu.Unlock()
-	got := standin.Request{Gateway: gateway, Route: route, ID: id, Events: events}.Send(context.Background(), client)
+	got := standin.Request{Gateway: gateway, Route: route, ID: id, Events: events, Prompt: request.prompt}.Send(context.Background(), client)
 	c.record.count(outcomeOf(got))
 	switch {
 	case got.Err != nil:
@@ -104,6 +119,7 @@
 	case got.Status == http.StatusServiceUnavailable, got.Status == http.StatusTooManyRequests:
 		request.notRun = true
 	case got.Status == http.StatusOK && route == standin.Stream:
+		request.served = true
 		c.checkStream(id, got, events)
 	case got.Status == http.StatusOK:
 		c.checkPlain(id, got)
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -57,6 +57,8 @@
 		base   int
 		record *record
 		origin *standin.Origin
+		// engine describes the engines if prompts have different lengths, otherwise nil.
+		engine *standin.Engine
 
 		processes []*process
 		// proxies holds the proxies in front of each process.
@@ -90,21 +92,24 @@
 func (s Size) upstreams() int { return s.Agents + domainCount*appsPerDomain }
 
 // newCluster prepares a deployment in a folder. It starts only the origin.
-func newCluster(size Size, folder, binary string, r *record) (*cluster, error) {
+func newCluster(options Options, r *record) (*cluster, error) {
 	origin, err := standin.StartOrigin(pieces)
 	if err != nil {
 		return nil, err
 	}
 	c := &cluster{
-		size: size, folder: folder, binary: binary, record: r, origin: origin,
+		size: options.Size, folder: options.Folder, binary: options.Binary, record: r, origin: origin,
 		base: firstPort + rand.IntN(portRange), //nolint:gosec // spreads runs, no secret
 	}
-	for i := range size.Replicas {
+	if options.sized() {
+		c.engine = &standin.Engine{ReadPerSecond: readPerSecond, Usual: usualPrompt, Events: sizedEvents}
+	}
+	for i := range options.Size.Replicas {
 		c.control = append(c.control, c.proxyAddress(i, portControl))
 	}
 	c.operator = &standin.Operator{Control: c.control}
-	for i := range size.Gateways {
-		c.gateways = append(c.gateways, c.listenAddress(size.Replicas+i, portCallers))
+	for i := range options.Size.Gateways {
+		c.gateways = append(c.gateways, c.listenAddress(options.Size.Replicas+i, portCallers))
 	}
 	return c, nil
 }
@@ -228,106 +233,6 @@
 		strings.Join(c.control, ", "), c.listenAddress(n, portMetrics), node, retryRatio, retrySlack, retryWindow)
 }
 
-// addUpstream starts the nth upstream of a service behind a new proxy.
-func (c *cluster) addUpstream(n int, service string) error {
-	proxy, err := StartProxy("127.0.0.1:0", "")
-	if err != nil {
-		return err
-	}
-	u := &upstream{proxy: proxy, config: standin.Config{
-		Service: service, Zone: domainOf(n), Control: c.control, Slots: slots, Work: plainWork,
-		AnnouncedAddress: func(address string) (string, error) {
-			proxy.SetTarget(address)
-			return proxy.Address(), nil
-		},
-	}}
-	if service == standin.ModelService {
-		u.config.Work, u.config.Model, u.config.Layers, u.config.Pieces = eventWork, standin.Model, layers, pieces
-		u.config.Version = 1
-	}
-	if err := c.startIncarnation(u); err != nil {
-		return err
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.upstreams = append(c.upstreams, u)
-	return nil
-}
-
-// startIncarnation starts the next incarnation of an upstream.
-func (c *cluster) startIncarnation(u *upstream) error {
-	c.mu.Lock()
-	c.incarnations++
-	u.config.ID = fmt.Sprintf("i-%d", c.incarnations)
-	c.mu.Unlock()
-	started, err := standin.StartUpstream(u.config)
-	if err != nil {
-		return err
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if u.current != nil {
-		c.ended = append(c.ended, u.current)
-	}
-	u.current = started
-	return nil
-}
-
-// crash kills the nth upstream. After downtime it starts the next incarnation, without weights.
-func (c *cluster) crash(n int, downtime time.Duration) error {
-	c.mu.Lock()
-	u := c.upstreams[n]
-	c.mu.Unlock()
-	u.restarting.Lock()
-	defer u.restarting.Unlock()
-	u.current.Kill()
-	wall.sleep(downtime)
-	u.config.Version = 0
-	return c.startIncarnation(u)
-}
-
-// allIncarnations returns every incarnation that has ever run.
-func (c *cluster) allIncarnations() []*standin.Upstream {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	all := append([]*standin.Upstream{}, c.ended...)
-	for _, u := range c.upstreams {
-		all = append(all, u.current)
-	}
-	return all
-}
-
-// currentUpstreams returns the running incarnations of a service's upstreams.
-func (c *cluster) currentUpstreams(service string) []*standin.Upstream {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var running []*standin.Upstream
-	for _, u := range c.upstreams {
-		if u.config.Service == service {
-			running = append(running, u.current)
-		}
-	}
-	return running
-}
-
-// runCounts returns how often each request has run, by its id.
-func (c *cluster) runCounts() map[string]int {
-	counts := map[string]int{}
-	for _, u := range c.allIncarnations() {
-		u.EachRun(func(id string, count int) { counts[id] += count })
-	}
-	return counts
-}
-
-// arrivals returns all arrivals of requests at the upstreams, by service.
-func (c *cluster) arrivals() map[string][]standin.Arrival {
-	arrivals := map[string][]standin.Arrival{}
-	for _, u := range c.allIncarnations() {
-		arrivals[u.Service()] = append(arrivals[u.Service()], u.Arrivals()...)
-	}
-	return arrivals
-}
-
 // close ends everything that start and newCluster have started.
 func (c *cluster) close() {
 	var group sync.WaitGroup
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -15,6 +15,8 @@
 	maxDelay = 300 * time.Millisecond
 	// maxGarbage bounds the length of a torn record, in bytes.
 	maxGarbage = 40
+	// slowdown is the factor by which the work of slow upstreams takes longer.
+	slowdown = 2.0
 	// maxDowntime bounds how long a crashed upstream stays down.
 	maxDowntime = time.Second
 )
@@ -66,6 +68,8 @@
 		i.operators.evacuate(ctx, domain, fault.Duration)
 	case RefuseService:
 		i.refuse(fault)
+	case SlowService:
+		i.slow(fault)
 	case KillGateways:
 		i.killGateways(fault)
 	case CorruptUpstream, CrashUpstream:
@@ -91,6 +95,20 @@
 	}
 }
 
+// slow makes all upstreams of a service slow.
+func (i *injector) slow(fault Fault) {
+	service := services[fault.RandomBits%uint64(len(services))]
+	i.record.mark("upstream", fault.Duration, "all upstreams of %s are slow", service)
+	upstreams := i.cluster.currentUpstreams(service)
+	for _, u := range upstreams {
+		u.SetSlowdown(slowdown)
+	}
+	wall.sleep(fault.Duration)
+	for _, u := range upstreams {
+		u.SetSlowdown(1)
+	}
+}
+
 // killGateways kills all gateways at the same moment, and starts them again.
 func (i *injector) killGateways(fault Fault) {
 	var group sync.WaitGroup
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -1,13 +1,9 @@
 package soak
 
 import (
-	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
-
-	"figbank"
 )
 
 // Kinds of faults.
@@ -42,6 +38,8 @@
 	RefuseService FaultKind = "RefuseService"
 	// KillGateways kills all gateways at once and starts them again.
 	KillGateways FaultKind = "KillGateways"
+	// SlowService makes all upstreams of a service work slowdown times as long.
+	SlowService FaultKind = "SlowService"
 	// Publish is the operator's order to publish the next configuration.
 	Publish FaultKind = "Publish"
 	// NameVersion is the operator's order to set the next version of the weights.
@@ -59,9 +57,6 @@
 	// minDuration and maxDuration bound the field Duration of a fault.
 	minDuration = 200 * time.Millisecond
 	maxDuration = 4 * time.Second
-	// firstKill and killInterval are when restartsWhileRefused kills the gateways.
-	firstKill    = time.Second
-	killInterval = time.Second
 )
 
 type (
@@ -121,37 +116,6 @@
 	{Evacuate, 1, noTarget},
 }
 
-// ScenarioNames returns the names of the plans that Scenario knows.
-func ScenarioNames() []string {
-	return slices.Sorted(maps.Keys(scenarios))
-}
-
-// Scenario returns a plan by its name. It returns nil for an empty name.
-func Scenario(name string, length time.Duration) ([]Fault, error) {
-	plan, found := scenarios[name]
-	switch {
-	case name == "":
-		return nil, nil
-	case !found:
-		return nil, figbank.InvalidError{Subject: "scenario", Detail: "must be one of " + strings.Join(ScenarioNames(), ", ")}
-	}
-	return plan(length), nil
-}
-
-// restartsWhileRefused kills all gateways again and again while the upstreams refuse all requests.
-func restartsWhileRefused(length time.Duration) []Fault {
-	plan := []Fault{{Duration: length, Kind: RefuseService}, {Duration: length, Kind: RefuseService, RandomBits: 1}}
-	for at := firstKill; at < length; at += killInterval {
-		plan = append(plan, Fault{At: at, Duration: minDuration, Kind: KillGateways})
-	}
-	return plan
-}
-
-// scenarios holds the plans that have a name.
-var scenarios = map[string]func(length time.Duration) []Fault{
-	"restarts-while-refused": restartsWhileRefused,
-}
-
 // NewPlan returns the random faults of a seed, ordered by their start. Faults come in series
 // of the same kind and target, and may overlap. A plan wipes at most one replica, since the
 // deployment tolerates the loss of only one disk at once (LostDisks = 1 in its settings).
--- /dev/null
+++ b/soak/scenario.go
@@ -0,0 +1,63 @@
+package soak
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"figbank"
+)
+
+const (
+	// firstKill and killInterval are when restartsWhileRefused kills the gateways.
+	firstKill    = time.Second
+	killInterval = time.Second
+	// pressingCallers is the number of callers at each gateway that ask for more than is served.
+	pressingCallers = 60
+)
+
+// Scenario is a load with faults that has a name.
+type Scenario struct {
+	faults func(length time.Duration) []Fault
+	// callers is the number of callers at each gateway.
+	callers int
+	// sized is set if callers send only streams, with prompts of different lengths.
+	sized bool
+}
+
+var scenarios = map[string]*Scenario{
+	"restarts-while-refused": {faults: restartsWhileRefused, callers: callersPerGateway},
+	"slow-engines":           {faults: slowEngines, callers: pressingCallers, sized: true},
+}
+
+// ScenarioNames returns the names that FindScenario knows.
+func ScenarioNames() []string {
+	return slices.Sorted(maps.Keys(scenarios))
+}
+
+// FindScenario returns the scenario with a name, nil for an empty name.
+func FindScenario(name string) (*Scenario, error) {
+	if name == "" {
+		return nil, nil //nolint:nilnil // no name, no scenario
+	}
+	scenario, found := scenarios[name]
+	if !found {
+		return nil, figbank.InvalidError{Subject: "scenario", Detail: "must be one of " + strings.Join(ScenarioNames(), ", ")}
+	}
+	return scenario, nil
+}
+
+// restartsWhileRefused kills all gateways again and again while the upstreams refuse all requests.
+func restartsWhileRefused(length time.Duration) []Fault {
+	plan := []Fault{{Duration: length, Kind: RefuseService}, {Duration: length, Kind: RefuseService, RandomBits: 1}}
+	for at := firstKill; at < length; at += killInterval {
+		plan = append(plan, Fault{At: at, Duration: minDuration, Kind: KillGateways})
+	}
+	return plan
+}
+
+// slowEngines makes all engines slow.
+func slowEngines(length time.Duration) []Fault {
+	return []Fault{{Duration: length, Kind: SlowService, RandomBits: 1}}
+}
--- /dev/null
+++ b/soak/scenario_test.go
@@ -0,0 +1,123 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"figbank/platform/standin"
+)
+
+func scenarioNamed(t *testing.T, name string) *Scenario {
+	t.Helper()
+	scenario, err := FindScenario(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return scenario
+}
+
+// Under load, engines were filled up to the point at which the next usual request would just begin in
+// time. A large one, whose own prompt takes longer, was beyond that point at nearly every try.
+func TestLargeRequestsAreServedUnderLoad(t *testing.T) {
+	var output bytes.Buffer
+	report, err := Run(context.Background(), Options{
+		Length: 15 * time.Second, Size: Size{Replicas: 3, Gateways: 3, Agents: 6}, Scenario: scenarioNamed(t, "slow-engines"),
+		Binary: buildBinary(t), Folder: filepath.Join(t.TempDir(), "run"), Output: &output,
+	})
+	if err != nil {
+		t.Fatalf("Run() = %v\n%s", err, output.String())
+	}
+	for _, broken := range report.Broken {
+		t.Errorf("%v %s %s", broken.At, broken.Promise, broken.Detail)
+	}
+	t.Log(output.String())
+}
+
+// The allowance for retries of a service was renewed with each start of a gateway.
+func TestRestartsDoNotRenewRetries(t *testing.T) {
+	const length = 12 * time.Second
+	var output bytes.Buffer
+	report, err := Run(context.Background(), Options{
+		Length: length, Size: Size{Replicas: 3, Gateways: 3, Agents: 6}, Scenario: scenarioNamed(t, "restarts-while-refused"),
+		Binary: buildBinary(t), Folder: filepath.Join(t.TempDir(), "run"), Output: &output,
+	})
+	if err != nil {
+		t.Fatalf("Run() = %v\n%s", err, output.String())
+	}
+	for _, broken := range report.Broken {
+		t.Errorf("%v %s %s", broken.At, broken.Promise, broken.Detail)
+	}
+}
+
+func TestFindScenario(t *testing.T) {
+	if got, err := FindScenario(""); got != nil || err != nil {
+		t.Errorf("FindScenario of no name = %v, %v, want nil, nil", got, err)
+	}
+	if _, err := FindScenario("unknown"); err == nil {
+		t.Error("FindScenario of an unknown name = nil error, want an error")
+	}
+}
+
+// TestWorstExcess checks that repeats are compared with the requests of their own window and of the
+// ones just before it.
+func TestWorstExcess(t *testing.T) {
+	start := time.Unix(100, 0)
+	times := func(count int, from, step time.Duration) []time.Time {
+		var all []time.Time
+		for i := range count {
+			all = append(all, start.Add(from+time.Duration(i)*step))
+		}
+		return all
+	}
+	scenarios := []struct {
+		name              string
+		requests, repeats []time.Time
+		want              int
+	}{
+		{name: "as many as the slack", repeats: times(retrySlack, 0, time.Millisecond)},
+		{name: "one more", repeats: times(retrySlack+1, 0, time.Millisecond), want: 1},
+		{name: "one more, not in one window", repeats: times(retrySlack+1, 0, retryWindow/retrySlack+time.Millisecond)},
+		{name: "requests allow it", requests: times(5, 0, time.Second), repeats: times(retrySlack+1, 0, time.Millisecond)},
+		{name: "requests of the window before allow it", requests: times(5, -retryWindow, time.Second), repeats: times(retrySlack+1, 0, time.Millisecond)},
+		{name: "requests long before do not", requests: times(5, -3*retryWindow, time.Second), repeats: times(retrySlack+1, 0, time.Millisecond), want: 1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			traffic := serviceTraffic{requests: s.requests, repeats: s.repeats}
+			worst, found := traffic.worstExcess()
+			if got := worst.repeats - worst.allowed; found != (s.want > 0) || found && got != s.want {
+				t.Errorf("worstExcess() = %d too many, %t, want %d", got, found, s.want)
+			}
+		})
+	}
+}
+
+func TestCheckSizesComparesLargeRequestsWithAll(t *testing.T) {
+	scenarios := []struct {
+		name   string
+		served func(prompt int) bool
+		want   int
+	}{
+		{name: "all served", served: func(int) bool { return true }},
+		{name: "none served", served: func(int) bool { return false }},
+		{name: "every other one", served: func(prompt int) bool { return prompt%2 == 0 }},
+		{name: "not the largest tenth", served: func(prompt int) bool { return prompt < 900 }, want: 1},
+		{name: "only small ones", served: func(prompt int) bool { return prompt < 600 }, want: 2},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			r := &run{Options: Options{Output: &bytes.Buffer{}}, record: newRecord()}
+			r.callers = newCallers(nil, r.record)
+			for prompt := 1; prompt <= 1000; prompt++ {
+				r.callers.sent[string(rune(prompt))] = &sentRequest{route: standin.Stream, prompt: prompt, served: s.served(prompt)}
+			}
+			r.checkSizes()
+			if got := len(r.record.violations); got != s.want {
+				t.Errorf("violations = %v, want %d", r.record.violations, s.want)
+			}
+		})
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -49,8 +49,8 @@
 		// Folder receives settings, logs and data. They are kept after the run.
 		Folder string
 		Output io.Writer
-		// Plan replaces the random faults of the seed, unless it is nil.
-		Plan []Fault
+		// Scenario replaces the random faults of the seed, unless it is nil.
+		Scenario *Scenario
 	}
 
 	// Report is the result of a run.
@@ -95,6 +95,25 @@
 // Passed reports whether no promise was broken.
 func (r *Report) Passed() bool { return len(r.Broken) == 0 }
 
+// plan returns the faults of the scenario, or the random ones of the seed.
+func (o Options) plan() []Fault {
+	if o.Scenario != nil {
+		return o.Scenario.faults(o.Length)
+	}
+	return NewPlan(o.Seed, o.Length, o.Size)
+}
+
+// sized reports whether callers send prompts of different lengths.
+func (o Options) sized() bool { return o.Scenario != nil && o.Scenario.sized }
+
+// callers returns the number of callers at each gateway.
+func (o Options) callers() int {
+	if o.Scenario != nil {
+		return o.Scenario.callers
+	}
+	return callersPerGateway
+}
+
 // Run starts the deployment, injects the faults of a seed and checks the promises. The
 // options must pass Check. An error means that the run could not be completed; broken
 // promises are in the report.
@@ -103,10 +122,7 @@
 		return nil, figbank.WrapError("soak", "Folder", err)
 	}
 	r := &run{Options: options, record: newRecord()}
-	plan := options.Plan
-	if plan == nil {
-		plan = NewPlan(options.Seed, options.Length, options.Size)
-	}
+	plan := options.plan()
 	err := r.run(ctx, plan)
 	if err != nil {
 		return nil, err
@@ -120,7 +136,7 @@
 
 func (r *run) run(ctx context.Context, plan []Fault) error {
 	var err error
-	r.cluster, err = newCluster(r.Size, r.Folder, r.Binary, r.record)
+	r.cluster, err = newCluster(r.Options, r.record)
 	if err != nil {
 		return err
 	}
@@ -129,6 +145,7 @@
 		return err
 	}
 	r.callers = newCallers(r.cluster.gateways, r.record)
+	r.callers.sized = r.sized()
 	r.operators = newOperators(r.cluster)
 	r.operators.publish(ctx)
 	if !r.pollUntil(ctx, startTimeout, r.checkServing) {
@@ -136,7 +153,7 @@
 	}
 	callerCtx, stopCallers := context.WithCancel(ctx)
 	var group sync.WaitGroup
-	group.Go(func() { r.callers.run(callerCtx, callersPerGateway) })
+	group.Go(func() { r.callers.run(callerCtx, r.Options.callers()) })
 	group.Go(func() { r.operators.watch(callerCtx) })
 	r.printf("%d processes are serving; injecting %d faults in %s", len(r.cluster.processes), len(plan), r.Length)
 	(&injector{cluster: r.cluster, operators: r.operators, record: r.record}).run(ctx, plan)
@@ -148,6 +165,7 @@
 	r.stopAll()
 	r.callers.checkRuns(r.cluster.runCounts())
 	r.checkRetries()
+	r.checkSizes()
 	return figbank.WrapError("soak", "Cancelled", ctx.Err())
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -65,22 +65,6 @@
 	}
 }
 
-// The allowance for retries of a service was renewed with each start of a gateway.
-func TestRestartsDoNotRenewRetries(t *testing.T) {
-	const length = 12 * time.Second
-	var output bytes.Buffer
-	report, err := Run(context.Background(), Options{
-		Length: length, Size: Size{Replicas: 3, Gateways: 3, Agents: 6}, Plan: restartsWhileRefused(length),
-		Binary: buildBinary(t), Folder: filepath.Join(t.TempDir(), "run"), Output: &output,
-	})
-	if err != nil {
-		t.Fatalf("Run() = %v\n%s", err, output.String())
-	}
-	for _, broken := range report.Broken {
-		t.Errorf("%v %s %s", broken.At, broken.Promise, broken.Detail)
-	}
-}
-
 func TestPlanDependsOnSeed(t *testing.T) {
 	size := Size{Replicas: 3, Gateways: 3, Agents: 6}
 	first, again := NewPlan(7, time.Minute, size), NewPlan(7, time.Minute, size)
