--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"figbank"
+	"figbank/latency"
 	"figbank/placement"
 	"figbank/traffic"
 )
@@ -34,10 +35,14 @@
 	}
 	table := r.table.Load()
 	targets, candidates := r.candidates(table, now)
+	if attempt == 1 && r.request.PromptTokens > 0 {
+		r.kindsOf(r.request).record(now, r.request)
+	}
+	engine := engineOf(candidates)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // spreads load, no secret
 	for asked := 0; ; asked++ {
 		now = r.common.Clock.Now()
-		demand := r.demand(now, attempt)
+		demand := r.demand(now, attempt, engine)
 		decision := placement.Decide(demand, candidates, random)
 		if wait := earliestReturn(table, r.request.Service, now); decision.Index < 0 && len(candidates) == 0 && wait > 0 {
 			decision = placement.RefuseUntil(figbank.ReasonNoUpstream, wait, random)
@@ -49,6 +54,9 @@
 			r.log.Info("refused", append(r.sizeFields(demand), zap.String("reason", string(decision.Reason)), zap.Duration("retryAfter", decision.RetryAfter),
 				zap.Duration("predicted", decision.Predicted), zap.Int("candidates", len(candidates)), zap.Int("asked", asked),
 				zap.Int("attempt", attempt), zap.Uint64("table", uint64(table.Index)))...)
+			if decision.Reason == figbank.ReasonQueueFull && attempt == 1 && engine != nil {
+				r.kindsOf(r.request).recordRefusal(now)
+			}
 			return nil, figbank.NotRunError{Reason: decision.Reason, RetryAfter: decision.RetryAfter}
 		}
 		target := targets[decision.Index]
@@ -73,8 +81,17 @@
 	}
 }
 
-// demand describes the request as placement needs it.
-func (r *run) demand(now time.Time, attempt int) placement.Demand {
+// engineOf returns the predictor of the candidates' engines, nil if they have none. All belong to one
+// service, whose engines are alike.
+func engineOf(candidates []placement.Candidate) *latency.Predictor {
+	if len(candidates) == 0 {
+		return nil
+	}
+	return candidates[0].Engine
+}
+
+// demand describes the request as placement needs it. Engine is nil for services without engines.
+func (r *run) demand(now time.Time, attempt int, engine *latency.Predictor) placement.Demand {
 	demand := placement.Demand{
 		PromptTokens: r.request.PromptTokens, LatencyTarget: r.request.Route.LatencyTarget,
 		TimeLeft: r.request.Deadline.Sub(now), Drift: r.drift(r.request.Service).factor(now),
@@ -82,6 +99,11 @@
 	if attempt == 1 {
 		demand.Waited = now.Sub(r.request.ReceivedAt)
 	}
+	if engine != nil {
+		competing, pressure := r.kindsOf(r.request).current(now)
+		demand.Limit = placement.Competition{Engine: engine, Kinds: competing, Pressure: pressure}.Limit(
+			demand.LatencyTarget, demand.PromptTokens, demand.Drift)
+	}
 	return demand
 }
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -34,7 +34,9 @@
 		// reserver is nil while this gateway shares no places with others.
 		reserver atomic.Pointer[Reserver]
 		// drifts maps a figbank.ServiceName to its *drift.
-		drifts  sync.Map
+		drifts sync.Map
+		// kinds maps a figbank.ServiceName to its *kinds.
+		kinds   sync.Map
 		rebuild chan struct{}
 		stop    context.CancelFunc
 		group   sync.WaitGroup
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -66,6 +66,9 @@
 		PromptTokens int
 		// LatencyTarget is the objective for the time to the first byte or event.
 		LatencyTarget time.Duration
+		// Limit, unless it is 0, takes the place of LatencyTarget. It is a predicted time, not to be
+		// corrected by Drift.
+		Limit time.Duration
 		// TimeLeft is the time until the request's deadline.
 		TimeLeft time.Duration
 		// Waited is the time since the request arrived, which counts against the objective.
@@ -121,8 +124,8 @@
 
 // Allowed returns the longest predicted time with which the request is placed.
 func (d Demand) Allowed() time.Duration {
-	left := min(d.LatencyTarget, d.TimeLeft) - d.Waited
-	return time.Duration(float64(left) / max(1, d.Drift))
+	limit := cmp.Or(d.Limit, correct(d.LatencyTarget, d.Drift))
+	return min(limit, correct(d.TimeLeft, d.Drift)) - correct(d.Waited, d.Drift)
 }
 
 // Predict returns the predicted time to the candidate's first byte or event. Without an
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -121,6 +121,9 @@
 	if err := os.MkdirAll(options.Folder, 0o700); err != nil {
 		return nil, figbank.WrapError("soak", "Folder", err)
 	}
+	if kept, err := os.ReadDir(options.Folder); err != nil || len(kept) > 0 {
+		return nil, figbank.InvalidError{Subject: "folder", Detail: options.Folder + " must be empty, since replicas would go on with the data of an earlier run"}
+	}
 	r := &run{Options: options, record: newRecord()}
 	plan := options.plan()
 	err := r.run(ctx, plan)
@@ -157,6 +160,11 @@
 	group.Go(func() { r.operators.watch(callerCtx) })
 	r.printf("%d processes are serving; injecting %d faults in %s", len(r.cluster.processes), len(plan), r.Length)
 	(&injector{cluster: r.cluster, operators: r.operators, record: r.record}).run(ctx, plan)
+	if r.sized() {
+		// These callers ask for more than is served, also without faults, so the checks that
+		// follow would be refused.
+		stopCallers()
+	}
 	r.checkRecovery(ctx)
 	r.restartGateways(ctx)
 	stopCallers()
