--- a/soak/callers.go
+++ b/soak/callers.go
@@ -45,7 +45,7 @@
 	}
 
 	sentRequest struct {
-		route string
+		route, gateway string
 		// at is when the request was sent. unreachable is set if the gateway took no connection.
 		at          time.Time
 		unreachable bool
@@ -102,7 +102,7 @@
 	if route == standin.Stream {
 		events = 1 + rand.IntN(maxEvents) //nolint:gosec // spreads load, no secret
 	}
-	request := &sentRequest{route: route, at: wall.Now(), planned: c.planned.Load()}
+	request := &sentRequest{route: route, gateway: gateway, at: wall.Now(), planned: c.planned.Load()}
 	if c.sized && route == standin.Stream {
 		events, request.prompt = sizedEvents, drawPrompt()
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -72,6 +72,8 @@
 		i.slow(fault)
 	case KillGateways:
 		i.killGateways(fault)
+	case LeaveUpstream, RefuseForTime:
+		i.giveNotice(fault)
 	case CorruptUpstream, CrashUpstream:
 		i.injectUpstreamFault(fault)
 	case DelayLink, ResetLink, CutIn, CutOut, Silence, Refuse:
@@ -95,6 +97,26 @@
 	}
 }
 
+// giveNotice makes an upstream leave, with or without an announcement, or refuse requests for a time.
+func (i *injector) giveNotice(fault Fault) {
+	i.cluster.mu.Lock()
+	current := i.cluster.upstreams[fault.Target].current
+	i.cluster.mu.Unlock()
+	i.record.mark("upstream", fault.Duration, "%s upstream %d", fault.Kind, fault.Target)
+	if fault.Kind == RefuseForTime {
+		current.RefuseFor(fault.Duration)
+		return
+	}
+	current.Leave()
+	if fault.RandomBits&1 == 0 {
+		current.Drain()
+	}
+	wall.sleep(drainTime + fault.Duration)
+	if err := i.cluster.crash(fault.Target, 0); err != nil {
+		i.record.addViolation("Soak", "upstream %d cannot be started again: %v", fault.Target, err)
+	}
+}
+
 // slow makes all upstreams of a service slow.
 func (i *injector) slow(fault Fault) {
 	service := services[fault.RandomBits%uint64(len(services))]
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -38,6 +38,11 @@
 	RefuseService FaultKind = "RefuseService"
 	// KillGateways kills all gateways at once and starts them again.
 	KillGateways FaultKind = "KillGateways"
+	// LeaveUpstream makes an upstream say in its answers that it leaves, and ends it later. Its next
+	// incarnation stays.
+	LeaveUpstream FaultKind = "Leave"
+	// RefuseForTime makes an upstream refuse all requests for a time that it names.
+	RefuseForTime FaultKind = "RefuseForTime"
 	// SlowService makes all upstreams of a service work slowdown times as long.
 	SlowService FaultKind = "SlowService"
 	// Publish is the operator's order to publish the next configuration.
@@ -50,8 +55,10 @@
 )
 
 const (
-	// meanGap is the mean time between the starts of two series of faults.
-	meanGap = 700 * time.Millisecond
+	// meanGap is the mean time between the starts of two series of faults, meanLaterGap that for
+	// laterKinds.
+	meanGap      = 700 * time.Millisecond
+	meanLaterGap = 1500 * time.Millisecond
 	// maxSeriesLength bounds the number of faults in one series.
 	maxSeriesLength = 3
 	// minDuration and maxDuration bound the field Duration of a fault.
@@ -116,14 +123,38 @@
 	{Evacuate, 1, noTarget},
 }
 
+// laterKinds lists kinds that were added later. They are drawn apart from the others, so that these stay the
+// same for a seed.
+var laterKinds = []weightedKind{
+	{LeaveUpstream, 4, anyUpstream},
+	{RefuseForTime, 4, anyUpstream},
+	{RefuseService, 1, noTarget},
+	{SlowService, 1, noTarget},
+	{KillGateways, 1, noTarget},
+}
+
 // NewPlan returns the random faults of a seed, ordered by their start. Faults come in series
 // of the same kind and target, and may overlap. A plan wipes at most one replica, since the
 // deployment tolerates the loss of only one disk at once (LostDisks = 1 in its settings).
 func NewPlan(seed uint64, length time.Duration, size Size) []Fault {
 	random := rand.New(rand.NewPCG(seed, uint64(size.processes()))) //nolint:gosec // repeatable
+	plan := drawSeries(random, kinds, meanGap, length, size)
+	if random.IntN(2) == 0 {
+		plan = append(plan, Fault{
+			At: time.Duration(random.Int64N(int64(length / 2))), Duration: minDuration, Kind: WipeReplica, Target: random.IntN(size.Replicas),
+		})
+	}
+	later := rand.New(rand.NewPCG(^seed, uint64(size.processes()))) //nolint:gosec // repeatable
+	plan = append(plan, drawSeries(later, laterKinds, meanLaterGap, length, size)...)
+	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
+	return plan
+}
+
+// drawSeries draws series of faults of the given kinds.
+func drawSeries(random *rand.Rand, kinds []weightedKind, gap, length time.Duration, size Size) []Fault {
 	var plan []Fault
-	for at := time.Duration(0); at < length; at += time.Duration(random.Int64N(int64(2 * meanGap))) {
-		chosen := drawKind(random)
+	for at := time.Duration(0); at < length; at += time.Duration(random.Int64N(int64(2 * gap))) {
+		chosen := drawKind(random, kinds)
 		fault := Fault{At: at, Kind: chosen.kind, Target: drawTarget(random, chosen.class, size)}
 		for range 1 + random.IntN(maxSeriesLength) {
 			fault.Duration = minDuration + time.Duration(random.Int64N(int64(maxDuration-minDuration)))
@@ -132,16 +163,10 @@
 			fault.At += time.Duration(random.Int64N(int64(fault.Duration)))
 		}
 	}
-	if random.IntN(2) == 0 {
-		plan = append(plan, Fault{
-			At: time.Duration(random.Int64N(int64(length / 2))), Duration: minDuration, Kind: WipeReplica, Target: random.IntN(size.Replicas),
-		})
-	}
-	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
 
-func drawKind(random *rand.Rand) weightedKind {
+func drawKind(random *rand.Rand, kinds []weightedKind) weightedKind {
 	sum := 0
 	for _, k := range kinds {
 		sum += k.weight
--- a/soak/process.go
+++ b/soak/process.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -42,6 +43,8 @@
 		stopRequested bool
 		// killed is set once SIGKILL was sent since the last start.
 		killed bool
+		// disturbances holds when the process was started, stopped, paused and resumed.
+		disturbances []time.Time
 		// logSizeAtStart is the size of logFile just before the last start.
 		logSizeAtStart int64
 	}
@@ -78,6 +81,7 @@
 	if err := cmd.Start(); err != nil {
 		return figbank.WrapError("soak", "Start", err)
 	}
+	p.disturbances = append(p.disturbances, wall.Now())
 	exited := make(chan struct{})
 	p.cmd, p.exited, p.stopRequested, p.killed = cmd, exited, false, false
 	go p.awaitCommand(cmd, exited)
@@ -117,9 +121,19 @@
 	}
 	p.stopRequested = p.stopRequested || signal == syscall.SIGTERM || signal == syscall.SIGKILL
 	p.killed = p.killed || signal == syscall.SIGKILL
+	if signal != syscall.SIGHUP {
+		p.disturbances = append(p.disturbances, wall.Now())
+	}
 	_ = p.cmd.Process.Signal(signal)
 }
 
+// disturbedWithin reports whether the process was started, stopped, paused or resumed within a time.
+func (p *process) disturbedWithin(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.disturbances, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
+}
+
 // kill sends SIGKILL and waits, up to stopTimeout, for the process to exit.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -173,6 +173,7 @@
 	r.stopAll()
 	r.callers.checkRuns(r.cluster.runCounts())
 	r.checkRetries()
+	r.checkNotices()
 	r.checkSizes()
 	return figbank.WrapError("soak", "Cancelled", ctx.Err())
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -95,7 +95,7 @@
 			seen[fault.Kind] = true
 		}
 	}
-	for _, k := range kinds {
+	for _, k := range slices.Concat(kinds, laterKinds) {
 		if !seen[k.kind] {
 			t.Errorf("none of ten plans contains %s", k.kind)
 		}
