--- a/app/stopstate.go
+++ b/app/stopstate.go
@@ -21,7 +21,7 @@
 	return s
 }
 
-// endAfter ends all requests that still run at the time due, unless ctx, the shutdown, ends before.
+// endAfter ends all requests that still run at the time due, or when ctx, the shutdown, ends before.
 func (s *stopState) endAfter(ctx context.Context, due <-chan time.Time) {
 	select {
 	case <-ctx.Done():
