--- a/soak/scenario_test.go
+++ b/soak/scenario_test.go
@@ -10,21 +10,17 @@
 	"figbank/platform/standin"
 )
 
-func scenarioNamed(t *testing.T, name string) *Scenario {
+// testScenario runs a scenario and reports the promises that it breaks.
+func testScenario(t *testing.T, name string, length time.Duration) {
 	t.Helper()
+	t.Parallel()
 	scenario, err := FindScenario(name)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return scenario
-}
-
-// Under load, engines were filled up to the point at which the next usual request would just begin in
-// time. A large one, whose own prompt takes longer, was beyond that point at nearly every try.
-func TestLargeRequestsAreServedUnderLoad(t *testing.T) {
 	var output bytes.Buffer
 	report, err := Run(context.Background(), Options{
-		Length: 15 * time.Second, Size: Size{Replicas: 3, Gateways: 3, Agents: 6}, Scenario: scenarioNamed(t, "slow-engines"),
+		Length: length, Size: Size{Replicas: 3, Gateways: 3, Agents: 6}, Scenario: scenario,
 		Binary: buildBinary(t), Folder: filepath.Join(t.TempDir(), "run"), Output: &output,
 	})
 	if err != nil {
@@ -36,20 +32,15 @@
 	t.Log(output.String())
 }
 
+// Under load, engines were filled up to the point at which the next usual request would just begin in
+// time. A large one, whose own prompt takes longer, was beyond that point at nearly every try.
+func TestLargeRequestsAreServedUnderLoad(t *testing.T) {
+	testScenario(t, "slow-engines", 15*time.Second)
+}
+
 // The allowance for retries of a service was renewed with each start of a gateway.
 func TestRestartsDoNotRenewRetries(t *testing.T) {
-	const length = 12 * time.Second
-	var output bytes.Buffer
-	report, err := Run(context.Background(), Options{
-		Length: length, Size: Size{Replicas: 3, Gateways: 3, Agents: 6}, Scenario: scenarioNamed(t, "restarts-while-refused"),
-		Binary: buildBinary(t), Folder: filepath.Join(t.TempDir(), "run"), Output: &output,
-	})
-	if err != nil {
-		t.Fatalf("Run() = %v\n%s", err, output.String())
-	}
-	for _, broken := range report.Broken {
-		t.Errorf("%v %s %s", broken.At, broken.Promise, broken.Detail)
-	}
+	testScenario(t, "restarts-while-refused", 12*time.Second)
 }
 
 func TestFindScenario(t *testing.T) {
