--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -100,9 +100,9 @@
 		demand.Waited = now.Sub(r.request.ReceivedAt)
 	}
 	if engine != nil {
-		competing, pressure := r.kindsOf(r.request).current(now)
-		demand.Limit = placement.Competition{Engine: engine, Kinds: competing, Pressure: pressure}.Limit(
-			demand.LatencyTarget, demand.PromptTokens, demand.Drift)
+		competition := r.kindsOf(r.request).competition(now, r.request.Route.GetName())
+		competition.Engine = engine
+		demand.Limit = competition.Limit(demand.LatencyTarget, demand.PromptTokens, demand.Drift)
 	}
 	return demand
 }
--- a/dispatch/kinds.go
+++ b/dispatch/kinds.go
@@ -9,7 +9,9 @@
 )
 
 const (
-	// largeShare is the share of a route's prompts that are shorter than what counts as large.
+	// usualShare and largeShare are the shares of a route's prompts that are shorter than what counts as
+	// usual and as large.
+	usualShare = 0.6
 	largeShare = 0.95
 	// kindLifetime is how long after its last request a route still competes.
 	kindLifetime = 5 * time.Second
@@ -32,9 +34,8 @@
 	}
 
 	kind struct {
-		latencyTarget time.Duration
-		sizes         placement.PromptSizes
-		lastAt        time.Time
+		sizes  placement.PromptSizes
+		lastAt time.Time
 	}
 )
 
@@ -48,7 +49,7 @@
 		known = &kind{}
 		k.routes[name] = known
 	}
-	known.latencyTarget, known.lastAt = request.Route.LatencyTarget, now
+	known.lastAt = now
 	known.sizes.Record(request.PromptTokens)
 	k.decay(now)
 	k.asked++
@@ -62,23 +63,25 @@
 	k.refused++
 }
 
-// current returns the routes that compete now, and the share of refused requests. It forgets routes
-// that have had no request for kindLifetime.
-func (k *kinds) current(now time.Time) ([]placement.Kind, float64) {
+// competition returns how a request of the given route competes now. It forgets routes that have had no request
+// for kindLifetime.
+func (k *kinds) competition(now time.Time, route string) placement.Competition {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var competing []placement.Kind
+	k.decay(now)
+	competition := placement.Competition{Pressure: k.refused / (k.asked + pressurePrior)}
 	for name, known := range k.routes {
 		if now.Sub(known.lastAt) > kindLifetime {
 			delete(k.routes, name)
 			continue
 		}
-		if large := known.sizes.Quantile(largeShare); large > 0 {
-			competing = append(competing, placement.Kind{LatencyTarget: known.latencyTarget, LargePrompt: large})
+		current := placement.Kind{UsualPrompt: known.sizes.Quantile(usualShare), LargePrompt: known.sizes.Quantile(largeShare)}
+		competition.Kinds = append(competition.Kinds, current)
+		if name == route {
+			competition.Own = current
 		}
 	}
-	k.decay(now)
-	return competing, k.refused / (k.asked + pressurePrior)
+	return competition
 }
 
 // decay applies the decay since the last call. The caller holds mu.
--- a/placement/competition.go
+++ b/placement/competition.go
@@ -6,16 +6,19 @@
 	"figbank/latency"
 )
 
-// fullPressure is the share of refused requests from which all requests get the common limit.
-const fullPressure = 0.1
+const (
+	// fullPressure is the share of refused requests from which sizes make no difference any more.
+	fullPressure = 0.1
+	// headroomShare is the share of the time that a large prompt takes beyond a usual one by which all
+	// requests wait less. The rest is what a large one may begin late.
+	headroomShare = 0.5
+)
 
 type (
-	// Kind is a kind of request that competes for the engines of a service.
+	// Kind is a kind of request that competes for the engines of a service. It has the lengths of a usual
+	// and of a large prompt, in tokens. The zero value stands for an unknown kind.
 	Kind struct {
-		// LatencyTarget is the objective for the time to the first event.
-		LatencyTarget time.Duration
-		// LargePrompt is the length of a large prompt of this kind, in tokens.
-		LargePrompt int
+		UsualPrompt, LargePrompt int
 	}
 
 	// Competition decides how long requests of a service may be predicted to wait while callers ask
@@ -25,7 +28,8 @@
 	Competition struct {
 		// Engine predicts the latencies of the service's engines.
 		Engine *latency.Predictor
-		// Kinds are the kinds of requests that have come lately.
+		// Own is the kind of the request, Kinds are all kinds that have come lately.
+		Own   Kind
 		Kinds []Kind
 		// Pressure is the share of requests that were refused lately since all engines were full.
 		Pressure float64
@@ -33,30 +37,27 @@
 )
 
 // Limit returns the longest predicted time to the first event with which a request is placed, not
-// corrected by drift. Without pressure this is the request's own objective. Under pressure all requests of the
-// service may wait equally long for their own prompt to be read, so short that a large one still
-// begins in time. A request is placed in any case while an engine has a free place: an answer that
-// begins late is worth more than none.
+// corrected by drift. Without pressure this is the request's own objective. Under pressure all requests of a
+// kind may wait equally long for their own prompt to be read: as long as a usual one, less a headroom that is
+// the same for all kinds, so that none is preferred to another. A request is placed in any case while
+// an engine has a free place: an answer that begins late is worth more than none.
 func (c Competition) Limit(latencyTarget time.Duration, promptTokens int, drift float64) time.Duration {
 	own := c.Engine.PromptTime(promptTokens)
 	wait := correct(latencyTarget, drift) - own
-	if common, found := c.commonWait(drift); found {
+	if c.Own.UsualPrompt > 0 {
+		common := correct(latencyTarget, drift) - c.Engine.PromptTime(c.Own.UsualPrompt) - c.headroom()
 		wait += time.Duration(min(1, c.Pressure/fullPressure) * float64(common-wait))
 	}
 	return max(wait, c.waitForLastPlace()) + own
 }
 
-// commonWait returns the longest wait with which a large request of each kind begins in time. It returns
-// false if no kind is known.
-func (c Competition) commonWait(drift float64) (time.Duration, bool) {
-	shortest, found := time.Duration(0), false
+// headroom returns by how much less than a usual request all requests wait.
+func (c Competition) headroom() time.Duration {
+	most := time.Duration(0)
 	for _, kind := range c.Kinds {
-		wait := correct(kind.LatencyTarget, drift) - c.Engine.PromptTime(kind.LargePrompt)
-		if !found || wait < shortest {
-			shortest, found = wait, true
-		}
+		most = max(most, c.Engine.PromptTime(kind.LargePrompt)-c.Engine.PromptTime(kind.UsualPrompt))
 	}
-	return shortest, found
+	return time.Duration(headroomShare * float64(most))
 }
 
 // waitForLastPlace returns the predicted wait of a request that takes the last free place of an engine.
