Dispatch: a stream that is cut for its bytes is logged with them

An upstream's bytes ended an attempt, or an event without a number was passed on, and no line told it: only the error of 'attempt failed', without the bytes, whether the answer had been resumed, or how it was framed.

What is passed on does not change.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -44,7 +44,7 @@
 		return err
 	}
 	defer answer.Body.Close()
-	r.upstream = target.ID
+	r.upstream, r.framed = target.ID, !answer.Unframed
 	target.Load.recordReport(r.common.Clock.Now(), answer.Load)
 	if !answer.NamesLimit && answer.Status < http.StatusMultipleChoices {
 		r.recordLimit(target, LimitNotice{})
@@ -75,10 +75,11 @@
 // cancelWhenOld returns a context that is canceled cancelMargin after the target's weights
 // become too old. recordFirstByte prevents the cancellation once the answer has begun.
 // Targets whose OldAfter is zero have no such limit. cancelWhenOld also resets the state of
-// the current attempt: began, hasBegun, events and load. The returned function releases the context
+// the current attempt: began, hasBegun, events, load and resumedAfter. The returned function releases the context
 // and must be called when the attempt has ended.
 func (r *run) cancelWhenOld(ctx context.Context, target *Target) (context.Context, context.CancelFunc) {
 	r.began, r.hasBegun, r.events, r.load = make(chan struct{}), false, 0, target.Load
+	r.resumedAfter = r.lastEvent
 	attemptCtx, cancel := context.WithCancel(ctx)
 	if target.OldAfter.IsZero() {
 		return attemptCtx, cancel
--- a/dispatch/eventorder.go
+++ b/dispatch/eventorder.go
@@ -55,6 +55,11 @@
 	return nil
 }
 
+func isNumber(id string) bool {
+	_, err := strconv.ParseInt(id, 10, 64)
+	return err == nil
+}
+
 // wellFormed reports whether bytes between two empty lines are an event, each line of it a field or a
 // comment (HTML Living Standard, section 9.2.5), with at least one field that the standard names. The
 // head or the text of an error that an upstream writes into its stream is no event.
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -38,7 +38,7 @@
 		r.event.Write(line)
 		switch {
 		case r.event.Len() > maxEvent:
-			return nil, "", figbank.ProtocolError{Detail: "event is too long"}
+			return nil, "", newStreamError(faultLength, "event is too long", r.event.Bytes())
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && r.event.Len() > 0:
@@ -52,7 +52,7 @@
 			continue
 		}
 		if !wellFormed(r.event.Bytes()) {
-			return nil, "", figbank.ProtocolError{Detail: "bytes in the stream are no event"}
+			return nil, "", newStreamError(faultGrammar, "bytes in the stream are no event", r.event.Bytes())
 		}
 		return r.event.Bytes(), eventID(r.event.Bytes()), nil
 	}
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -83,13 +83,14 @@
 			return err
 		}
 		if err := r.order.check(id); err != nil {
-			return err
+			return quoteBytes(faultOrder, err, event)
 		}
 		r.recordEvent()
 		r.startEvents(answer)
 		if err := r.response.Write(event); err != nil {
 			return err
 		}
+		r.logUnnumbered(id, event)
 		if id != "" {
 			r.lastEvent = id
 		}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -54,6 +54,12 @@
 		hasBegun bool
 		// events is the number of events that have arrived in the current attempt.
 		events int
+		// resumedAfter is lastEvent at the start of the current attempt. framed is set if the end of
+		// its answer does not depend on the connection's.
+		resumedAfter string
+		framed       bool
+		// loggedUnnumbered is set once an event without a number was logged.
+		loggedUnnumbered bool
 		// place is the place that was reserved for the current attempt, nil if there is none.
 		place Place
 		// load is the load of the current attempt's upstream.
@@ -73,6 +79,7 @@
 		}
 		r.sentAt = r.common.Clock.Now()
 		err = r.attempt(ctx, target)
+		r.logBadStream(attempt, target, err)
 		r.outcome.Record(err)
 		if err == nil {
 			return nil
