Dispatch: only events with a number, data and known fields are passed on in a stream (ORDER)

Callers got a piece that no run made, with an empty id, in streams of a server that sent garbage; one such answer ended as complete.

Cause: bytes were passed on if nothing spoke against them. wellFormed took empty lines, comments and any line with a colon beside a field of the standard; eventOrder.check took every id that is no number; an event whose last id is empty moved neither the order nor the last event, so that a resumption repeated it. That events must be numbered is known from the route, before an answer comes, and was not used.

Now a stream on a route of streams has a format (dispatch/eventformat.go), and an event is passed on only if it has all of it: one id, a decimal number without sign or leading zeros that fits, the order as before, data, text without zero bytes or bare carriage returns, and only fields that the stream's first event had, besides the line that states the version of the weights; its name comes from platform/ with the answer, and the version does not go back within an answer. Empty lines and comments between events are dropped, are no progress, and may be 4 KiB. A byte order mark counts at the start only and is dropped. What does not fit ends the attempt: a resumable stream goes on elsewhere after its last sound event, another is cut, and before the first event no head has been sent. Events of other routes keep their rule.

Changed tests: the streams of unframed_test.go and crashing_parts_test.go have data now, since an event without data is none by the standard; what they check is the same. TestBadStreamIsLogged wants the finer reason. The line and counter for events without a number are gone with the fault.

--- a/dispatch/badstream.go
+++ b/dispatch/badstream.go
@@ -15,9 +15,16 @@
 
 // What is wrong with the bytes of a stream. The names are written to the log and the metrics.
 const (
+	noFault      streamFault = ""
 	faultGrammar streamFault = "NoEvent"
 	faultLength  streamFault = "TooLong"
 	faultOrder   streamFault = "WrongOrder"
+	faultNumber  streamFault = "NoNumber"
+	faultData    streamFault = "NoData"
+	faultField   streamFault = "UnknownField"
+	faultText    streamFault = "NoText"
+	faultFiller  streamFault = "TooMuchFiller"
+	faultVersion streamFault = "WrongVersion"
 )
 
 type (
@@ -61,16 +68,3 @@
 		zap.String("bytes", strconv.QuoteToASCII(string(bad.quoted))), figbank.ErrorField(err))
 	r.common.Scope.Tagged(map[string]string{"reason": string(bad.fault)}).Counter("bad_streams").Inc(1)
 }
-
-// logUnnumbered logs and counts, once a request, that an event without a number was passed on where
-// others have one.
-func (r *run) logUnnumbered(id string, event []byte) {
-	if r.loggedUnnumbered || !r.request.Route.Streamed() || !r.order.known || isNumber(id) {
-		return
-	}
-	r.loggedUnnumbered = true
-	r.log.Warn("event without a number passed on", zap.String("upstream", string(r.upstream)), zap.Bool("resumed", r.resumedAfter != ""),
-		zap.Bool("framed", r.framed), zap.Int("events", r.events), zap.String("lastEvent", r.lastEvent),
-		zap.String("bytes", strconv.QuoteToASCII(string(event[:min(len(event), maxQuoted)]))))
-	r.common.Scope.Counter("unnumbered_events").Inc(1)
-}
--- a/dispatch/badstream_test.go
+++ b/dispatch/badstream_test.go
@@ -49,7 +49,7 @@
 	bad := streamAnswer{status: http.StatusOK, text: "id: 2\ndata: b\n\n" + strings.Repeat("no event ", 20) + "\n\n", unframed: true}
 	got := serveStream(t, &streamScript{answers: []streamAnswer{broken, bad}}, "", true)
 	want := map[string]any{
-		"request": "r", "attempt": int64(2), "reason": "NoEvent", "resumed": true, "after": "1", "framed": false,
+		"request": "r", "attempt": int64(2), "reason": "UnknownField", "resumed": true, "after": "1", "framed": false,
 		"lastEvent": "2", "events": int64(1), "bytes": `"` + strings.Repeat("no event ", 20)[:maxQuoted] + `"`,
 	}
 	lines := 0
--- a/dispatch/crashing_parts_test.go
+++ b/dispatch/crashing_parts_test.go
@@ -80,7 +80,7 @@
 	if b.events == 1 {
 		b.onBegin()
 	}
-	return copy(buffer, fmt.Sprintf("id: %d\n\n", b.events)), nil
+	return copy(buffer, fmt.Sprintf("id: %d\ndata: a\n\n", b.events)), nil
 }
 
 func newCrashWorld(domains, gateways, upstreams int) *crashWorld {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -84,6 +84,10 @@
 		NamesLimit bool
 		// Events is set when the body is an event stream.
 		Events bool
+		// VersionField is the name of the field in which an event states the version of the weights,
+		// empty if there is none. Version is the version that the head states, 0 for none.
+		VersionField string
+		Version      int64
 	}
 
 	// ReportedLoad is an upstream's own count of its requests and slots.
--- /dev/null
+++ b/dispatch/eventformat.go
@@ -0,0 +1,138 @@
+package dispatch
+
+import (
+	"bytes"
+	"math"
+	"unicode/utf8"
+)
+
+// The fields that a server-sent event may have (HTML Living Standard, section 9.2.5).
+const (
+	fieldID fieldSet = 1 << iota
+	fieldData
+	fieldEvent
+	fieldRetry
+	fieldVersion
+)
+
+type (
+	// fieldSet is a set of fields.
+	fieldSet uint8
+
+	// eventFormat tells which events a stream of numbered events may have: all their lines are known
+	// fields, one is a number, at least one holds data. The zero value is that of a stream that has not begun.
+	eventFormat struct {
+		// versionField is the name of the field that states the version of the weights, as the first
+		// one of an event, empty if there is none.
+		versionField string
+		// version is the version that the answer has stated last, 0 if none.
+		version int64
+		// first are the fields of the stream's first event, 0 before it. Later ones have no others.
+		first fieldSet
+	}
+
+	// numberedEvent is what the lines of an event so far have stated.
+	numberedEvent struct {
+		fields  fieldSet
+		number  int64
+		version int64
+	}
+)
+
+// add adds a line, without its end, to the event. It returns a fault if the event can't have this line.
+func (f *eventFormat) add(event *numberedEvent, line []byte) streamFault {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	field := f.field(name)
+	switch {
+	case field == 0, f.first != 0 && field&^(f.first|fieldVersion) != 0:
+		return faultField
+	case !isText(line):
+		return faultText
+	}
+	valid := true
+	switch field {
+	case fieldID:
+		event.number, valid = parseNumber(value)
+		valid = valid && event.fields&fieldID == 0
+	case fieldVersion:
+		event.version, valid = parseNumber(value)
+		valid = valid && event.fields == 0 && event.version >= f.version
+	case fieldRetry:
+		_, valid = parseNumber(value)
+	}
+	event.fields |= field
+	switch {
+	case valid:
+		return noFault
+	case field == fieldID:
+		return faultNumber
+	case field == fieldVersion:
+		return faultVersion
+	}
+	return faultGrammar
+}
+
+// check returns a fault if the event, whose lines have all been added, lacks something.
+func (f *eventFormat) check(event *numberedEvent) streamFault {
+	switch {
+	case event.fields&fieldID == 0:
+		return faultNumber
+	case event.fields&fieldData == 0:
+		return faultData
+	}
+	return noFault
+}
+
+// accept records an event that is passed on.
+func (f *eventFormat) accept(event *numberedEvent) {
+	if f.first == 0 {
+		f.first = event.fields
+	}
+	f.version = max(f.version, event.version)
+}
+
+// field returns the field of that name, 0 if there is none.
+func (f *eventFormat) field(name []byte) fieldSet {
+	switch string(name) {
+	case "id":
+		return fieldID
+	case "data":
+		return fieldData
+	case "event":
+		return fieldEvent
+	case "retry":
+		return fieldRetry
+	case "":
+		return 0
+	case f.versionField:
+		return fieldVersion
+	}
+	return 0
+}
+
+// isFiller reports whether a line between two events means nothing: it is empty or a comment.
+func isFiller(line []byte) bool {
+	return len(line) == 0 || line[0] == ':'
+}
+
+// isText reports whether a line is text. Its end has been removed.
+func isText(line []byte) bool {
+	return bytes.IndexByte(line, 0) < 0 && bytes.IndexByte(line, '\r') < 0 && utf8.Valid(line)
+}
+
+// parseNumber parses a decimal number without a sign or zeros before it.
+func parseNumber(text []byte) (int64, bool) {
+	if len(text) == 0 || text[0] == '0' && len(text) > 1 {
+		return 0, false
+	}
+	number := int64(0)
+	for _, c := range text {
+		digit := int64(c) - '0'
+		if digit < 0 || digit > 9 || number > (math.MaxInt64-digit)/10 {
+			return 0, false
+		}
+		number = 10*number + digit
+	}
+	return number, true
+}
--- a/dispatch/eventorder.go
+++ b/dispatch/eventorder.go
@@ -33,9 +33,15 @@
 // come before, or if one is missing. It accepts events without a number.
 func (o *eventOrder) check(id string) error {
 	number, err := strconv.ParseInt(id, 10, 64)
-	switch {
-	case err != nil:
+	if err != nil {
 		return nil //nolint:nilerr // ids need not be numbers
+	}
+	return o.checkNumber(number)
+}
+
+// checkNumber is check for an event with a number.
+func (o *eventOrder) checkNumber(number int64) error {
+	switch {
 	case !o.known:
 		o.known, o.consecutive = true, true
 		o.steps = 0
@@ -43,11 +49,11 @@
 			o.steps = 1
 		}
 	case number <= o.last:
-		return figbank.ProtocolError{Detail: "event " + id + " after event " + strconv.FormatInt(o.last, 10)}
+		return figbank.ProtocolError{Detail: "event " + strconv.FormatInt(number, 10) + " after event " + strconv.FormatInt(o.last, 10)}
 	case number == o.last+1:
 		o.steps++
 	case o.consecutive && o.steps > 0:
-		return figbank.ProtocolError{Detail: "events are missing between " + strconv.FormatInt(o.last, 10) + " and " + id}
+		return figbank.ProtocolError{Detail: "events are missing between " + strconv.FormatInt(o.last, 10) + " and " + strconv.FormatInt(number, 10)}
 	default:
 		o.consecutive = false
 	}
@@ -55,11 +61,6 @@
 	return nil
 }
 
-func isNumber(id string) bool {
-	_, err := strconv.ParseInt(id, 10, 64)
-	return err == nil
-}
-
 // wellFormed reports whether bytes between two empty lines are an event, each line of it a field or a
 // comment (HTML Living Standard, section 9.2.5), with at least one field that the standard names. The
 // head or the text of an error that an upstream writes into its stream is no event.
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -66,18 +66,17 @@
 	return buffered.writeTo(r.response)
 }
 
-// forwardEvents forwards each event as soon as it has arrived completely.
+// forwardEvents forwards each event as soon as it has arrived completely. Events of a route of streams
+// have numbers; those of other routes may have none.
 func (r *run) forwardEvents(answer *Answer) error {
+	if r.request.Route.Streamed() {
+		return r.forwardNumbered(answer)
+	}
 	events := newEventReader(answer.Body)
 	for {
 		event, id, err := events.next()
-		if errors.Is(err, io.EOF) && answer.Unframed && r.events == 0 && (r.response.Started() || r.lastEvent == "") {
-			// The upstream may have ended right after the head.
-			return figbank.IncompleteAnswerError{Detail: "stream ended with the connection before its first event"}
-		}
 		if errors.Is(err, io.EOF) {
-			r.startEvents(answer)
-			return r.response.Write(nil)
+			return r.endEvents(answer)
 		}
 		if err != nil {
 			return err
@@ -90,7 +89,6 @@
 		if err := r.response.Write(event); err != nil {
 			return err
 		}
-		r.logUnnumbered(id, event)
 		if id != "" {
 			r.lastEvent = id
 		}
--- /dev/null
+++ b/dispatch/numberedreader.go
@@ -0,0 +1,122 @@
+package dispatch
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+
+	"figbank"
+)
+
+// maxFiller is how many bytes of empty lines and comments may stand between two events. They are no
+// progress of a stream.
+const maxFiller = 4 << 10
+
+// numberedReader splits a stream of numbered events into events that its format allows. It leaves out
+// empty lines and comments between them.
+type numberedReader struct {
+	reader *bufio.Reader
+	format *eventFormat
+	// event holds the bytes of the event, line the start of its last line, filler the number of bytes
+	// that were left out before it.
+	event  []byte
+	line   int
+	filler int
+	// stated is what the lines of the event state.
+	stated numberedEvent
+}
+
+func newNumberedReader(body io.Reader, format *eventFormat) *numberedReader {
+	return &numberedReader{reader: bufio.NewReaderSize(body, eventBuffer), format: format}
+}
+
+// skipMark removes a byte order mark, which may stand at the very start of a stream.
+func (r *numberedReader) skipMark() {
+	mark := []byte("\uFEFF")
+	if start, err := r.reader.Peek(1); err != nil || start[0] != mark[0] {
+		return
+	}
+	if start, err := r.reader.Peek(len(mark)); err == nil && bytes.Equal(start, mark) {
+		_, _ = r.reader.Discard(len(mark))
+	}
+}
+
+// next returns the bytes of the next event, valid until the next call, and its number. It returns
+// io.EOF when the stream ends after an event or is empty, IncompleteAnswerError when it ends inside an
+// event or cannot be read, and streamError when the bytes are no event.
+func (r *numberedReader) next() (event []byte, number int64, err error) {
+	r.event, r.line, r.filler, r.stated = r.event[:0], 0, 0, numberedEvent{}
+	for {
+		if err := r.readLine(); err != nil {
+			return nil, 0, err
+		}
+		line := bytes.TrimSuffix(r.event[r.line:len(r.event)-1], []byte("\r"))
+		switch {
+		case r.line == 0 && isFiller(line):
+			if err := r.skipFiller(line); err != nil {
+				return nil, 0, err
+			}
+			continue
+		case len(line) == 0:
+			return r.event, r.stated.number, r.complete()
+		}
+		if fault := r.format.add(&r.stated, line); fault != noFault {
+			return nil, 0, newStreamError(fault, "bytes in the stream are no event", r.event[r.line:])
+		}
+		r.line = len(r.event)
+	}
+}
+
+// accept records that the last event is passed on.
+func (r *numberedReader) accept() {
+	r.format.accept(&r.stated)
+}
+
+// readLine appends the next line, with its end, to the event.
+func (r *numberedReader) readLine() error {
+	for {
+		line, err := r.reader.ReadSlice('\n')
+		r.event = append(r.event, line...)
+		switch {
+		case len(r.event) > maxEvent:
+			return newStreamError(faultLength, "event is too long", r.event)
+		case r.line == 0 && len(r.event) > 0 && isFiller(r.event) && r.filler+len(r.event) > maxFiller:
+			return r.tooMuchFiller()
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case errors.Is(err, io.EOF) && len(r.event) > 0:
+			return figbank.IncompleteAnswerError{Detail: "stream ended inside an event"}
+		case errors.Is(err, io.EOF):
+			return io.EOF
+		case err != nil:
+			return figbank.IncompleteAnswerError{Detail: err.Error()}
+		}
+		return nil
+	}
+}
+
+// skipFiller leaves a line between two events out.
+func (r *numberedReader) skipFiller(line []byte) error {
+	if !isText(line) {
+		return newStreamError(faultText, "bytes in the stream are no event", r.event)
+	}
+	r.filler += len(r.event)
+	if r.filler > maxFiller {
+		return r.tooMuchFiller()
+	}
+	r.event = r.event[:0]
+	return nil
+}
+
+func (r *numberedReader) tooMuchFiller() error {
+	return newStreamError(faultFiller, "too many bytes between two events", r.event)
+}
+
+// complete checks a whole event.
+func (r *numberedReader) complete() error {
+	if fault := r.format.check(&r.stated); fault != noFault {
+		return newStreamError(fault, "bytes in the stream are no event", r.event)
+	}
+	return nil
+}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -37,6 +37,8 @@
 		lastEvent string
 		// order checks the ids of the events that the caller receives.
 		order eventOrder
+		// format tells which events the stream may have, if they must have numbers.
+		format eventFormat
 		// failedAnswer is a complete error answer of an upstream. It goes to the caller
 		// when no later attempt succeeds.
 		failedAnswer *bufferedAnswer
@@ -58,8 +60,6 @@
 		// its answer does not depend on the connection's.
 		resumedAfter string
 		framed       bool
-		// loggedUnnumbered is set once an event without a number was logged.
-		loggedUnnumbered bool
 		// place is the place that was reserved for the current attempt, nil if there is none.
 		place Place
 		// load is the load of the current attempt's upstream.
--- a/dispatch/unframed_test.go
+++ b/dispatch/unframed_test.go
@@ -20,7 +20,7 @@
 	attempts int
 }
 
-const wholeStream = "id: 1\n\nid: 2\n\n"
+const wholeStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 
 func (u *unframedTransport) Send(context.Context, *Request, Attempt) (*Answer, error) {
 	u.attempts++
