--- a/dispatch/badstream.go
+++ b/dispatch/badstream.go
@@ -15,16 +15,17 @@
 
 // What is wrong with the bytes of a stream. The names are written to the log and the metrics.
 const (
-	noFault      streamFault = ""
-	faultGrammar streamFault = "NoEvent"
-	faultLength  streamFault = "TooLong"
-	faultOrder   streamFault = "WrongOrder"
-	faultNumber  streamFault = "NoNumber"
-	faultData    streamFault = "NoData"
-	faultField   streamFault = "UnknownField"
-	faultText    streamFault = "NoText"
-	faultFiller  streamFault = "TooMuchFiller"
-	faultVersion streamFault = "WrongVersion"
+	noFault       streamFault = ""
+	faultGrammar  streamFault = "NoEvent"
+	faultLength   streamFault = "TooLong"
+	faultOrder    streamFault = "WrongOrder"
+	faultNumber   streamFault = "NoNumber"
+	faultData     streamFault = "NoData"
+	faultField    streamFault = "UnknownField"
+	faultText     streamFault = "NoText"
+	faultFiller   streamFault = "TooMuchFiller"
+	faultVersion  streamFault = "WrongVersion"
+	faultFollower streamFault = "NoEventBehind"
 )
 
 type (
--- a/dispatch/badstream_test.go
+++ b/dispatch/badstream_test.go
@@ -46,10 +46,10 @@
 // A stream was cut for its bytes, and the log told neither which they were nor where they came.
 func TestBadStreamIsLogged(t *testing.T) {
 	broken := streamAnswer{status: http.StatusOK, text: "id: 1\ndata: a\n\n", breaks: true}
-	bad := streamAnswer{status: http.StatusOK, text: "id: 2\ndata: b\n\n" + strings.Repeat("no event ", 20) + "\n\n", unframed: true}
+	bad := streamAnswer{status: http.StatusOK, text: "id: 2\ndata: b\n\nid: 3\ndata: c\n\n" + strings.Repeat("no event ", 20) + "\n\n", unframed: true}
 	got := serveStream(t, &streamScript{answers: []streamAnswer{broken, bad}}, "", true)
 	want := map[string]any{
-		"request": "r", "attempt": int64(2), "reason": "UnknownField", "resumed": true, "after": "1", "framed": false,
+		"request": "r", "attempt": int64(2), "reason": "NoEventBehind", "resumed": true, "after": "1", "framed": false,
 		"lastEvent": "2", "events": int64(1), "bytes": `"` + strings.Repeat("no event ", 20)[:maxQuoted] + `"`,
 	}
 	lines := 0
--- a/dispatch/brokenstream_test.go
+++ b/dispatch/brokenstream_test.go
@@ -60,7 +60,7 @@
 		{name: "nothing was left", answers: []streamAnswer{broken, {status: http.StatusOK}}, want: beginning, complete: true},
 		{name: "the next one fails", answers: []streamAnswer{broken, {status: http.StatusInternalServerError, text: "oops"}}, want: beginning},
 		{name: "the next one fails with a head that looks like an event", answers: []streamAnswer{broken, {status: http.StatusOK, text: "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\noops"}}, want: beginning},
-		{name: "the first one writes an error into the stream", answers: []streamAnswer{{status: http.StatusOK, text: beginning + "HTTP/1.1 500 Internal Server Error\r\n\r\n"}, {status: http.StatusOK, text: rest}}, want: beginning + rest, complete: true},
+		{name: "the first one writes an error into the stream", answers: []streamAnswer{{status: http.StatusOK, text: beginning + "HTTP/1.1 500 Internal Server Error\r\n\r\n"}, {status: http.StatusOK, text: "id: 2\ndata: b\n\n" + rest}}, want: beginning + rest, complete: true},
 		{name: "the text of an error is in the stream", answers: []streamAnswer{broken, {status: http.StatusOK, text: "{\"error\": \"overloaded\"}\n\n"}}, want: beginning},
 		{name: "the next one ends at once, without a frame", answers: []streamAnswer{broken, {status: http.StatusOK, unframed: true}}, want: beginning},
 		{name: "the next one begins again", answers: []streamAnswer{broken, {status: http.StatusOK, text: beginning + rest}}, want: beginning},
--- a/dispatch/eventformat.go
+++ b/dispatch/eventformat.go
@@ -92,6 +92,49 @@
 	f.version = max(f.version, event.version)
 }
 
+// mayFollow reports whether the bytes that have arrived after an event can be the beginning of
+// another, or lines without a meaning.
+func (f *eventFormat) mayFollow(arrived []byte) bool {
+	var next numberedEvent
+	for len(arrived) > 0 {
+		line, rest, complete := bytes.Cut(arrived, []byte("\n"))
+		if !complete {
+			return f.mayBegin(line)
+		}
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		switch {
+		case len(line) == 0 && next.fields != 0:
+			return f.check(&next) == noFault
+		case isFiller(line) && next.fields == 0:
+			if !isText(line) {
+				return false
+			}
+		case f.add(&next, line) != noFault:
+			return false
+		}
+		arrived = rest
+	}
+	return true
+}
+
+// mayBegin reports whether a line of an event can begin with these bytes.
+func (f *eventFormat) mayBegin(start []byte) bool {
+	start = bytes.TrimSuffix(start, []byte("\r"))
+	name, _, complete := bytes.Cut(start, []byte(":"))
+	if bytes.ContainsAny(start, "\x00\r") {
+		return false
+	}
+	if complete {
+		return len(name) == 0 || f.field(name) != 0
+	}
+	for _, known := range [...]string{"id", "data", "event", "retry", f.versionField} {
+		if len(start) <= len(known) && known[:len(start)] == string(start) {
+			return true
+		}
+	}
+	return false
+}
+
 // field returns the field of that name, 0 if there is none.
 func (f *eventFormat) field(name []byte) fieldSet {
 	switch string(name) {
--- a/dispatch/garbledstream_test.go
+++ b/dispatch/garbledstream_test.go
@@ -24,6 +24,8 @@
 	pieces   []string
 	unframed bool
 	attempts int
+	// resumed is the last event that the last attempt was told.
+	resumed string
 }
 
 func soundEvents(first, last int) string {
@@ -36,6 +38,7 @@
 
 func (g *garbleTransport) Send(_ context.Context, _ *Request, attempt Attempt) (*Answer, error) {
 	g.attempts++
+	g.resumed = attempt.LastEvent
 	pieces := g.pieces
 	if g.attempts > 1 {
 		last, _ := strconv.Atoi(attempt.LastEvent)
@@ -63,15 +66,16 @@
 	return response, err
 }
 
-// garbles are bytes that no run makes. Those that are only wrong after other events have after set.
+// garbles are bytes that no run makes. Those that are only wrong after other events have after set,
+// those that may begin an event, or stand between two, have alone set.
 var garbles = []struct {
-	name, bytes string
-	after       bool
+	name, bytes  string
+	after, alone bool
 }{
 	{name: "no number", bytes: "data: zzz\n\n"},
-	{name: "empty lines", bytes: strings.Repeat("\n", 100_000)},
-	{name: "comments", bytes: strings.Repeat(": ping\n\n", 100_000)},
-	{name: "a long comment", bytes: ":" + strings.Repeat("x", 100_000) + "\n"},
+	{name: "empty lines", bytes: strings.Repeat("\n", 100_000), alone: true},
+	{name: "comments", bytes: strings.Repeat(": ping\n\n", 100_000), alone: true},
+	{name: "a long comment", bytes: ":" + strings.Repeat("x", 100_000) + "\n", alone: true},
 	{name: "a comment that is no text", bytes: ": \xff\n\n"},
 	{name: "a number without a value", bytes: "id:\ndata: zzz\n\n"},
 	{name: "a number without a colon", bytes: "id\ndata: zzz\n\n"},
@@ -101,8 +105,8 @@
 	{name: "a part of an event, then a whole one", bytes: "id: 3\ndaid: 3\ndata: zzz\n\n"},
 	{name: "an event without its end, then another", bytes: "id: 3\ndata: z\nid: 4\ndata: zzz\n\n"},
 	{name: "a byte order mark", bytes: "\uFEFFid: 3\ndata: zzz\n\n", after: true},
-	{name: "an event again", bytes: "id: 2\ndata: zzz\n\n", after: true},
-	{name: "an event is missing", bytes: "id: 4\ndata: zzz\n\n", after: true},
+	{name: "an event again", bytes: "id: 2\ndata: zzz\n\n", after: true, alone: true},
+	{name: "an event is missing", bytes: "id: 4\ndata: zzz\n\n", after: true, alone: true},
 	{name: "the version is not first", bytes: "id: 3\nversion: 4\ndata: zzz\n\n"},
 	{name: "the version twice", bytes: "version: 4\nversion: 4\nid: 3\ndata: zzz\n\n"},
 	{name: "the version is no number", bytes: "version: new\nid: 3\ndata: zzz\n\n"},
@@ -138,6 +142,43 @@
 	}
 }
 
+// The same bytes arrive together with the event before them, which may be theirs too. It was passed on.
+func TestEventThatGarbageFollowsIsNotPassedOn(t *testing.T) {
+	for _, garble := range garbles {
+		if garble.alone {
+			continue
+		}
+		t.Run(garble.name, func(t *testing.T) {
+			pieces := []string{soundEvents(1, 1), soundEvents(2, 2) + garble.bytes}
+			transport := &garbleTransport{pieces: pieces}
+			got, err := transport.serve(true, "")
+			if want := soundEvents(1, lastOfStream); got.body.String() != want || err != nil || transport.resumed != "1" {
+				t.Errorf("resumable stream = %.200q, %v, resumed after %q, want %q, resumed after 1", got.body.String(), err, transport.resumed, want)
+			}
+			got, err = (&garbleTransport{pieces: pieces}).serve(false, "")
+			if want := soundEvents(1, 1); got.body.String() != want || err == nil {
+				t.Errorf("stream = %.200q, %v, want %q, cut", got.body.String(), err, want)
+			}
+			got, err = (&garbleTransport{pieces: []string{soundEvents(1, 1) + garble.bytes}}).serve(false, "")
+			if err == nil || got.Started() {
+				t.Errorf("stream with the bytes behind its first event = %.200q, %v, want an error and no answer", got.body.String(), err)
+			}
+		})
+	}
+}
+
+// A part of an event that has arrived behind another says nothing against that one.
+func TestEventsArriveInParts(t *testing.T) {
+	const stream = "version: 3\r\nid: 1\r\ndata: a\u2603\r\n\r\n: ping\r\n\r\n\r\nid: 2\r\ndata: b\r\n\r\nversion: 4\r\nid: 3\r\ndata\r\n\r\n"
+	want := strings.Replace(stream, ": ping\r\n\r\n\r\n", "", 1)
+	for cut := range len(stream) {
+		transport := &garbleTransport{pieces: []string{stream[:cut], stream[cut:]}}
+		if got, err := transport.serve(false, ""); got.body.String() != want || err != nil {
+			t.Errorf("stream in parts of %d and %d bytes = %q, %v, want %q", cut, len(stream)-cut, got.body.String(), err, want)
+		}
+	}
+}
+
 // A caller goes on after an event, and the upstream begins again, or sends events without a number.
 func TestResumptionThatBeginsAgainIsRefused(t *testing.T) {
 	for _, text := range []string{soundEvents(1, 4), soundEvents(2, 4), "data: zzz\n\n", "id: \ndata: zzz\n\n"} {
--- a/dispatch/numberedreader.go
+++ b/dispatch/numberedreader.go
@@ -44,7 +44,8 @@
 
 // next returns the bytes of the next event, valid until the next call, and its number. It returns
 // io.EOF when the stream ends after an event or is empty, IncompleteAnswerError when it ends inside an
-// event or cannot be read, and streamError when the bytes are no event.
+// event or cannot be read, and streamError when the bytes are no event, or have arrived with
+// bytes that are none.
 func (r *numberedReader) next() (event []byte, number int64, err error) {
 	r.event, r.line, r.filler, r.stated = r.event[:0], 0, 0, numberedEvent{}
 	for {
@@ -113,10 +114,25 @@
 	return newStreamError(faultFiller, "too many bytes between two events", r.event)
 }
 
-// complete checks a whole event.
+// complete checks a whole event and what has arrived behind it.
 func (r *numberedReader) complete() error {
 	if fault := r.format.check(&r.stated); fault != noFault {
 		return newStreamError(fault, "bytes in the stream are no event", r.event)
 	}
+	arrived, _ := r.reader.Peek(r.reader.Buffered())
+	if !r.follows(arrived) {
+		return newStreamError(faultFollower, "bytes behind an event are no event", arrived)
+	}
 	return nil
 }
+
+// follows reports whether the bytes can follow the event. For the first event of a stream, they need
+// not be fields that it has.
+func (r *numberedReader) follows(arrived []byte) bool {
+	if len(arrived) == 0 {
+		return true
+	}
+	format := *r.format
+	format.accept(&r.stated)
+	return format.mayFollow(arrived)
+}
