Reservation: a keeper that does not know an upstream says so, and refuses nothing

What callers saw: 503 while upstreams had places free, in the seconds in which other gateways started (once in TestNamedLimitHoldsWhileGatewaysChange).

Cause: a gateway becomes a keeper of places as soon as others list it, also before it has a table, or one with all upstreams. It answered "not granted" for upstreams that it did not know, and the asking gateway took them for full.

Change: the answer tells that the upstream is unknown. The asking gateway then asks the next keeper, as if the first one had not answered but without the wait and the pause, within the part of a limited rate that is kept for that. If that one does not know it either, the gateway goes by its own counts. A keeper that knows the incarnation and gives it no requests (it leaves, switches its weights, is evacuated), or knows a later one, refuses as before: it may know more than the one that asks. An older gateway ignores the new field and sees a refusal, as before.

Weighed: to wait for the table (holds the caller up, up to seconds); to grant by what the message tells (the keeper knows neither slots nor engine, so that the gateway's record of lateness would be wrong); to let a gateway be a keeper only once it is ready (needs a field of members, and does not help for an upstream that the keeper hears of later than others).

Evidence: TestStartedKeeperRefusesNoFreePlace fails before in four of its seven cases (granted false, known true), TestLimitHoldsWhileItsKeeperStarts too (no place in two seconds); both pass now. go test -race of reservation, dispatch, loadshare and platform passes.

--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -220,6 +220,20 @@
 	return nil
 }
 
+// Knows reports whether the table was built from a record of an incarnation of an upstream, or of a newer one,
+// which need not be a target. A nil table knows none.
+func (t *Table) Knows(id figbank.UpstreamID, bornUnixMilli int64) bool {
+	if t == nil {
+		return false
+	}
+	for key := range t.loads {
+		if key.id == id && key.born >= bornUnixMilli {
+			return true
+		}
+	}
+	return false
+}
+
 // connectionShare returns this gateway's share of the connections that an upstream
 // accepts. It is at least 1 when there is a limit, since 0 stands for no limit.
 func (t *Table) connectionShare(connections int64) int64 {
--- a/reservation/book.go
+++ b/reservation/book.go
@@ -4,7 +4,8 @@
 // gateways choose at the same moment: by load counts that lag, all of them would choose the same
 // upstream, and the requests would wait in its queue, where nothing can move or refuse them.
 //
-// A gateway that cannot ask the keeper goes by its own counts.
+// A keeper that has just started does not know all upstreams yet, and says so. A gateway then asks
+// another keeper. If it cannot ask one that knows the upstream, it goes by its own counts.
 package reservation
 
 import (
--- a/reservation/client.go
+++ b/reservation/client.go
@@ -23,7 +23,8 @@
 	// askTimeout bounds the wait for a keeper's answer. It is long for a link between two
 	// regions, and short beside the objectives of requests.
 	askTimeout = 40 * time.Millisecond
-	// maxKeepers is how many keepers are asked in turn while the first ones do not answer.
+	// maxKeepers is how many keepers are asked in turn while the first ones do not answer, or do not
+	// know the upstream.
 	maxKeepers = 2
 )
 
@@ -86,7 +87,7 @@
 	})
 }
 
-// Reserve asks the keeper of the target for a place. It returns false if no keeper answers.
+// Reserve asks the keeper of the target for a place. It returns false if no keeper answers that knows the target.
 func (c *Client) Reserve(ctx context.Context, target *dispatch.Target, ask dispatch.PlaceRequest) (dispatch.PlaceAnswer, bool) {
 	message := &schema.Reservation{
 		Id: c.ids.Add(1), Kind: schema.ReservationKind_RESERVATION_KIND_ASK, Service: string(ask.Service),
@@ -100,7 +101,7 @@
 		// The message to the keeper before may still wait to be sent.
 		message := proto.CloneOf(message)
 		message.Fallback = i > 0
-		if answer, report := c.ask(ctx, keeper, message); answer != nil {
+		if answer, report := c.ask(ctx, keeper, message); answer != nil && !answer.GetUnknown() {
 			held := &heldPlace{id: message.GetId(), report: report}
 			return dispatch.PlaceAnswer{
 				Granted: answer.GetGranted(), Predicted: time.Duration(answer.GetPredictedMicroseconds()) * time.Microsecond,
--- a/reservation/client_test.go
+++ b/reservation/client_test.go
@@ -56,12 +56,16 @@
 
 // newTable returns a table with the upstream u of a plain service.
 func newTable() *dispatch.Table {
+	return newTableWith(&schema.Instance{Id: "u", State: schema.InstanceState_INSTANCE_STATE_READY})
+}
+
+// newTableWith returns a table with one upstream of a plain service.
+func newTableWith(record *schema.Instance) *dispatch.Table {
+	record.Service, record.FailureDomain, record.Slots = "s", "z", slots
 	rules := traffic.NewTable(&schema.Traffic{Number: 1, Services: []*schema.RoutedService{{Name: "s"}}})
 	return dispatch.NewTable(nil, dispatch.Location{}, dispatch.Sources{
 		Fleet: &schema.Fleet{}, Traffic: rules, Gateways: 2, Now: time.Now(),
-		Upstreams: []registry.Upstream{{Record: &schema.Instance{
-			Id: "u", Service: "s", FailureDomain: "z", State: schema.InstanceState_INSTANCE_STATE_READY, Slots: slots,
-		}}},
+		Upstreams: []registry.Upstream{{Record: record}},
 	})
 }
 
--- a/reservation/keeper.go
+++ b/reservation/keeper.go
@@ -66,17 +66,19 @@
 func (k *Keeper) handle(stream uint64, message *schema.Reservation) *schema.ReservationAnswer {
 	ticket := Ticket{Stream: stream, ID: message.GetId()}
 	now := k.clock.Now()
-	ask, known := k.newAsk(now, message)
+	table := k.table()
+	ask, found := decodeAsk(table, now, message)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	switch message.GetKind() {
 	case schema.ReservationKind_RESERVATION_KIND_ASK:
 		verdict := Verdict{}
-		if known {
+		if found {
 			verdict = k.book.Reserve(now, ticket, ask)
 		}
 		return &schema.ReservationAnswer{
-			Id: message.GetId(), Granted: verdict.Granted, PredictedMicroseconds: verdict.Predicted.Microseconds(), Outstanding: int64(verdict.Outstanding),
+			Id: message.GetId(), Granted: verdict.Granted, Unknown: !found && !table.Knows(ask.Key.Upstream, ask.Key.BornUnixMilli),
+			PredictedMicroseconds: verdict.Predicted.Microseconds(), Outstanding: int64(verdict.Outstanding),
 		}
 	case schema.ReservationKind_RESERVATION_KIND_HOLD:
 		k.book.Hold(now, ticket, ask)
@@ -88,8 +90,9 @@
 	return nil
 }
 
-// newAsk decodes a message. It returns false if this gateway does not know the upstream.
-func (k *Keeper) newAsk(now time.Time, message *schema.Reservation) (Ask, bool) {
+// decodeAsk decodes a message. It returns false if the upstream is not among the targets of the table, which may
+// be nil.
+func decodeAsk(table *dispatch.Table, now time.Time, message *schema.Reservation) (Ask, bool) {
 	ask := Ask{
 		Key:          Key{Upstream: figbank.UpstreamID(message.GetUpstream()), BornUnixMilli: message.GetBornUnixMilli()},
 		PromptTokens: int(message.GetPromptTokens()),
@@ -97,7 +100,6 @@
 		Lifetime:     time.Duration(message.GetLifetimeMicroseconds()) * time.Microsecond,
 		Fallback:     message.GetFallback(),
 	}
-	table := k.table()
 	if table == nil {
 		return ask, false
 	}
