Feed: the fleet state of an update comes after its upstreams and members

What callers saw: a gateway that has just started counted as ready with the traffic rules and no upstreams, and refused callers (503, no upstream) until the rest of the same update was applied.

Cause: View.apply offered the fleet state first, which calls the watchers, and merged the upstreams and members afterwards. On a busy host a table can be built in between. Change: the fleet state is offered last.

TestRulesAreNotKnownBeforeTheirUpstreams failed before ("rules 7 with 0 upstreams, want them with 1"). go test -race of feed, dispatch, replica and control passes.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -125,3 +125,24 @@
 	await(t, "the subscriber notices the lost connection", func() bool { return !g.subscriber.Connected() })
 	await(t, "the replica removes the gateway from its members", func() bool { return len(r.view.Members()) == 0 })
 }
+
+// A gateway that starts must not count as ready with the rules and without the upstreams that came with them:
+// callers were refused until the rest of the update was applied.
+func TestRulesAreNotKnownBeforeTheirUpstreams(t *testing.T) {
+	n := newNode(t, "g1", gateway)
+	var seen [][2]int64
+	n.view.Watch(func() {
+		seen = append(seen, [2]int64{n.view.Fleet().GetTrafficNumber(), int64(len(n.view.Upstreams()))})
+	})
+	n.view.apply("r1:1", &schema.FeedUpdate{
+		Fleet: &schema.Fleet{CommitIndex: 1, TrafficNumber: 7}, Instances: []*schema.Instance{announce(1)},
+	})
+	if len(seen) == 0 {
+		t.Fatal("the update was not noticed")
+	}
+	for _, got := range seen {
+		if got[0] == 7 && got[1] != 1 {
+			t.Errorf("rules %d with %d upstreams, want them with 1", got[0], got[1])
+		}
+	}
+}
--- a/feed/view.go
+++ b/feed/view.go
@@ -163,11 +163,9 @@
 	v.notifyOf(changed, false, memberChange{})
 }
 
-// apply merges an update from a replica.
+// apply merges an update from a replica. The fleet state comes last, so that watchers never see it
+// without the upstreams and members of the same update.
 func (v *View) apply(from figbank.Address, update *schema.FeedUpdate) {
-	if update.GetFleet() != nil {
-		v.fleet.Offer(update.GetFleet())
-	}
 	v.mu.Lock()
 	before := v.registry.Revision()
 	now := v.common.Clock.Now()
@@ -185,6 +183,9 @@
 	members := v.members.applyUpdate(from, update).merge(v.members.dropStale(now))
 	renewed := v.registry.Revision() != before
 	v.mu.Unlock()
+	if update.GetFleet() != nil {
+		v.fleet.Offer(update.GetFleet())
+	}
 	v.notifyOf(changed, renewed, members)
 }
 
