Staging: an agent tells all gateways that its engine leaves

What callers saw: an engine that leaves says so in its report to the agent, and nobody heard of it. Each gateway sent requests there until it had an answer of its own or the announcement came, which may be late by seconds or never come.

One log line and a counter at the agent. An older gateway or replica ignores the new field; a replica passes it on unread.

A stale report of an earlier incarnation changes nothing (TestLeavingToldByAgent).

--- a/dispatch/standing_test.go
+++ b/dispatch/standing_test.go
@@ -195,3 +195,43 @@
 		t.Errorf("the upstream does not refuse for %v", maxRefusal)
 	}
 }
+
+// An agent has told that its engine leaves, while requests wait for their connections to it. None of them may be
+// sent to it, nor any later one, also once the table no longer says so. A new incarnation starts clean.
+func TestLeavingToldByAgentKeepsRequestsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		transport := &noticeTransport{connect: 50 * time.Millisecond}
+		d := newTestDispatcher(transport)
+		rebuild(d, noticeUpstreams("needy", "a"))
+		serveMany := func(from int) {
+			var group sync.WaitGroup
+			for i := range 40 {
+				group.Go(func() {
+					if err := serveOne(d, fmt.Sprint("r", from+i)); err != nil {
+						t.Errorf("request %d: %v", from+i, err)
+					}
+				})
+			}
+			group.Wait()
+		}
+		go func() {
+			time.Sleep(20 * time.Millisecond)
+			told := noticeUpstreams("needy", "a")
+			told[0].Leaving = true
+			rebuild(d, told)
+		}()
+		serveMany(0)
+		rebuild(d, noticeUpstreams("needy", "a"))
+		serveMany(100)
+		if got := len(transport.sent); got > 0 {
+			t.Errorf("%d requests were sent to the upstream that leaves, want none", got)
+		}
+		born := noticeUpstreams("needy", "a")
+		born[0].Record.BornUnixMilli = 8
+		rebuild(d, born)
+		serveMany(200)
+		if len(transport.sent) == 0 {
+			t.Error("the new incarnation got no request, want some")
+		}
+	})
+}
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -125,6 +125,9 @@
 			continue
 		}
 		load := t.keepLoad(previous, keyOf(upstream))
+		if upstream.Leaving {
+			load.standing.record(sources.Now, UpstreamNotice{Leaving: true})
+		}
 		if !usable(sources.Fleet, service, upstream) {
 			continue
 		}
--- a/registry/order.go
+++ b/registry/order.go
@@ -75,7 +75,7 @@
 
 // sameEngine reports whether a and b are equal for routing.
 func sameEngine(a, b *schema.EngineState) bool {
-	return a.GetBornUnixMilli() == b.GetBornUnixMilli() && a.GetSwitching() == b.GetSwitching() &&
+	return a.GetBornUnixMilli() == b.GetBornUnixMilli() && a.GetSwitching() == b.GetSwitching() && a.GetLeaving() == b.GetLeaving() &&
 		sameWeights(a.GetLoaded(), b.GetLoaded())
 }
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -220,6 +220,8 @@
 	Record    *schema.Instance
 	Loaded    *schema.LoadedWeights
 	Switching bool
+	// Leaving is set if the engine has told its agent that it leaves.
+	Leaving bool
 }
 
 func (r *Registry) upstream(record *schema.Instance) Upstream {
@@ -228,6 +230,7 @@
 	if found && known.GetBornUnixMilli() == record.GetBornUnixMilli() {
 		upstream.Loaded = known.GetLoaded()
 		upstream.Switching = known.GetSwitching()
+		upstream.Leaving = known.GetLeaving()
 	}
 	return upstream
 }
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -124,6 +124,35 @@
 	}
 }
 
+// An agent tells that its engine leaves. What it told of an earlier incarnation changes nothing for a later one.
+func TestLeavingToldByAgent(t *testing.T) {
+	steps := []struct {
+		name  string
+		state *schema.EngineState
+		want  bool
+	}{
+		{name: "an earlier incarnation leaves", state: &schema.EngineState{BornUnixMilli: 1, Sequence: 9, Leaving: true}},
+		{name: "serves", state: &schema.EngineState{BornUnixMilli: 2, Sequence: 10}},
+		{name: "leaves", state: &schema.EngineState{BornUnixMilli: 2, Sequence: 11, Leaving: true}, want: true},
+		{name: "an older report comes late", state: &schema.EngineState{BornUnixMilli: 2, Sequence: 10}, want: true},
+		{name: "a later incarnation reports first", state: &schema.EngineState{BornUnixMilli: 3, Sequence: 12}},
+	}
+	r := New(lease)
+	r.Announce(start, instance(2, 1, ready))
+	for _, step := range steps {
+		step.state.Address = "10.0.0.1:1"
+		before := r.Upstreams()[0].Leaving
+		changed := r.MergeEngine(start, step.state)
+		got := r.Upstreams()[0].Leaving
+		if got != step.want {
+			t.Errorf("%s: leaving = %v, want %v", step.name, got, step.want)
+		}
+		if got != before && !changed {
+			t.Errorf("%s: routing is not told", step.name)
+		}
+	}
+}
+
 func TestSinceIncludesRepeatedAnnouncementsOnRequest(t *testing.T) {
 	r := New(lease)
 	r.Announce(start, instance(1, 1, ready))
--- a/staging/stager.go
+++ b/staging/stager.go
@@ -252,14 +252,21 @@
 // publish announces the engine's state to gateways and other agents if the state has changed.
 func (s *Stager) publish(report Report, switching bool) {
 	old := s.state
-	unchanged := old.GetBornUnixMilli() == report.BornUnixMilli && old.GetSwitching() == switching &&
+	sameEngine := old.GetBornUnixMilli() == report.BornUnixMilli
+	saidBefore := sameEngine && old.GetLeaving()
+	leaving := report.Leaving || saidBefore
+	unchanged := sameEngine && old.GetSwitching() == switching && old.GetLeaving() == leaving &&
 		old.GetLoaded().GetVersion() == report.Loaded.GetVersion() && old.GetLoaded().GetLayers() == report.Loaded.GetLayers()
 	if unchanged && old.GetSequence() > 0 {
 		return
 	}
+	if leaving && !saidBefore {
+		s.common.Log.Info("engine says that it leaves", zap.String("engine", old.GetAddress()), zap.Int64("born", report.BornUnixMilli))
+		s.common.Scope.Counter("leaving_engines").Inc(1)
+	}
 	s.state = &schema.EngineState{
 		Address: old.GetAddress(), BornUnixMilli: report.BornUnixMilli, AgentStartUnixNano: old.GetAgentStartUnixNano(),
-		Sequence: old.GetSequence() + 1, Loaded: report.Loaded, Switching: switching,
+		Sequence: old.GetSequence() + 1, Loaded: report.Loaded, Switching: switching, Leaving: leaving,
 	}
 	s.subscriber.SetEngine(s.state)
 }
--- a/staging/staging.go
+++ b/staging/staging.go
@@ -26,6 +26,8 @@
 		BornUnixMilli int64
 		// Running is the number of requests that are running.
 		Running int64
+		// Leaving is set if the engine says that it leaves.
+		Leaving bool
 	}
 
 	// Engine is a client of the agent's engine.
