Stream of a declared service: pass on only events, believe only a whole end marker

What callers saw: an engine in trouble wrote the head or text of an error, zero or binary bytes into its stream. The agent passed them on, and the answer counted as complete if its last bytes were "[DONE]": in text, in a comment, in an unfinished event, without the empty line that ends an event.

Cause: the agent passed bytes on and looked at the last 64 of them, trimmed. The media type was compared by prefix and exact case, so that "Text/Event-Stream" was not checked at all, and "text/event-streaming" was.

Change: agent/events.go passes on complete events only, whose lines are the standard's four fields or comments, in UTF-8 without NUL or bare carriage returns. Any other line ends the answer as incomplete. The end marker must be the only data of a complete event; it is held until the body has ended, and nothing but empty lines may follow it. Empty lines between events are dropped. 256 KiB without an event with data end the answer too, so that an engine that sends comments or one line without end neither fills memory nor holds its slot.

--- a/agent/call.go
+++ b/agent/call.go
@@ -1,12 +1,10 @@
 package agent
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"figbank"
@@ -23,8 +21,6 @@
 	maxBody = 64 << 20
 	// maxFrameBody limits the number of answer bytes in one frame.
 	maxFrameBody = 16 << 10
-	// streamEndMarker is the data of the last event of a stream of the chat interface.
-	streamEndMarker = "[DONE]"
 )
 
 // call is the state of one call, from its head frame to the last frame of its answer.
@@ -212,7 +208,7 @@
 	if err := c.send(&schema.AnswerFrame{Frame: &schema.AnswerFrame_Head{Head: head}}); err != nil {
 		return nil, admission.Abandoned
 	}
-	check := newCompletionCheck(answer.Headers)
+	check := newAnswerCheck(answer.Headers)
 	buffer := make([]byte, maxFrameBody)
 	for {
 		allowed, err := c.credit.await(ctx, maxFrameBody)
@@ -220,20 +216,54 @@
 			return nil, admission.Abandoned
 		}
 		n, err := answer.Body.Read(buffer[:allowed])
-		if n > 0 {
-			check.add(buffer[:n])
-			c.credit.spend(int64(n))
-			if err := c.send(&schema.AnswerFrame{Frame: &schema.AnswerFrame_Body{Body: buffer[:n]}}); err != nil {
-				return nil, admission.Abandoned
-			}
+		checked, failure := check.add(buffer[:n])
+		if sendErr := c.sendBody(ctx, checked); sendErr != nil {
+			return nil, admission.Abandoned
 		}
 		switch {
-		case errors.Is(err, io.EOF) && check.complete():
-			return completeFrame(), resultForStatus(answer.Status)
+		case failure != nil:
+			return c.cut(ctx, failure)
+		case errors.Is(err, io.EOF):
+			return c.end(ctx, check, answer.Status)
 		case err != nil:
-			return incompleteFrame("upstream's answer was cut"), c.resultAfterFailure(ctx)
+			return c.cut(ctx, err)
+		}
+	}
+}
+
+// end returns the last frame and the result of an answer whose body has ended.
+func (c *call) end(ctx context.Context, check answerCheck, status int) (last *schema.AnswerFrame, result admission.Result) {
+	rest, failure := check.end()
+	if failure != nil {
+		return c.cut(ctx, failure)
+	}
+	if err := c.sendBody(ctx, rest); err != nil {
+		return nil, admission.Abandoned
+	}
+	return completeFrame(), resultForStatus(status)
+}
+
+// cut returns the last frame and the result of an answer that is not complete.
+func (c *call) cut(ctx context.Context, cause error) (last *schema.AnswerFrame, result admission.Result) {
+	c.agent.common.Log.Info("engine's answer was cut", zap.String("request", c.id), figbank.ErrorField(cause))
+	return incompleteFrame("upstream's answer was cut"), c.resultAfterFailure(ctx)
+}
+
+// sendBody sends bytes of the answer's body, as far as there is credit. It waits for more.
+func (c *call) sendBody(ctx context.Context, body []byte) error {
+	for len(body) > 0 {
+		allowed, err := c.credit.await(ctx, maxFrameBody)
+		if err != nil {
+			return err
 		}
+		piece := body[:min(int64(len(body)), allowed)]
+		c.credit.spend(int64(len(piece)))
+		if err := c.send(&schema.AnswerFrame{Frame: &schema.AnswerFrame_Body{Body: piece}}); err != nil {
+			return err
+		}
+		body = body[len(piece):]
 	}
+	return nil
 }
 
 // resultAfterFailure returns the result of a call without a complete answer. If the caller is gone,
@@ -292,36 +322,3 @@
 	b.cancel()
 	return b.ReadCloser.Close()
 }
-
-// completionCheck checks whether an answer is complete. A stream of server-sent events must end
-// with streamEndMarker, since a truncated stream cannot be recognized otherwise.
-type completionCheck struct {
-	events bool
-	tail   []byte
-}
-
-func newCompletionCheck(headers []*schema.Header) *completionCheck {
-	for _, header := range headers {
-		if strings.EqualFold(header.GetName(), "Content-Type") && strings.HasPrefix(header.GetValue(), "text/event-stream") {
-			return &completionCheck{events: true}
-		}
-	}
-	return &completionCheck{}
-}
-
-// add appends a piece of the body. Only the last maxTail bytes are stored.
-func (c *completionCheck) add(piece []byte) {
-	if !c.events {
-		return
-	}
-	const maxTail = 64
-	c.tail = append(c.tail, piece...)
-	if len(c.tail) > maxTail {
-		c.tail = append(c.tail[:0], c.tail[len(c.tail)-maxTail:]...)
-	}
-}
-
-// complete reports whether the body so far is a complete answer.
-func (c *completionCheck) complete() bool {
-	return !c.events || bytes.HasSuffix(bytes.TrimSpace(c.tail), []byte(streamEndMarker))
-}
