Engine client: bound the head of an answer

What callers saw: nothing yet; by the test, one head without end from an engine made its agent allocate 52 to 115 MB before net/http refused it, and a call of each of the limiter's places can meet one at once.

Cause: MaxResponseHeaderBytes was unset, so net/http read 10 MB of head, and as much of informational heads.

Change: 64 KiB, as for the upstreams of the platform's path.

Measured: TestEndlessHeadOfAnEngineIsRefused failed in 14 of 14 cases before (52 to 115 MB allocated, 1 MiB is allowed); all pass now.

--- a/engine/client.go
+++ b/engine/client.go
@@ -43,6 +43,8 @@
 	// maxOrderAnswer limits the body of an answer on the order interface, in bytes.
 	maxOrderAnswer = 1 << 20
 	maxIdleConns   = 64
+	// maxHeadBytes limits the head of an answer, in bytes. Many answers may arrive at once.
+	maxHeadBytes = 64 << 10
 )
 
 type (
@@ -88,8 +90,11 @@
 
 // newClient returns a client of the back end at the URL base.
 func newClient(base string) *client {
-	keepAlive := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}
-	noKeepAlive := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	keepAlive := &http.Transport{
+		DialContext: dial, MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
+	}
+	noKeepAlive := keepAlive.Clone()
+	noKeepAlive.DisableKeepAlives = true
 	return &client{
 		base:        strings.TrimSuffix(base, "/"),
 		keepAlive:   &http.Client{Transport: keepAlive, CheckRedirect: returnRedirect},
