Weights: leave a source of a manifest that does not send it in time

What operators saw: nothing reported; by the test, a peer or origin that took the request for a manifest and then sent a byte now and then, or none, kept the host at it for ever, while another source had the manifest.

Cause: fetchManifest asked one source after the other with its own context, which ends only when the version changes. Chunks have had StallTime.

Change: each source has StallTime for the whole manifest.

--- a/transfer/peers.go
+++ b/transfer/peers.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"time"
 
 	"figbank"
 	"figbank/schema"
@@ -31,21 +32,28 @@
 
 // fetchManifest fetches a manifest's bytes from a peer or the origin. If this host has the highest
 // rendezvous hash for the manifest in its region, or still has no manifest after StallTime, it asks
-// the origin before the peers. Otherwise it asks only peers. It tries again until ctx ends.
+// the origin before the peers. Otherwise it asks only peers. It tries again until ctx ends. Each
+// source has StallTime to send the whole manifest, so that a slow source is left for another one. The
+// time doubles, up to maxManifestStalls times StallTime, after each round in which it passed, so that a
+// slow link suffices in the end.
 func (f *Fetcher) fetchManifest(ctx context.Context, digest figbank.ManifestDigest) ([]byte, error) {
 	began := f.common.Clock.Now()
+	timeout := f.settings.StallTime
 	for {
 		peers, _ := f.peers()
-		stalled := f.common.Clock.Now().Sub(began) >= f.settings.StallTime
+		roundBegan := f.common.Clock.Now()
+		stalled := roundBegan.Sub(began) >= f.settings.StallTime
 		if f.ranksFirst(peers, digest) || stalled {
-			content, err := f.origin.Manifest(ctx, digest)
-			if err == nil && weights.DigestOf(content) == digest {
+			if content := f.fetchManifestFromOrigin(ctx, digest, timeout); content != nil {
 				return content, nil
 			}
 		}
-		if content := f.fetchManifestFromPeers(ctx, peers, digest); content != nil {
+		if content := f.fetchManifestFromPeers(ctx, peers, digest, timeout); content != nil {
 			return content, nil
 		}
+		if f.common.Clock.Now().Sub(roundBegan) >= timeout {
+			timeout = min(2*timeout, maxManifestStalls*f.settings.StallTime)
+		}
 		select {
 		case <-ctx.Done():
 			return nil, figbank.WrapError("transfer", "Canceled", ctx.Err())
@@ -54,11 +62,28 @@
 	}
 }
 
-// maxManifestPeers limits the number of peers that are asked for a manifest in one
-// round.
-const maxManifestPeers = 3
+const (
+	// maxManifestPeers limits the number of peers that are asked for a manifest in one
+	// round.
+	maxManifestPeers = 3
+	// maxManifestStalls limits the time for a source to send a manifest, in multiples of StallTime.
+	// The longest manifest may then be as slow as a chunk.
+	maxManifestStalls = time.Duration(maxManifest / weights.ChunkSize)
+)
+
+// fetchManifestFromOrigin returns nil unless the origin sends the manifest in time.
+func (f *Fetcher) fetchManifestFromOrigin(ctx context.Context, digest figbank.ManifestDigest, timeout time.Duration) []byte {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	content, err := f.origin.Manifest(ctx, digest)
+	if err != nil || weights.DigestOf(content) != digest {
+		return nil
+	}
+	return content
+}
 
-func (f *Fetcher) fetchManifestFromPeers(ctx context.Context, peers []swarm.Peer, digest figbank.ManifestDigest) []byte {
+// fetchManifestFromPeers asks a few peers, and returns nil unless one of them sends the manifest in time.
+func (f *Fetcher) fetchManifestFromPeers(ctx context.Context, peers []swarm.Peer, digest figbank.ManifestDigest, timeout time.Duration) []byte {
 	sameRegion := slices.DeleteFunc(slices.Clone(peers), func(p swarm.Peer) bool {
 		return p.Region != f.settings.Self.Region || p.ID == f.settings.Self.ID
 	})
@@ -72,15 +97,24 @@
 		sameRegion = sameRegion[:maxManifestPeers]
 	}
 	for _, peer := range sameRegion {
-		request := &schema.ManifestRequest{Manifest: string(digest)}
-		answer, err := f.receiveParts(ctx, peer.Address, schema.StreamKind_STREAM_KIND_MANIFEST, request, maxManifest)
-		if err == nil && weights.DigestOf(answer.content) == digest {
-			return answer.content
+		if content := f.fetchManifestFromPeer(ctx, peer, digest, timeout); content != nil {
+			return content
 		}
 	}
 	return nil
 }
 
+func (f *Fetcher) fetchManifestFromPeer(ctx context.Context, peer swarm.Peer, digest figbank.ManifestDigest, timeout time.Duration) []byte {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request := &schema.ManifestRequest{Manifest: string(digest)}
+	answer, err := f.receiveParts(ctx, peer.Address, schema.StreamKind_STREAM_KIND_MANIFEST, request, maxManifest)
+	if err != nil || weights.DigestOf(answer.content) != digest {
+		return nil
+	}
+	return answer.content
+}
+
 // ranksFirst reports whether this host has the highest rendezvous hash for the manifest in its
 // region.
 func (f *Fetcher) ranksFirst(peers []swarm.Peer, digest figbank.ManifestDigest) bool {
