--- a/origin/client.go
+++ b/origin/client.go
@@ -22,9 +22,10 @@
 	ManifestName = "Manifest"
 	// FilesFolder is the name of the folder of weights files at the origin.
 	FilesFolder = "Files"
-	// maxManifest limits the size of a manifest, in bytes. A longer one is truncated and
-	// fails the caller's verification.
+	// maxManifest limits the size of a manifest, in bytes.
 	maxManifest = 64 << 20
+	// maxHeadBytes limits the head of an answer, in bytes.
+	maxHeadBytes = 64 << 10
 	// defaultRetryAfter is how long to wait after the origin refused a request without a valid
 	// Retry-After header.
 	defaultRetryAfter = time.Second
@@ -66,8 +67,8 @@
 func NewClient(base string) *Client {
 	transport := &http.Transport{
 		MaxIdleConnsPerHost:   maxIdlePerHost,
-		ResponseHeaderTimeout: headerTimeout,
-		DisableCompression:    true,
+		ResponseHeaderTimeout: headerTimeout, MaxResponseHeaderBytes: maxHeadBytes,
+		DisableCompression: true,
 	}
 	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport}}
 }
--- /dev/null
+++ b/origin/client_test.go
@@ -0,0 +1,70 @@
+package origin
+
+import (
+	"context"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+)
+
+// maxHeld is how many bytes one faulty head may make a host allocate.
+const maxHeld = 1 << 20
+
+// serveRaw answers each connection with start, then with repeated without end.
+func serveRaw(t *testing.T, start, repeated string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	block := []byte(strings.Repeat(repeated, 1+(16<<10)/len(repeated)))
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				_, _ = conn.Read(make([]byte, 4<<10))
+				_, err := io.WriteString(conn, start)
+				for err == nil {
+					_, err = conn.Write(block)
+				}
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// An origin in trouble sends a head without end. A host fetches several chunks at once, so none of
+// the answers may hold much memory.
+func TestEndlessHeadOfAnOriginIsRefused(t *testing.T) {
+	scenarios := []struct{ name, start, repeated string }{
+		{name: "zero bytes", repeated: "\x00"},
+		{name: "header line", start: "HTTP/1.1 200 OK\r\nX-A: ", repeated: "a"},
+		{name: "header lines", start: "HTTP/1.1 200 OK\r\n", repeated: "X-A: a\r\n"},
+		{name: "informational heads", repeated: "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			client := NewClient(serveRaw(t, s.start, s.repeated))
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, err := client.Manifest(ctx, "d")
+			runtime.ReadMemStats(&after)
+			if err == nil || ctx.Err() != nil {
+				t.Errorf("Manifest() = %v, want an error before the deadline", err)
+			}
+			if held := after.TotalAlloc - before.TotalAlloc; held > maxHeld {
+				t.Errorf("allocated %d bytes, want at most %d", held, maxHeld)
+			}
+		})
+	}
+}
