Origin client: a manifest longer than the limit is an error

Cause: the body was cut at 64 MiB without a word; the host then found a wrong digest and asked again.

Change: Manifest reads one byte more and returns a ProtocolError.

--- a/origin/client.go
+++ b/origin/client.go
@@ -73,7 +73,8 @@
 	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport}}
 }
 
-// Manifest fetches a manifest's bytes. The caller verifies them.
+// Manifest fetches a manifest's bytes. The caller verifies them. Manifest returns a ProtocolError if
+// there are more than maxManifest.
 func (c *Client) Manifest(ctx context.Context, digest figbank.ManifestDigest) ([]byte, error) {
 	address := c.base + "/" + string(digest) + "/" + ManifestName
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, http.NoBody)
@@ -88,8 +89,14 @@
 	if err := checkStatus(response, http.StatusOK); err != nil {
 		return nil, err
 	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxManifest))
-	return content, figbank.WrapError("origin", "Manifest", err)
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxManifest+1))
+	if err == nil && len(content) > maxManifest {
+		err = figbank.ProtocolError{Detail: "manifest is longer than " + strconv.Itoa(maxManifest) + " bytes"}
+	}
+	if err != nil {
+		return nil, figbank.WrapError("origin", "Manifest", err)
+	}
+	return content, nil
 }
 
 // Chunk fetches a chunk's bytes with one Range request for each span. The caller
--- a/origin/client_test.go
+++ b/origin/client_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
 	"time"
+
+	"figbank"
 )
 
 // maxHeld is how many bytes one faulty head may make a host allocate.
@@ -68,3 +73,20 @@
 		})
 	}
 }
+
+// A manifest longer than the limit was cut there, and returned as if it were whole.
+func TestTooLongManifestIsRefused(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		piece := make([]byte, 1<<20)
+		for range maxManifest/len(piece) + 1 {
+			if _, err := w.Write(piece); err != nil {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	content, err := NewClient(server.URL).Manifest(context.Background(), "d")
+	if !errors.As(err, new(figbank.ProtocolError)) {
+		t.Errorf("Manifest() = %d bytes, %v, want ProtocolError", len(content), err)
+	}
+}
