Origin client: bound the time that an origin may ask to wait

Change: at most a minute.

Measured: TestRetryAfterIsBounded failed in 4 of 9 cases before; all pass now.

--- a/origin/client.go
+++ b/origin/client.go
@@ -29,8 +29,10 @@
 	// defaultRetryAfter is how long to wait after the origin refused a request without a valid
 	// Retry-After header.
 	defaultRetryAfter = time.Second
-	maxIdlePerHost    = 8
-	headerTimeout     = 10 * time.Second
+	// maxRetryAfter limits the time that the origin may ask to wait.
+	maxRetryAfter  = time.Minute
+	maxIdlePerHost = 8
+	headerTimeout  = 10 * time.Second
 )
 
 type (
@@ -149,13 +151,13 @@
 }
 
 // retryAfter parses a Retry-After value, which is in seconds or a date (RFC 9110,
-// section 10.2.3). It returns defaultRetryAfter for other values.
+// section 10.2.3). It returns at most maxRetryAfter, and defaultRetryAfter for other values.
 func retryAfter(text string) time.Duration {
 	if seconds, err := strconv.Atoi(text); err == nil && seconds >= 0 {
-		return time.Duration(seconds) * time.Second
+		return time.Duration(min(seconds, int(maxRetryAfter/time.Second))) * time.Second
 	}
 	if at, err := http.ParseTime(text); err == nil {
-		return max(0, time.Until(at)) //nolint:forbidigo // the date refers to the system clock
+		return min(max(0, time.Until(at)), maxRetryAfter) //nolint:forbidigo // the date refers to the system clock
 	}
 	return defaultRetryAfter
 }
--- a/origin/client_test.go
+++ b/origin/client_test.go
@@ -90,3 +90,27 @@
 		t.Errorf("Manifest() = %d bytes, %v, want ProtocolError", len(content), err)
 	}
 }
+
+// An origin in trouble named a time to wait of centuries, or one past the largest duration. The host
+// would not have asked it again.
+func TestRetryAfterIsBounded(t *testing.T) {
+	scenarios := []struct {
+		text string
+		want time.Duration
+	}{
+		{text: "7", want: 7 * time.Second},
+		{text: "9223372036", want: maxRetryAfter},
+		{text: "9223372037", want: maxRetryAfter},
+		{text: "9223372036854775807", want: maxRetryAfter},
+		{text: "Fri, 31 Dec 9999 23:59:59 GMT", want: maxRetryAfter},
+		{text: "Thu, 01 Jan 1970 00:00:00 GMT", want: 0},
+		{text: "92233720368547758070", want: defaultRetryAfter},
+		{text: "-1", want: defaultRetryAfter},
+		{text: "", want: defaultRetryAfter},
+	}
+	for _, s := range scenarios {
+		if got := retryAfter(s.text); got != s.want {
+			t.Errorf("retryAfter(%q) = %v, want %v", s.text, got, s.want)
+		}
+	}
+}
