Operators' client: bound the head, don't unpack, refuse an answer over the limit

Cause: the standard transport reads 10 MB of head, asks for gzip and unpacks what calls itself that; the body was cut at 256 MiB without a word, so that the error was about its JSON.

Change: 64 KiB of head, no compression, a typed error past the limit.

The error past 256 MiB has no test: it would take more memory than a test should.

--- a/operators/client.go
+++ b/operators/client.go
@@ -20,7 +20,9 @@
 
 const (
 	requestTimeout = 15 * time.Second
-	maxAnswerSize  = 256 << 20
+	// maxAnswerSize and maxHeadSize limit an answer and its head, in bytes.
+	maxAnswerSize = 256 << 20
+	maxHeadSize   = 64 << 10
 )
 
 type (
@@ -45,7 +47,8 @@
 
 // NewClient returns a client of the API at address that authenticates with key.
 func NewClient(address, key string) *Client {
-	return &Client{address: address, key: key, http: &http.Client{Timeout: requestTimeout}}
+	transport := &http.Transport{Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: maxHeadSize, DisableCompression: true}
+	return &Client{address: address, key: key, http: &http.Client{Transport: transport, Timeout: requestTimeout}}
 }
 
 // Publish sends declarations to the gateway. A NotAcceptedError means that no connection
@@ -86,7 +89,10 @@
 		return sendError(err)
 	}
 	defer response.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerSize))
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerSize+1))
+	if err == nil && len(content) > maxAnswerSize {
+		err = figbank.ProtocolError{Detail: "answer is too long"}
+	}
 	if err != nil {
 		return figbank.WrapError("operators", "Receive", figbank.UnknownOutcomeError{Detail: err.Error()})
 	}
