--- a/origin/client.go
+++ b/origin/client.go
@@ -22,14 +22,17 @@
 	ManifestName = "Manifest"
 	// FilesFolder is the name of the folder of weights files at the origin.
 	FilesFolder = "Files"
-	// maxManifest limits the size of a manifest, in bytes. A longer one is truncated and
-	// fails the caller's verification.
+	// maxManifest limits the size of a manifest, in bytes.
 	maxManifest = 64 << 20
+	// maxHeadBytes limits the head of an answer, in bytes.
+	maxHeadBytes = 64 << 10
 	// defaultRetryAfter is how long to wait after the origin refused a request without a valid
 	// Retry-After header.
 	defaultRetryAfter = time.Second
-	maxIdlePerHost    = 8
-	headerTimeout     = 10 * time.Second
+	// maxRetryAfter limits the time that the origin may ask to wait.
+	maxRetryAfter  = time.Minute
+	maxIdlePerHost = 8
+	headerTimeout  = 10 * time.Second
 )
 
 type (
@@ -66,13 +69,14 @@
 func NewClient(base string) *Client {
 	transport := &http.Transport{
 		MaxIdleConnsPerHost:   maxIdlePerHost,
-		ResponseHeaderTimeout: headerTimeout,
-		DisableCompression:    true,
+		ResponseHeaderTimeout: headerTimeout, MaxResponseHeaderBytes: maxHeadBytes,
+		DisableCompression: true,
 	}
 	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport}}
 }
 
-// Manifest fetches a manifest's bytes. The caller verifies them.
+// Manifest fetches a manifest's bytes. The caller verifies them. Manifest returns a ProtocolError if
+// there are more than maxManifest.
 func (c *Client) Manifest(ctx context.Context, digest figbank.ManifestDigest) ([]byte, error) {
 	address := c.base + "/" + string(digest) + "/" + ManifestName
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, http.NoBody)
@@ -87,8 +91,14 @@
 	if err := checkStatus(response, http.StatusOK); err != nil {
 		return nil, err
 	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxManifest))
-	return content, figbank.WrapError("origin", "Manifest", err)
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxManifest+1))
+	if err == nil && len(content) > maxManifest {
+		err = figbank.ProtocolError{Detail: "manifest is longer than " + strconv.Itoa(maxManifest) + " bytes"}
+	}
+	if err != nil {
+		return nil, figbank.WrapError("origin", "Manifest", err)
+	}
+	return content, nil
 }
 
 // Chunk fetches a chunk's bytes with one Range request for each span. The caller
@@ -141,13 +151,13 @@
 }
 
 // retryAfter parses a Retry-After value, which is in seconds or a date (RFC 9110,
-// section 10.2.3). It returns defaultRetryAfter for other values.
+// section 10.2.3). It returns at most maxRetryAfter, and defaultRetryAfter for other values.
 func retryAfter(text string) time.Duration {
 	if seconds, err := strconv.Atoi(text); err == nil && seconds >= 0 {
-		return time.Duration(seconds) * time.Second
+		return time.Duration(min(seconds, int(maxRetryAfter/time.Second))) * time.Second
 	}
 	if at, err := http.ParseTime(text); err == nil {
-		return max(0, time.Until(at)) //nolint:forbidigo // the date refers to the system clock
+		return min(max(0, time.Until(at)), maxRetryAfter) //nolint:forbidigo // the date refers to the system clock
 	}
 	return defaultRetryAfter
 }
