--- a/soak/answers.go
+++ b/soak/answers.go
@@ -9,10 +9,18 @@
 	"figbank/platform/standin"
 )
 
+func isStream(route string) bool { return route == standin.Stream || route == standin.FaultyStream }
+func isUnsafe(route string) bool { return route == standin.Unsafe || route == standin.FaultyUnsafe }
+func isFaulty(route string) bool { return slices.Contains(faultyRoutes, route) }
+
 // checkContent checks the body of an answer with status 200. It reports whether the answer is complete and
 // the request's own.
 func (c *callers) checkContent(id string, got standin.Answer, request *sentRequest, events int) bool {
-	if request.route != standin.Stream {
+	switch {
+	case isFaulty(request.route) && !isStream(request.route) && got.Err != nil:
+		// Until it is cut, a body without end looks like any other.
+		return false
+	case !isStream(request.route):
 		return c.checkPlain(id, got)
 	}
 	// A gateway that ends while it writes an event may send only a part of it.
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -110,7 +110,7 @@
 // call sends one request, checks the answer and returns its status, or 0 if there was none.
 func (c *callers) call(client *http.Client, gateway, route string) int {
 	id, events := uuid.NewString(), 0
-	if route == standin.Stream {
+	if isStream(route) {
 		events = 1 + rand.IntN(maxEvents) //nolint:gosec // spreads load, no secret
 	}
 	request := &sentRequest{route: route, gateway: gateway, at: wall.Now(), planned: c.planned.Load()}
@@ -122,7 +122,7 @@
 	c.mu.Unlock()
 	got := standin.Request{Gateway: gateway, Route: route, ID: id, Events: events, Prompt: request.prompt}.Send(context.Background(), client)
 	request.took = wall.since(request.at)
-	c.record.count(outcomeOf(got))
+	c.record.count(outcomeOf(route, got))
 	if got.Status == http.StatusOK {
 		request.served = c.checkContent(id, got, request, events)
 	}
@@ -140,14 +140,18 @@
 }
 
 // outcomeOf returns the key under which a Report counts an answer.
-func outcomeOf(got standin.Answer) string {
+func outcomeOf(route string, got standin.Answer) string {
+	outcome := strconv.Itoa(got.Status)
 	switch {
 	case got.Err != nil && got.Status == 0:
-		return "no answer"
+		outcome = "no answer"
 	case got.Err != nil:
-		return "truncated answer"
+		outcome = "truncated answer"
 	}
-	return strconv.Itoa(got.Status)
+	if isFaulty(route) {
+		return "faulty service: " + outcome
+	}
+	return outcome
 }
 
 // checkRuns checks how often each request ran, and records a violation for each broken promise.
@@ -158,9 +162,9 @@
 	for id, request := range c.sent {
 		ran := runs[id]
 		switch {
-		case request.route == standin.Unsafe && ran > 1:
+		case isUnsafe(request.route) && ran > 1:
 			c.record.addViolation("Twice", "%s ran %d times", id, ran)
-		case request.route == standin.Unsafe && request.notRun && ran > 0:
+		case request.notRun && ran > 0:
 			c.record.addViolation("Refused", "%s was refused as not run, but ran", id)
 		case request.lost && request.planned && ran > 0:
 			c.record.addViolation("Lost", "%s %s ran, but its answer was lost during planned restarts", request.route, id)
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -59,6 +59,8 @@
 		origin *standin.Origin
 		// engine describes the engines if prompts have different lengths, otherwise nil.
 		engine *standin.Engine
+		// faultyUpstreams is the number of upstreams of the service that is faulty in a scenario.
+		faultyUpstreams int
 
 		processes []*process
 		// proxies holds the proxies in front of each process.
@@ -72,6 +74,10 @@
 		mu sync.Mutex
 		// upstreams holds the upstreams of the agents first, then those without an agent.
 		upstreams []*upstream
+		// faulty holds the upstreams of the faulty service.
+		faulty []*standin.Upstream
+		// endless says how many answers without end there were.
+		endless string
 		// ended holds the incarnations that have ended.
 		ended []*standin.Upstream
 		// incarnations counts the incarnations of all upstreams, including those that have ended.
@@ -101,6 +107,9 @@
 		size: options.Size, folder: options.Folder, binary: options.Binary, record: r, origin: origin,
 		base: firstPort + rand.IntN(portRange), //nolint:gosec // spreads runs, no secret
 	}
+	if options.Scenario != nil {
+		c.faultyUpstreams = options.Scenario.faultyUpstreams
+	}
 	if options.sized() {
 		c.engine = &standin.Engine{ReadPerSecond: readPerSecond, Usual: usualPrompt, Events: sizedEvents}
 	}
@@ -140,6 +149,9 @@
 			return err
 		}
 	}
+	if err := c.addFaultyUpstreams(); err != nil {
+		return err
+	}
 	for n := range c.size.processes() {
 		p, err := newProcess(c.spec(n), func(p *process, err error) {
 			c.record.addViolation("OwnEnd", "%s exited without being asked to: %v", p.id, err)
@@ -249,6 +261,9 @@
 		u.current.Kill()
 		u.proxy.Close()
 	}
+	for _, u := range c.faulty {
+		u.Kill()
+	}
 	c.origin.Close()
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -72,6 +72,8 @@
 		i.slow(fault)
 	case GarbleStreams:
 		i.garbleStreams(fault)
+	case AnswerWithoutEnd:
+		i.answerWithoutEnd(fault)
 	case KillGateways:
 		i.killGateways(fault)
 	case LeaveUpstream, RefuseForTime:
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -29,6 +29,7 @@
 	control []string
 	origin  string
 	engine  *standin.Engine
+	faulty  bool
 	record  *record
 	client  *http.Client
 
@@ -43,7 +44,7 @@
 
 func newOperators(c *cluster) *operators {
 	return &operators{
-		control: c.control, origin: c.origin.Address(), engine: c.engine, record: c.record, client: &http.Client{Timeout: orderTimeout},
+		control: c.control, origin: c.origin.Address(), engine: c.engine, faulty: c.faultyUpstreams > 0, record: c.record, client: &http.Client{Timeout: orderTimeout},
 		versionSent: 1, versionAcknowledged: 1,
 	}
 }
@@ -159,6 +160,6 @@
 func (o *operators) document(number int) standin.Document {
 	return standin.Document{
 		Number: number, Origin: o.origin, Pieces: pieces, Layers: layers, Slots: slots, Marker: markerOf(number),
-		Engine: o.engine, Work: sizedWork,
+		Engine: o.engine, Work: sizedWork, Faulty: o.faulty,
 	}
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -47,6 +47,9 @@
 	SlowService FaultKind = "SlowService"
 	// GarbleStreams makes all upstreams of the model garble a share of their streams.
 	GarbleStreams FaultKind = "GarbleStreams"
+	// AnswerWithoutEnd makes all upstreams of a service give answers without end to a share of the
+	// requests.
+	AnswerWithoutEnd FaultKind = "AnswerWithoutEnd"
 	// Publish is the operator's order to publish the next configuration.
 	Publish FaultKind = "Publish"
 	// NameVersion is the operator's order to set the next version of the weights.
--- a/soak/retries.go
+++ b/soak/retries.go
@@ -59,7 +59,7 @@
 
 // checkRetries records a violation for each service that got more repeats than it may.
 func (r *run) checkRetries() {
-	traffic := map[string]*serviceTraffic{standin.AppService: {}, standin.ModelService: {}}
+	traffic := map[string]*serviceTraffic{standin.AppService: {}, standin.ModelService: {}, standin.FaultyService: {}}
 	r.callers.mu.Lock()
 	for _, request := range r.callers.sent {
 		if !request.unreachable {
@@ -94,7 +94,10 @@
 }
 
 func serviceOf(route string) string {
-	if route == standin.Stream {
+	switch {
+	case isFaulty(route):
+		return standin.FaultyService
+	case isStream(route):
 		return standin.ModelService
 	}
 	return standin.AppService
--- a/soak/scenario.go
+++ b/soak/scenario.go
@@ -24,11 +24,17 @@
 	callers int
 	// sized is set if callers send only streams, with prompts of different lengths.
 	sized bool
+	// pressing is the number of callers of the faulty service at the first gateway, faultyUpstreams the
+	// number of its upstreams.
+	pressing, faultyUpstreams int
 	// check checks at the end what only this scenario promises, unless it is nil.
 	check func(*run)
 }
 
 var scenarios = map[string]*Scenario{
+	"answers-without-end": {
+		faults: answersWithoutEnd, callers: otherCallers, pressing: pressingFaulty, faultyUpstreams: faultyUpstreams, check: (*run).checkOthers,
+	},
 	"garbled-streams":        {faults: garbledStreams, callers: garbledCallers, check: (*run).checkResumed},
 	"restarts-while-refused": {faults: restartsWhileRefused, callers: callersPerGateway},
 	"slow-engines":           {faults: slowEngines, callers: pressingCallers, sized: true},
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -163,9 +163,8 @@
 	group.Go(func() { r.callers.run(callerCtx, r.Options.callers()) })
 	group.Go(func() { r.operators.watch(callerCtx) })
 	r.printf("%d processes are serving; injecting %d faults in %s", len(r.cluster.processes), len(plan), r.Length)
-	r.faultsBegan = wall.Now()
-	(&injector{cluster: r.cluster, operators: r.operators, record: r.record}).run(ctx, plan)
-	r.faultsEnded = wall.Now()
+	r.injectFaults(ctx, plan)
+	r.checkMemory()
 	if r.sized() {
 		// These callers ask for more than is served, also without faults, so the checks that
 		// follow would be refused.
@@ -190,6 +189,20 @@
 	return figbank.WrapError("soak", "Cancelled", ctx.Err())
 }
 
+// injectFaults carries out the plan. If the scenario says so, callers press the faulty service meanwhile.
+func (r *run) injectFaults(ctx context.Context, plan []Fault) {
+	ctx, cancel := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	if r.Scenario != nil {
+		group.Go(func() { r.callers.press(ctx, r.cluster.gateways[0], r.Scenario.pressing) })
+	}
+	r.faultsBegan = wall.Now()
+	(&injector{cluster: r.cluster, operators: r.operators, record: r.record}).run(ctx, plan)
+	r.faultsEnded = wall.Now()
+	cancel()
+	group.Wait()
+}
+
 // pollUntil polls check until it succeeds, the timeout passes or ctx ends. It reports whether
 // check succeeded.
 func (r *run) pollUntil(ctx context.Context, timeout time.Duration, check func(context.Context) error) bool {
--- a/soak/upstreams.go
+++ b/soak/upstreams.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"figbank/platform/standin"
@@ -37,6 +38,20 @@
 	return nil
 }
 
+// addFaultyUpstreams starts the upstreams of the faulty service, without proxies.
+func (c *cluster) addFaultyUpstreams() error {
+	for i := range c.faultyUpstreams {
+		u, err := standin.StartUpstream(standin.Config{
+			ID: fmt.Sprintf("f-%d", i), Service: standin.FaultyService, Zone: domainOf(i), Control: c.control, Slots: faultySlots, Work: plainWork,
+		})
+		if err != nil {
+			return err
+		}
+		c.faulty = append(c.faulty, u)
+	}
+	return nil
+}
+
 // startIncarnation starts the next incarnation of an upstream.
 func (c *cluster) startIncarnation(u *upstream) error {
 	c.mu.Lock()
@@ -73,7 +88,7 @@
 func (c *cluster) allIncarnations() []*standin.Upstream {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	all := append([]*standin.Upstream{}, c.ended...)
+	all := slices.Concat(c.ended, c.faulty)
 	for _, u := range c.upstreams {
 		all = append(all, u.current)
 	}
@@ -84,6 +99,9 @@
 func (c *cluster) currentUpstreams(service string) []*standin.Upstream {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if service == standin.FaultyService {
+		return slices.Clone(c.faulty)
+	}
 	var running []*standin.Upstream
 	for _, u := range c.upstreams {
 		if u.config.Service == service {
