--- a/soak/answers.go
+++ b/soak/answers.go
@@ -16,11 +16,7 @@
 // checkContent checks the body of an answer with status 200. It reports whether the answer is complete and
 // the request's own.
 func (c *callers) checkContent(id string, got standin.Answer, request *sentRequest, events int) bool {
-	switch {
-	case isFaulty(request.route) && !isStream(request.route) && got.Err != nil:
-		// Until it is cut, a body without end looks like any other.
-		return false
-	case !isStream(request.route):
+	if !isStream(request.route) {
 		return c.checkPlain(id, got)
 	}
 	// A gateway that ends while it writes an event may send only a part of it.
@@ -32,7 +28,8 @@
 func (c *callers) checkPlain(id string, got standin.Answer) bool {
 	want := "answer to " + id
 	switch {
-	case got.Err != nil && strings.HasPrefix(want, got.Body):
+	case got.Err != nil && (strings.HasPrefix(want, got.Body) || len(c.garbled(id)) > 0):
+		// A body without end looks like any other until it is cut.
 		return false
 	case !got.Sealed:
 		c.record.addViolation("Mixed", "%s got %d without a seal", id, http.StatusOK)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -34,7 +34,7 @@
 		record   *record
 		// sized is set if all requests are streams, with prompts of different lengths.
 		sized bool
-		// garbled returns how upstreams garbled the streams that answered a request.
+		// garbled returns how upstreams garbled the answers to a request.
 		garbled func(id string) []string
 		// disturbed reports whether a gateway was stopped, started or paused within a time.
 		disturbed func(gateway string, from, to time.Time) bool
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -54,6 +54,20 @@
 	i.group.Wait()
 }
 
+// injectFaults carries out the plan. If the scenario says so, callers press the faulty service meanwhile.
+func (r *run) injectFaults(ctx context.Context, plan []Fault) {
+	ctx, cancel := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	if r.Scenario != nil {
+		group.Go(func() { r.callers.press(ctx, r.cluster.gateways[0], r.Scenario.pressing) })
+	}
+	r.faultsBegan = wall.Now()
+	(&injector{cluster: r.cluster, operators: r.operators, record: r.record}).run(ctx, plan)
+	r.faultsEnded = wall.Now()
+	cancel()
+	group.Wait()
+}
+
 func (i *injector) inject(ctx context.Context, fault Fault) {
 	switch fault.Kind {
 	case Publish:
--- a/soak/garbled.go
+++ b/soak/garbled.go
@@ -39,6 +39,14 @@
 // checkResumed records a violation if too few streams were complete, against the share that was garbled.
 func (r *run) checkResumed() {
 	r.checkServedShare("streams", 1-garbledShare*(1-minResumedShare), func(request *sentRequest) bool { return request.route == standin.Stream })
+}
+
+// printBroken prints how many violations there were of each promise, and how upstreams garbled the streams
+// that were wrong.
+func (r *run) printBroken() {
+	for _, promise := range slices.Sorted(maps.Keys(r.record.broken)) {
+		r.printf("violations of %s: %d", promise, r.record.broken[promise])
+	}
 	for _, how := range slices.Sorted(maps.Keys(r.callers.passedOn)) {
 		r.printf("wrong streams, garbled by %s: %d", how, r.callers.passedOn[how])
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -61,9 +61,10 @@
 
 const (
 	// meanGap is the mean time between the starts of two series of faults, meanLaterGap that for
-	// laterKinds.
-	meanGap      = 700 * time.Millisecond
-	meanLaterGap = 1500 * time.Millisecond
+	// laterKinds, meanAnswerGap that for answerKinds.
+	meanGap       = 700 * time.Millisecond
+	meanLaterGap  = 1500 * time.Millisecond
+	meanAnswerGap = 4 * time.Second
 	// maxSeriesLength bounds the number of faults in one series.
 	maxSeriesLength = 3
 	// minDuration and maxDuration bound the field Duration of a fault.
@@ -138,6 +139,12 @@
 	{KillGateways, 1, noTarget},
 }
 
+// answerKinds lists the kinds of bytes that are no answer. They are drawn apart, as laterKinds are.
+var answerKinds = []weightedKind{
+	{GarbleStreams, 2, noTarget},
+	{AnswerWithoutEnd, 1, noTarget},
+}
+
 // NewPlan returns the random faults of a seed, ordered by their start. Faults come in series
 // of the same kind and target, and may overlap. A plan wipes at most one replica, since the
 // deployment tolerates the loss of only one disk at once (LostDisks = 1 in its settings).
@@ -151,6 +158,8 @@
 	}
 	later := rand.New(rand.NewPCG(^seed, uint64(size.processes()))) //nolint:gosec // repeatable
 	plan = append(plan, drawSeries(later, laterKinds, meanLaterGap, length, size)...)
+	answers := rand.New(rand.NewPCG(seed, ^uint64(size.processes()))) //nolint:gosec // repeatable
+	plan = append(plan, drawSeries(answers, answerKinds, meanAnswerGap, length, size)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"net/http"
 	"os"
 	"slices"
@@ -183,26 +182,10 @@
 	if r.Scenario != nil && r.Scenario.check != nil {
 		r.Scenario.check(r)
 	}
-	for _, promise := range slices.Sorted(maps.Keys(r.record.broken)) {
-		r.printf("violations of %s: %d", promise, r.record.broken[promise])
-	}
+	r.printBroken()
 	return figbank.WrapError("soak", "Cancelled", ctx.Err())
 }
 
-// injectFaults carries out the plan. If the scenario says so, callers press the faulty service meanwhile.
-func (r *run) injectFaults(ctx context.Context, plan []Fault) {
-	ctx, cancel := context.WithCancel(ctx)
-	var group sync.WaitGroup
-	if r.Scenario != nil {
-		group.Go(func() { r.callers.press(ctx, r.cluster.gateways[0], r.Scenario.pressing) })
-	}
-	r.faultsBegan = wall.Now()
-	(&injector{cluster: r.cluster, operators: r.operators, record: r.record}).run(ctx, plan)
-	r.faultsEnded = wall.Now()
-	cancel()
-	group.Wait()
-}
-
 // pollUntil polls check until it succeeds, the timeout passes or ctx ends. It reports whether
 // check succeeded.
 func (r *run) pollUntil(ctx context.Context, timeout time.Duration, check func(context.Context) error) bool {
--- a/soak/upstreams.go
+++ b/soak/upstreams.go
@@ -129,7 +129,7 @@
 	return arrivals
 }
 
-// garbled returns how upstreams garbled the streams that answered a request.
+// garbled returns how upstreams garbled the answers to a request.
 func (c *cluster) garbled(id string) []string {
 	var all []string
 	for _, u := range c.allIncarnations() {
