--- a/soak/faults.go
+++ b/soak/faults.go
@@ -26,7 +26,7 @@
 	standin.TruncateEvent, standin.Refuse, standin.AnswerWithOtherID, standin.TruncateBody, standin.Fail, standin.NoFault,
 }
 
-// services lists the services that RefuseService chooses from.
+// services lists the services that faults of a service choose from.
 var services = []string{standin.AppService, standin.ModelService}
 
 // injector injects the faults of a plan.
@@ -54,6 +54,20 @@
 	i.group.Wait()
 }
 
+// injectFaults carries out the plan. If the scenario says so, callers press the faulty service meanwhile.
+func (r *run) injectFaults(ctx context.Context, plan []Fault) {
+	ctx, cancel := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	if r.Scenario != nil {
+		group.Go(func() { r.callers.press(ctx, r.cluster.gateways[0], r.Scenario.pressing) })
+	}
+	r.faultsBegan = wall.Now()
+	(&injector{cluster: r.cluster, operators: r.operators, record: r.record}).run(ctx, plan)
+	r.faultsEnded = wall.Now()
+	cancel()
+	group.Wait()
+}
+
 func (i *injector) inject(ctx context.Context, fault Fault) {
 	switch fault.Kind {
 	case Publish:
@@ -70,6 +84,10 @@
 		i.refuse(fault)
 	case SlowService:
 		i.slow(fault)
+	case GarbleStreams:
+		i.garbleStreams(fault)
+	case AnswerWithoutEnd:
+		i.answerWithoutEnd(fault)
 	case KillGateways:
 		i.killGateways(fault)
 	case LeaveUpstream, RefuseForTime:
