Dispatch: a success on a route of streams that is no event stream is no answer (ORDER)

A success of another type, or with another status than 200, on a route of streams was buffered or copied and delivered as the whole answer, also where the caller had asked to go on after an event: nothing in it shows that it belongs there. And the type was compared by the beginning of its text: "text/event-streamX" was an event stream, "Text/Event-Stream" was none.

Now checkHead (dispatch/answerhead.go) ends such an attempt with a typed error of unknown outcome before anything is sent; the usual rules decide on another upstream. Other statuses are passed on as before. The type is parsed as a media type; a head with two types, or a malformed one, names no event stream.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -49,7 +49,7 @@
 	if !answer.NamesLimit && answer.Status < http.StatusMultipleChoices {
 		r.recordLimit(target, LimitNotice{})
 	}
-	err = r.forward(answer)
+	err = r.deliver(answer)
 	if err == nil {
 		now = r.common.Clock.Now()
 		target.Load.recordSuccess(now)
--- a/dispatch/badstream.go
+++ b/dispatch/badstream.go
@@ -16,6 +16,7 @@
 // What is wrong with the bytes of a stream. The names are written to the log and the metrics.
 const (
 	noFault       streamFault = ""
+	faultHead     streamFault = "NoStream"
 	faultGrammar  streamFault = "NoEvent"
 	faultLength   streamFault = "TooLong"
 	faultOrder    streamFault = "WrongOrder"
--- a/dispatch/brokenstream_test.go
+++ b/dispatch/brokenstream_test.go
@@ -26,6 +26,8 @@
 	text     string
 	breaks   bool
 	unframed bool
+	// other is set if the answer is of another type than a stream.
+	other bool
 }
 
 // failingReader fails like a connection that was reset.
@@ -41,7 +43,7 @@
 	if next.breaks {
 		body = io.MultiReader(body, failingReader{})
 	}
-	return &Answer{Status: next.status, Length: -1, Unframed: next.unframed, Events: next.status == http.StatusOK, Body: io.NopCloser(body)}, nil
+	return &Answer{Status: next.status, Length: -1, Unframed: next.unframed, Events: next.status == http.StatusOK && !next.other, Body: io.NopCloser(body)}, nil
 }
 
 // A stream breaks off, and what the next upstream sends does not continue it. The caller got the text or
