Dispatch: a stream of numbered events that ends before the first one is not whole (ORDER)

A stream that ended with its frame before any event was given to the caller as a whole one. Its frame proves that the upstream ended it there, not that the run had nothing to send: each stream has an event at least.

Now an answer without an event is whole on a route of streams only if the caller has had events before. Otherwise another upstream is asked by the usual rules, or the caller gets an error. Nothing had been sent by then.

--- a/dispatch/answerhead_test.go
+++ b/dispatch/answerhead_test.go
@@ -43,3 +43,26 @@
 		})
 	}
 }
+
+// A stream of numbered events ended, with its frame, before the first of them. The caller got it as whole.
+func TestStreamWithoutAnEventIsNotWhole(t *testing.T) {
+	scenarios := []struct {
+		name, lastEvent string
+		answer          streamAnswer
+		whole           bool
+	}{
+		{name: "framed", answer: streamAnswer{status: http.StatusOK}},
+		{name: "framed, empty lines and a comment", answer: streamAnswer{status: http.StatusOK, text: "\n: ping\n\n"}},
+		{name: "unframed", answer: streamAnswer{status: http.StatusOK, unframed: true}},
+		{name: "framed, the caller has had events", lastEvent: "4", answer: streamAnswer{status: http.StatusOK}, whole: true},
+		{name: "unframed, the caller has had events", lastEvent: "4", answer: streamAnswer{status: http.StatusOK, unframed: true}, whole: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			got := serveStream(t, &streamScript{answers: []streamAnswer{s.answer}}, s.lastEvent, false)
+			if got.response.Started() != s.whole || (got.err == nil) != s.whole {
+				t.Errorf("stream = status %d, %v, want it whole: %t", got.response.status, got.err, s.whole)
+			}
+		})
+	}
+}
--- a/dispatch/numberedevents.go
+++ b/dispatch/numberedevents.go
@@ -43,10 +43,18 @@
 
 // endEvents ends the answer where the upstream's stream has ended after an event, if that is its end.
 func (r *run) endEvents(answer *Answer) error {
-	if answer.Unframed && r.events == 0 && (r.response.Started() || r.lastEvent == "") {
-		// The upstream may have ended right after the head.
-		return figbank.IncompleteAnswerError{Detail: "stream ended with the connection before its first event"}
+	if r.events == 0 && !r.mayEndEmpty(answer) {
+		return figbank.IncompleteAnswerError{Detail: "stream ended before its first event"}
 	}
 	r.startEvents(answer)
 	return r.response.Write(nil)
 }
+
+// mayEndEmpty reports whether an answer without an event can be whole. Without a frame, the upstream may have
+// ended right after the head. A stream of numbered events has one at least, unless the caller has had all.
+func (r *run) mayEndEmpty(answer *Answer) bool {
+	if r.lastEvent == "" {
+		return !answer.Unframed && !r.request.Route.Streamed()
+	}
+	return !answer.Unframed || !r.response.Started()
+}
