--- a/dispatch/garbledstream_test.go
+++ b/dispatch/garbledstream_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"figbank"
@@ -23,6 +24,8 @@
 type garbleTransport struct {
 	pieces   []string
 	unframed bool
+	// hangs is set if nothing comes after the pieces, no end either.
+	hangs    bool
 	attempts int
 	// resumed is the last event that the last attempt was told.
 	resumed string
@@ -36,7 +39,15 @@
 	return events.String()
 }
 
-func (g *garbleTransport) Send(_ context.Context, _ *Request, attempt Attempt) (*Answer, error) {
+// hangingReader returns when its context ends.
+type hangingReader struct{ ctx context.Context }
+
+func (h hangingReader) Read([]byte) (int, error) {
+	<-h.ctx.Done()
+	return 0, h.ctx.Err()
+}
+
+func (g *garbleTransport) Send(ctx context.Context, _ *Request, attempt Attempt) (*Answer, error) {
 	g.attempts++
 	g.resumed = attempt.LastEvent
 	pieces := g.pieces
@@ -48,6 +59,9 @@
 	for _, piece := range pieces {
 		readers = append(readers, strings.NewReader(piece))
 	}
+	if g.hangs && g.attempts == 1 {
+		readers = append(readers, hangingReader{ctx: ctx})
+	}
 	return &Answer{
 		Status: http.StatusOK, Length: -1, Unframed: g.unframed, Events: true, VersionField: "version", Version: 3, Body: io.NopCloser(io.MultiReader(readers...)),
 	}, nil
@@ -167,6 +181,25 @@
 	}
 }
 
+// An upstream sends garbage without the end of a line, and nothing more. The caller waited for it until its
+// time was over.
+func TestGarbageWithoutAnEndIsNotAwaited(t *testing.T) {
+	for _, garble := range []string{"oops", "\x00", "HTTP/1.1 500", "{", "\xff\xfe", "Content-Length: 3", "id: 3\noops"} {
+		for _, sound := range []int{0, 2} {
+			t.Run(fmt.Sprintf("%q after %d", garble, sound), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					began := time.Now()
+					transport := &garbleTransport{pieces: []string{soundEvents(1, sound), garble}, hangs: true}
+					got, err := transport.serve(true, "")
+					if want := soundEvents(1, lastOfStream); got.body.String() != want || err != nil || time.Since(began) > time.Second {
+						t.Errorf("stream = %q, %v, after %v, want %q at once", got.body.String(), err, time.Since(began), want)
+					}
+				})
+			})
+		}
+	}
+}
+
 // A part of an event that has arrived behind another says nothing against that one.
 func TestEventsArriveInParts(t *testing.T) {
 	const stream = "version: 3\r\nid: 1\r\ndata: a\u2603\r\n\r\n: ping\r\n\r\n\r\nid: 2\r\ndata: b\r\n\r\nversion: 4\r\nid: 3\r\ndata\r\n\r\n"
--- a/dispatch/numberedreader.go
+++ b/dispatch/numberedreader.go
@@ -76,6 +76,9 @@
 
 // readLine appends the next line, with its end, to the event.
 func (r *numberedReader) readLine() error {
+	if start := r.start(); len(start) > 0 && !r.format.mayBegin(start) {
+		return newStreamError(faultField, "bytes in the stream are no event", start)
+	}
 	for {
 		line, err := r.reader.ReadSlice('\n')
 		r.event = append(r.event, line...)
@@ -97,6 +100,21 @@
 	}
 }
 
+// start waits for the next line and returns what has arrived of it if its end has not. Bytes that begin
+// no line need no more.
+func (r *numberedReader) start() []byte {
+	if r.reader.Buffered() == 0 {
+		if _, err := r.reader.Peek(1); err != nil {
+			return nil
+		}
+	}
+	arrived, _ := r.reader.Peek(r.reader.Buffered())
+	if bytes.IndexByte(arrived, '\n') >= 0 {
+		return nil
+	}
+	return arrived
+}
+
 // skipFiller leaves a line between two events out.
 func (r *numberedReader) skipFiller(line []byte) error {
 	if !isText(line) {
