Dispatch: an upstream that garbled one answer is not paused as if lost (ORDER)

Cause: garbage counted as a broken connection, which pauses the upstream for 0.3 s at least. Who answers has not crashed.

Change: the first garbled answer in a row lowers the upstream's rank only; from the second on it is paused as before.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -116,7 +116,7 @@
 		target.Load.recordBusy(now)
 	case errors.As(err, new(streamError)):
 		// Who sends wrong bytes has not crashed.
-		target.Load.recordFailure(now, true)
+		target.Load.recordGarbage(now)
 	case errors.As(err, new(figbank.FailedAnswerError)):
 		r.crashers.RecordAnswer(now, r.identity.Fingerprint)
 		target.Load.recordFailure(now, false)
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -116,7 +116,22 @@
 	if !broken {
 		return
 	}
-	row := l.failedInRow.Add(1)
+	l.pauseAfter(now, l.failedInRow.Add(1))
+}
+
+// recordGarbage records an answer with bytes that are none. The upstream runs, so that it is paused only
+// from the second in a row on: where all upstreams of a service garble a part of their answers, one must
+// be left to go on at.
+func (l *Load) recordGarbage(now time.Time) {
+	l.updateFailureRate(perMille)
+	l.pauseAfter(now, l.failedInRow.Add(1)-1)
+}
+
+// pauseAfter pauses the upstream after that many broken attempts in a row.
+func (l *Load) pauseAfter(now time.Time, row int64) {
+	if row <= 0 {
+		return
+	}
 	pause := min(minPause<<min(row-1, 6), maxPause)
 	l.pausedUntil.Store(now.Add(pause).UnixNano())
 }
