--- a/soak/endless.go
+++ b/soak/endless.go
@@ -5,12 +5,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"strings"
 	"sync"
 	"time"
 
-	"figbank"
 	"figbank/platform/standin"
 )
 
@@ -28,9 +25,6 @@
 	// minOthersServed is how often requests to other services must be served beside a faulty one, against
 	// how often they are at other times. The platform asks the same beside requests that crash upstreams.
 	minOthersServed = 0.5
-	// maxGatewayBytes is the memory of the smallest gateways of the platform, 160 MB.
-	maxGatewayBytes = 160 * 1000 * 1000
-	kilobyte        = 1 << 10
 )
 
 // faultyRoutes are the routes of the faulty service.
@@ -93,48 +87,6 @@
 	}
 }
 
-// checkMemory records a violation for each gateway that has used more memory than the smallest ones have.
-func (r *run) checkMemory() {
-	for _, p := range r.cluster.processes {
-		if p.role != roleGateway {
-			continue
-		}
-		used, err := p.peakMemory()
-		if err != nil {
-			continue
-		}
-		r.printf("%s has used %d MB", p.id, used/1000/1000)
-		if used > maxGatewayBytes {
-			r.record.addViolation("Memory", "%s has used %d bytes, %d are allowed", p.id, used, maxGatewayBytes)
-		}
-	}
-}
-
-// peakMemory returns the most memory that the process has used since its start.
-func (p *process) peakMemory() (figbank.Bytes, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.running() {
-		return 0, figbank.InvalidError{Subject: p.id, Detail: "does not run"}
-	}
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	if err != nil {
-		return 0, figbank.WrapError("soak", "Memory", err)
-	}
-	return readPeak(string(status))
-}
-
-// readPeak returns the most memory that a process has used, from its status file.
-func readPeak(status string) (figbank.Bytes, error) {
-	for line := range strings.Lines(status) {
-		var kilobytes figbank.Bytes
-		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); err == nil {
-			return kilobytes * kilobyte, nil
-		}
-	}
-	return 0, figbank.InvalidError{Subject: "status", Detail: "names no peak of memory"}
-}
-
 // checkOthers records a violation if too few requests to other services were served, at any gateway.
 func (r *run) checkOthers() {
 	r.printf("%s", r.cluster.endless)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -61,6 +61,7 @@
 	if r.Scenario != nil {
 		group.Go(func() { r.callers.press(ctx, r.cluster.gateways[0], r.Scenario.pressing) })
 	}
+	group.Go(func() { r.watchUnread(ctx) })
 	r.faultsBegan = wall.Now()
 	(&injector{cluster: r.cluster, operators: r.operators, record: r.record}).run(ctx, plan)
 	r.faultsEnded = wall.Now()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -77,6 +77,8 @@
 		// faultsBegan and faultsEnded are when the faults of the plan were injected, calmBegan is when all
 		// callers that pressed had stopped, and restartsBegan when the planned restarts began.
 		faultsBegan, faultsEnded, calmBegan, restartsBegan time.Time
+		// unread holds the most bytes that had arrived for a gateway and were not read, by its id.
+		unread map[string]figbank.Bytes
 	}
 )
 
@@ -127,7 +129,7 @@
 	if kept, err := os.ReadDir(options.Folder); err != nil || len(kept) > 0 {
 		return nil, figbank.InvalidError{Subject: "folder", Detail: options.Folder + " must be empty, since replicas would go on with the data of an earlier run"}
 	}
-	r := &run{Options: options, record: newRecord()}
+	r := &run{Options: options, record: newRecord(), unread: map[string]figbank.Bytes{}}
 	plan := options.plan()
 	err := r.run(ctx, plan)
 	if err != nil {
