Gateways on a platform: a gauge of the bytes that all requests hold together

Nothing counted what the requests of one gateway hold together. The budget of the declared services' gateway moves to a package of its own, memory, and the platform's path counts callers' bodies and complete answers in it, without a limit. No change of behaviour.

--- a/app/platformgateway.go
+++ b/app/platformgateway.go
@@ -9,6 +9,7 @@
 	"figbank/feed"
 	"figbank/httpserver"
 	"figbank/loadshare"
+	"figbank/memory"
 	"figbank/platform"
 	"figbank/reservation"
 	"figbank/retry"
@@ -39,8 +40,8 @@
 		platformOptions(s, schema.MemberRole_MEMBER_ROLE_GATEWAY),
 		fx.Supply(file),
 		fx.Provide(newStopState),
-		fx.Provide(newUpstreamPool, newDispatcher),
-		fx.Invoke(watchSettings, shareLoad, serveReadiness, servePlatformCallers),
+		fx.Provide(newRequestMemory, newUpstreamPool, newDispatcher),
+		fx.Invoke(watchSettings, reportRequestMemory, shareLoad, serveReadiness, servePlatformCallers),
 		fx.Options(options...),
 	)
 }
@@ -53,7 +54,7 @@
 }
 
 func newDispatcher(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings,
-	pool *upstream.Pool, view *feed.View, _ *feed.Subscriber,
+	pool *upstream.Pool, view *feed.View, budget *memory.Budget, _ *feed.Subscriber,
 ) *dispatch.Dispatcher {
 	dispatcher := dispatch.New(common, dispatch.Settings{
 		Location: dispatch.Location{
@@ -65,6 +66,7 @@
 		Retries: retry.Allowance{
 			Ratio: s.GetBounds().GetRetryRatio(), Slack: s.GetBounds().GetRetrySlack(), Window: s.GetBounds().GetRetryWindow().AsDuration(),
 		},
+		Memory: budget,
 	}, platform.NewTransport(common.Clock, pool), view)
 	lifecycle.Append(fx.StopHook(dispatcher.Close))
 	return dispatcher
@@ -106,13 +108,13 @@
 // servePlatformCallers serves callers. It is invoked last, so that fx stops it first:
 // running requests can still use all other parts during the graceful shutdown.
 func servePlatformCallers(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings,
-	d *dispatch.Dispatcher, stopping *stopState, _ *transport.Pool,
+	d *dispatch.Dispatcher, budget *memory.Budget, stopping *stopState, _ *transport.Pool,
 ) error {
 	listener, err := listen(s.GetNode().GetListenCallers())
 	if err != nil {
 		return err
 	}
-	handler := platform.NewFrontServer(common, d).Handler()
+	handler := platform.NewFrontServer(common, d, platform.WithMemory(budget)).Handler()
 	server := httpserver.New(common, stopping.handler(handler), func() httpserver.Limits { return callerLimits(d.Table()) })
 	go server.Serve(listener)
 	common.Log.Info("gateway: started", zap.String("callers", listener.Addr().String()))
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"figbank"
 	"figbank/crashers"
 	"figbank/feed"
+	"figbank/memory"
 	"figbank/retry"
 
 	"go.uber.org/zap"
@@ -20,6 +21,8 @@
 		Location Location
 		// Retries bounds the retries that all gateways together send to each service.
 		Retries retry.Allowance
+		// Memory counts what all requests together hold.
+		Memory *memory.Budget
 	}
 
 	// Dispatcher sends requests to upstreams. It is safe for concurrent use.
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -47,6 +47,9 @@
 		return r.forwardUnbuffered(answer)
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedAnswer+1))
+	held := r.settings.Memory.Reserve()
+	defer held.Release()
+	held.Grow(figbank.Bytes(cap(body)))
 	r.recordFirstByte()
 	if err != nil {
 		return figbank.UnknownOutcomeError{Detail: "reading the answer failed: " + err.Error()}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"figbank"
 	"figbank/claims"
 	"figbank/configuration"
+	"figbank/memory"
 	"figbank/relay"
 	"figbank/schema"
 	"figbank/transport"
@@ -40,7 +41,7 @@
 
 		relay         *relay.Relay
 		claims        *claims.Claims
-		memory        *memoryBudget
+		memory        *memory.Budget
 		requestCounts *requestCounts
 		// stage is one of the shutdown stages below.
 		stage   atomic.Int32
@@ -72,7 +73,7 @@
 		common: common.Named("gateway"), settings: settings, holder: holder, ready: ready,
 		relay:         relay.New(common, settings.Relay, holder, pool),
 		claims:        claims.New(common, proposer),
-		memory:        newMemoryBudget(settings.MaxBufferedBytes),
+		memory:        memory.NewBudget(settings.MaxBufferedBytes),
 		requestCounts: newRequestCounts(),
 	}
 	g.router = g.routes()
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -126,7 +126,7 @@
 	if got := h.send(http.MethodPost, "/services/s/x", "", "small"); got.status != 200 {
 		t.Errorf("answer within the budget = %d, want 200", got.status)
 	}
-	if used := h.gateway.memory.used.Load(); used != 0 {
+	if used := h.gateway.memory.Used(); used != 0 {
 		t.Errorf("bytes reserved with no request = %d, want 0", used)
 	}
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -12,6 +12,7 @@
 
 	"figbank"
 	"figbank/configuration"
+	"figbank/memory"
 	"figbank/relay"
 	"figbank/routing"
 	"figbank/schema"
@@ -39,7 +40,7 @@
 		relay.Request
 		// key is the caller's idempotency key. It is empty if there is none.
 		key         string
-		reservation *reservation
+		reservation *memory.Reservation
 	}
 
 	// chatBody holds the fields that the gateway reads from the body of a chat
@@ -80,25 +81,25 @@
 func (g *Gateway) readRequest(r *http.Request, workspace figbank.Workspace) (*request, error) {
 	req := &request{
 		Request: relay.Request{ID: newRequestID(), Workspace: workspace, Method: r.Method},
-		key:     r.Header.Get(headerIdempotencyKey), reservation: g.memory.reserve(),
+		key:     r.Header.Get(headerIdempotencyKey), reservation: g.memory.Reserve(),
 	}
 	if len(req.key) > maxKeyLength {
 		return nil, figbank.InvalidError{Subject: headerIdempotencyKey, Detail: "longer than 255 bytes"}
 	}
 	req.Headers = forwardedHeaders(r.Header)
-	if !req.reservation.grow(int64(g.settings.Relay.StreamWindow)) {
+	if !req.reservation.Grow(g.settings.Relay.StreamWindow) {
 		return nil, figbank.NotRunError{Reason: figbank.ReasonMemoryFull}
 	}
 	body, err := g.readBody(r, req.reservation)
 	if err != nil {
-		req.reservation.release()
+		req.reservation.Release()
 		return nil, err
 	}
 	req.Body = body
 	return req, nil
 }
 
-func (g *Gateway) readBody(r *http.Request, reservation *reservation) ([]byte, error) {
+func (g *Gateway) readBody(r *http.Request, reservation *memory.Reservation) ([]byte, error) {
 	if r.ContentLength > int64(g.settings.MaxBody) {
 		return nil, bodyTooLargeError{limit: g.settings.MaxBody}
 	}
@@ -106,7 +107,7 @@
 	piece := make([]byte, readBufferBytes)
 	for {
 		n, err := r.Body.Read(piece)
-		if n > 0 && !reservation.grow(int64(n)) {
+		if n > 0 && !reservation.Grow(figbank.Bytes(n)) {
 			return nil, figbank.NotRunError{Reason: figbank.ReasonMemoryFull}
 		}
 		body = append(body, piece[:n]...)
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -90,7 +90,7 @@
 		writeProblem(c.Writer, newRequestID(), err)
 		return
 	}
-	defer req.reservation.release()
+	defer req.reservation.Release()
 	if err := setTarget(req); err != nil {
 		writeProblem(c.Writer, req.ID, err)
 		return
