Gateways on a platform: one budget for what all requests hold together

What callers saw: 800 answers that did not end took more memory than a gateway may use; the process was killed, and all its requests ended with it.

Cause: a bound on each answer (256 KiB of body or event, 64 KiB of head), where the limit is on the process. Heads were worst: 60 kB of different short header lines take 1 MB once they are decoded.

Change: callers' bodies, answers that are kept, events and heads take their memory from one budget as the bytes arrive, three eighths of MemoryLimit (limits.memory_mb of the platform), and give it back at the end. Each request has a share of 24 KiB, so that usual heads, events and answers are never refused. Beyond it, the more expendable uses stop first: an answer (half of the budget) is passed on as it arrives and loses only its retry; a head or an event (three quarters) ends its attempt with an unknown outcome; a caller's body (seven eighths) and a request are refused before anything is sent, with NotRunError. A full budget is no evidence that the request crashes upstreams. The heap is held under three quarters of MemoryLimit by the collector. A gauge, a counter and a log line show the budget.

--- a/app/platformgateway.go
+++ b/app/platformgateway.go
@@ -46,9 +46,9 @@
 	)
 }
 
-func newUpstreamPool(lifecycle fx.Lifecycle, common figbank.Common) *upstream.Pool {
+func newUpstreamPool(lifecycle fx.Lifecycle, common figbank.Common, budget *memory.Budget) *upstream.Pool {
 	dialed := common.Scope.SubScope("upstream").Counter("connections")
-	pool := upstream.NewPool(common.Clock, upstream.WithDialHook(func() { dialed.Inc(1) }))
+	pool := upstream.NewPool(common.Clock, upstream.WithDialHook(func() { dialed.Inc(1) }), upstream.WithMemory(budget))
 	lifecycle.Append(fx.StopHook(pool.Close))
 	return pool
 }
--- a/app/requestmemory.go
+++ b/app/requestmemory.go
@@ -2,24 +2,33 @@
 
 import (
 	"context"
-	"math"
+	"runtime/debug"
 
 	"figbank"
 	"figbank/memory"
+	"figbank/schema"
+	"figbank/settings"
 
 	"go.uber.org/fx"
+	"go.uber.org/zap"
 )
 
-// newRequestMemory returns the budget of what all requests of this gateway hold together.
-func newRequestMemory() *memory.Budget {
-	return memory.NewBudget(math.MaxInt64)
+// newRequestMemory returns the budget of what all requests of this gateway hold together. It also
+// limits the heap.
+func newRequestMemory(s *schema.PlatformSettings) *memory.Budget {
+	if limit := settings.HeapLimit(s.GetNode()); limit > 0 {
+		debug.SetMemoryLimit(int64(limit))
+	}
+	return memory.NewBudget(settings.RequestMemory(s.GetNode()))
 }
 
-// reportRequestMemory keeps a gauge of what all requests hold together.
+// reportRequestMemory keeps a gauge of what all requests hold together, and logs that the budget was
+// spent, at most once per metricsInterval.
 func reportRequestMemory(lifecycle fx.Lifecycle, common figbank.Common, budget *memory.Budget) {
 	ctx, cancel := context.WithCancel(context.Background())
 	lifecycle.Append(fx.StopHook(cancel))
-	held := common.Scope.SubScope("requests").Gauge("held_bytes")
+	common = common.Named("requests")
+	held := common.Scope.Gauge("held_bytes")
 	go func() {
 		ticks, stop := common.Clock.Tick(metricsInterval)
 		defer stop()
@@ -30,6 +39,16 @@
 			case <-ticks:
 			}
 			held.Update(float64(budget.Used()))
+			logMemorySpent(common, budget)
 		}
 	}()
 }
+
+// logMemorySpent logs and counts, for each use, how many times the budget had no room since the last
+// call.
+func logMemorySpent(common figbank.Common, budget *memory.Budget) {
+	for use, count := range budget.TakeRefused() {
+		common.Log.Warn("memory for requests is spent", zap.Stringer("use", use), zap.Int64("times", count), zap.Int64("heldBytes", int64(budget.Used())))
+		common.Scope.Tagged(map[string]string{"use": use.String()}).Counter("memory_spent").Inc(count)
+	}
+}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -8,6 +8,7 @@
 
 	"figbank"
 	"figbank/crashers"
+	"figbank/memory"
 
 	"go.uber.org/zap"
 )
@@ -113,6 +114,9 @@
 		// The upstream was not asked.
 	case provedNotRun && notRun.Reason == figbank.ReasonUpstreamBusy:
 		target.Load.recordBusy(now)
+	case errors.As(err, new(memory.FullError)):
+		// The request is not to blame.
+		target.Load.recordFailure(now, false)
 	case errors.As(err, new(figbank.FailedAnswerError)):
 		r.crashers.RecordAnswer(now, r.identity.Fingerprint)
 		target.Load.recordFailure(now, false)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -15,13 +15,21 @@
 	"go.uber.org/zap"
 )
 
+const (
+	// requestMemory is the memory that each request takes from the budget, whatever its answer is: a
+	// usual head, the first answerShare bytes of the answer, and buffers of its connections.
+	requestMemory figbank.Bytes = 24 << 10
+	// memoryRetryAfter is the retry delay sent to callers whose request does not fit in the budget.
+	memoryRetryAfter = time.Second
+)
+
 type (
 	// Settings configure a dispatcher.
 	Settings struct {
 		Location Location
 		// Retries bounds the retries that all gateways together send to each service.
 		Retries retry.Allowance
-		// Memory counts what all requests together hold.
+		// Memory bounds what all requests together hold. nil means no bound.
 		Memory *memory.Budget
 	}
 
@@ -109,6 +117,11 @@
 // the response. NotRunError, and DeadlineError with NotSent set, prove that the request did
 // not run and will not run; after any other error it may have run.
 func (d *Dispatcher) Serve(ctx context.Context, request *Request, response ResponseWriter) error {
+	held := d.settings.Memory.Reserve(memory.Request, 0)
+	defer held.Release()
+	if !held.Grow(requestMemory) {
+		return figbank.NotRunError{Reason: figbank.ReasonMemoryFull, RetryAfter: memoryRetryAfter}
+	}
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	d.budgets.For(request.Service).Deposit(d.common.Clock.Now())
@@ -117,6 +130,7 @@
 		log:      d.common.Log.With(zap.String("request", string(request.ID))),
 		identity: identityOf(request),
 	}
+	defer r.releaseFailed()
 	err := r.serve(ctx)
 	r.logFinished(err)
 	return err
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -7,6 +7,7 @@
 	"io"
 
 	"figbank"
+	"figbank/memory"
 )
 
 const (
@@ -21,6 +22,8 @@
 type eventReader struct {
 	reader *bufio.Reader
 	event  bytes.Buffer
+	// held is the memory for event.
+	held *memory.Reservation
 }
 
 func newEventReader(body io.Reader) *eventReader {
@@ -30,7 +33,8 @@
 // next returns the bytes of the next complete event, and its id if it has one. The
 // bytes are valid until the next call. It returns io.EOF when the stream ends after a
 // complete event or is empty, IncompleteAnswerError when it ends inside an event or cannot
-// be read, and ProtocolError when an event is too long or is none.
+// be read, ProtocolError when an event is too long or is none, and memory.FullError when there is no
+// memory for it.
 func (r *eventReader) next() (event []byte, id string, err error) {
 	r.event.Reset()
 	for {
@@ -39,6 +43,8 @@
 		switch {
 		case r.event.Len() > maxEvent:
 			return nil, "", figbank.ProtocolError{Detail: "event is too long"}
+		case !r.held.Fit(figbank.Bytes(r.event.Cap())):
+			return nil, "", memory.FullError{}
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && r.event.Len() > 0:
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -1,12 +1,12 @@
 package dispatch
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
 
 	"figbank"
+	"figbank/memory"
 )
 
 const (
@@ -14,9 +14,10 @@
 	// caller gets any of it, so that the request can be retried when the connection breaks.
 	// Events of a stream are forwarded one by one instead.
 	maxBufferedAnswer = 256 << 10
-	// copyBufferSize is the size, in bytes, of the buffer through which longer answers are
-	// copied.
-	copyBufferSize = 32 << 10
+	// answerShare is the part of an answer or event, in bytes, for which there is memory even if the
+	// budget is spent. copyBufferSize is the size of the buffer through which longer answers are copied.
+	answerShare    = 16 << 10
+	copyBufferSize = answerShare
 )
 
 type (
@@ -25,44 +26,37 @@
 		status int
 		header http.Header
 		body   []byte
-	}
-
-	// rejoinedBody is a body whose beginning has already been read. Its reader returns
-	// that beginning again, then the rest.
-	rejoinedBody struct {
-		io.Reader
-		io.Closer
+		held   *memory.Reservation
 	}
 )
 
 // forward sends one answer to the caller. If the response has already started, only an event
 // stream can continue it; any other answer causes an error. An answer with a status of 500
-// or more to a repeatable request is not sent if it has at most maxBufferedAnswer bytes:
-// forward stores it in failedAnswer and returns FailedAnswerError.
+// or more to a repeatable request is not sent if it has at most maxBufferedAnswer bytes, and there is
+// memory for them: forward stores it in failedAnswer and returns FailedAnswerError.
 func (r *run) forward(answer *Answer) error {
 	if answer.Events && answer.Status == http.StatusOK {
 		return r.forwardEvents(answer)
 	}
+	held := r.settings.Memory.Reserve(memory.Answer, answerShare)
 	if answer.Length > maxBufferedAnswer {
-		return r.forwardUnbuffered(answer)
+		return r.forwardUnbuffered(answer, nil, held)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedAnswer+1))
-	held := r.settings.Memory.Reserve()
-	defer held.Release()
-	held.Grow(figbank.Bytes(cap(body)))
+	body, err := held.ReadAll(answer.Body, figbank.Bytes(answer.Length), maxBufferedAnswer)
 	r.recordFirstByte()
+	if errors.As(err, new(memory.FullError)) || len(body) > maxBufferedAnswer {
+		return r.forwardUnbuffered(answer, body, held)
+	}
 	if err != nil {
+		held.Release()
 		return figbank.UnknownOutcomeError{Detail: "reading the answer failed: " + err.Error()}
 	}
-	if len(body) > maxBufferedAnswer {
-		answer.Body = rejoinedBody{Reader: io.MultiReader(bytes.NewReader(body), answer.Body), Closer: answer.Body}
-		return r.forwardUnbuffered(answer)
-	}
-	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
-	if answer.Status >= http.StatusInternalServerError && r.request.Route.Repeatable() && !r.response.Started() {
-		r.failedAnswer = buffered
+	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body, held: held}
+	failed := answer.Status >= http.StatusInternalServerError
+	if failed && r.request.Route.Repeatable() && !r.response.Started() && r.keepFailed(buffered) {
 		return figbank.FailedAnswerError{Status: answer.Status}
 	}
+	defer held.Release()
 	if r.response.Started() {
 		return figbank.IncompleteAnswerError{Detail: "the stream could not be resumed at another upstream"}
 	}
@@ -72,6 +66,8 @@
 // forwardEvents forwards each event as soon as it has arrived completely.
 func (r *run) forwardEvents(answer *Answer) error {
 	events := newEventReader(answer.Body)
+	events.held = r.settings.Memory.Reserve(memory.Event, answerShare)
+	defer events.held.Release()
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) && answer.Unframed && r.events == 0 && (r.response.Started() || r.lastEvent == "") {
@@ -107,14 +103,21 @@
 	}
 }
 
-// forwardUnbuffered forwards an answer as it arrives. After an error the caller is left with
-// an incomplete answer.
-func (r *run) forwardUnbuffered(answer *Answer) error {
+// forwardUnbuffered forwards an answer as it arrives, after its beginning, whose memory is held. After
+// an error the caller is left with an incomplete answer.
+func (r *run) forwardUnbuffered(answer *Answer, beginning []byte, held *memory.Reservation) error {
+	defer held.Release()
 	r.recordFirstByte()
 	if r.response.Started() {
 		return figbank.IncompleteAnswerError{Detail: "the stream could not be resumed at another upstream"}
 	}
 	r.response.Head(answer.Status, answer.Header, answer.Length)
+	if len(beginning) > 0 {
+		if err := r.response.Write(beginning); err != nil {
+			return err
+		}
+	}
+	held.Release()
 	buffer := make([]byte, copyBufferSize)
 	for {
 		n, err := answer.Body.Read(buffer)
@@ -132,6 +135,24 @@
 	}
 }
 
+// keepFailed keeps an error answer for the caller in place of an earlier one. It returns false if there
+// is no memory for it.
+func (r *run) keepFailed(answer *bufferedAnswer) bool {
+	if !answer.held.Grow(memory.HeaderSize(answer.header)) {
+		return false
+	}
+	r.releaseFailed()
+	r.failedAnswer = answer
+	return true
+}
+
+// releaseFailed releases the memory of the error answer that is kept, if there is one.
+func (r *run) releaseFailed() {
+	if r.failedAnswer != nil {
+		r.failedAnswer.held.Release()
+	}
+}
+
 func (b *bufferedAnswer) writeTo(response ResponseWriter) error {
 	response.Head(b.status, b.header, int64(len(b.body)))
 	return response.Write(b.body)
--- a/figbank.go
+++ b/figbank.go
@@ -12,8 +12,11 @@
 	"figbank/schema"
 )
 
-// Megabit is a megabit in bytes.
-const Megabit Bytes = 1e6 / 8
+// Megabit and Megabyte are sizes in bytes.
+const (
+	Megabit  Bytes = 1e6 / 8
+	Megabyte Bytes = 1e6
+)
 
 type (
 	// ProcessID names one figbank process in a deployment.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -81,7 +81,7 @@
 func (g *Gateway) readRequest(r *http.Request, workspace figbank.Workspace) (*request, error) {
 	req := &request{
 		Request: relay.Request{ID: newRequestID(), Workspace: workspace, Method: r.Method},
-		key:     r.Header.Get(headerIdempotencyKey), reservation: g.memory.Reserve(),
+		key:     r.Header.Get(headerIdempotencyKey), reservation: g.memory.Reserve(memory.Request, 0),
 	}
 	if len(req.key) > maxKeyLength {
 		return nil, figbank.InvalidError{Subject: headerIdempotencyKey, Detail: "longer than 255 bytes"}
--- a/settings/check.go
+++ b/settings/check.go
@@ -12,6 +12,8 @@
 	// heartbeatsPerElection is the smallest allowed ratio of ElectionTimeout to HeartbeatInterval.
 	heartbeatsPerElection = 3
 	percent               = 100
+	// defaultRequestMemory is what the requests of a gateway may hold together if MemoryLimit is not set.
+	defaultRequestMemory figbank.Bytes = 64 << 20
 )
 
 // checkGateway checks the rules of a gateway's settings that a KeyRule cannot express.
@@ -74,6 +76,26 @@
 	return figbank.Bytes(w.GetLinkRate() * float64(figbank.Megabit) * float64(w.GetLinkShare()) / percent)
 }
 
+// RequestMemory returns how many bytes all requests of a gateway may hold together. The rest of the
+// memory is for garbage that is not collected yet, for bytes that have arrived but are not read, and
+// for the process itself.
+func RequestMemory(n *schema.NodeSettings) figbank.Bytes {
+	if n.GetMemoryLimit() == 0 {
+		return defaultRequestMemory
+	}
+	return memoryLimit(n) * 3 / 8
+}
+
+// HeapLimit returns the size that the memory of the Go runtime should not exceed, 0 for no limit. The
+// collector works more often before it does.
+func HeapLimit(n *schema.NodeSettings) figbank.Bytes {
+	return memoryLimit(n) * 3 / 4
+}
+
+func memoryLimit(n *schema.NodeSettings) figbank.Bytes {
+	return figbank.Bytes(n.GetMemoryLimit() * float64(figbank.Megabyte))
+}
+
 // RegionsOf returns the region of each failure domain.
 func RegionsOf(s *schema.PlatformSettings) map[figbank.FailureDomain]figbank.Region {
 	regions := map[figbank.FailureDomain]figbank.Region{}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -200,3 +200,32 @@
 		t.Errorf("ratio, window = %v, %v, want 0.05, 4s", ratio, window)
 	}
 }
+
+// A gateway did not know the memory at which it is killed, and all its requests together held more.
+func TestDeployedSettingsFollowTheMemoryLimit(t *testing.T) {
+	content, err := os.ReadFile("../deploy/settings.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := "\nMemoryLimit = {{limits.memory_mb}}\n"; !strings.Contains(string(content), want) {
+		t.Errorf("deploy/settings.ini has no line %q", want)
+	}
+	scenarios := []struct {
+		text                   string
+		wantRequests, wantHeap figbank.Bytes
+	}{
+		{text: "MemoryLimit = 160", wantRequests: 60e6, wantHeap: 120e6},
+		{text: "MemoryLimit = 0", wantRequests: 64 << 20},
+		{text: "", wantRequests: 64 << 20},
+	}
+	for _, s := range scenarios {
+		node, _, _ := strings.Cut(platformFile, "[Bounds]")
+		got, err := ParsePlatform("p.ini", []byte(node+s.text+"\n"))
+		if err != nil {
+			t.Fatalf("ParsePlatform() = %v", err)
+		}
+		if requests, heap := RequestMemory(got.GetNode()), HeapLimit(got.GetNode()); requests != s.wantRequests || heap != s.wantHeap {
+			t.Errorf("%q: requests, heap = %d, %d, want %d, %d", s.text, requests, heap, s.wantRequests, s.wantHeap)
+		}
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"figbank"
+	"figbank/memory"
 
 	"golang.org/x/sys/unix"
 )
@@ -124,6 +125,8 @@
 	done bool
 	// written receives the result of sending the request.
 	written <-chan error
+	// head is the memory for the head. Close releases it.
+	head *memory.Reservation
 }
 
 // Read reads from the body. At the end of the body it gives the connection back.
@@ -137,6 +140,7 @@
 
 // Close resets the connection unless the body was read to its end.
 func (b *body) Close() error {
+	b.head.Release()
 	if b.done {
 		return nil
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"figbank"
+	"figbank/memory"
 )
 
 const (
@@ -20,6 +21,8 @@
 	// maxHeadBytes limits the bytes that are read for one request until the head of the
 	// final response is complete.
 	maxHeadBytes = 64 << 10
+	// headShare is the memory that each head may take even if the budget is spent. Usual heads take less.
+	headShare figbank.Bytes = 8 << 10
 	// maxDiscard is the maximum number of bytes of an unwanted response that Discard reads,
 	// discardTimeout the time that it waits for them.
 	maxDiscard     = 4 << 10
@@ -82,15 +85,17 @@
 		c.reset()
 		return nil, connectionLost("Send", err, call)
 	}
-	response, err := c.receiveHead(call.Method) //nolint:bodyclose // the body is returned to the caller
+	held := p.memory.Reserve(memory.Event, headShare)
+	response, err := c.receiveHead(call.Method, held) //nolint:bodyclose // the body is returned to the caller
 	if err != nil {
+		held.Release()
 		stop()
 		c.reset()
 		return nil, connectionLost("Receive", err, call)
 	}
 	c.parseKeepAlive(response.Header.Get("Keep-Alive"))
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	b := &body{ReadCloser: response.Body, conn: c, reuse: framed && !response.Close && !call.Close, stop: stop, written: written}
+	b := &body{ReadCloser: response.Body, conn: c, reuse: framed && !response.Close && !call.Close, stop: stop, written: written, head: held}
 	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Unframed: !framed, Reused: c.used, Body: b}
 	c.used = true
 	if response.ContentLength == 0 {
@@ -120,15 +125,18 @@
 }
 
 // receiveHead reads the head of the final response and skips informational responses. All of
-// them together may have maxHeadBytes.
-func (c *conn) receiveHead(method string) (*http.Response, error) {
-	c.heads.begin(maxHeadBytes)
+// them together may have maxHeadBytes, and must fit in held.
+func (c *conn) receiveHead(method string, held *memory.Reservation) (*http.Response, error) {
+	c.heads.begin(maxHeadBytes, held)
 	defer c.heads.end()
 	for range maxHeads {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
+		if !held.Fit(memory.HeaderSize(response.Header)) {
+			return nil, memory.FullError{}
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
--- a/upstream/headlimiter.go
+++ b/upstream/headlimiter.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"figbank"
+	"figbank/memory"
 )
 
 // headLimiter reads from a connection and bounds the bytes of heads. Without a bound, a
@@ -15,12 +16,20 @@
 	// inHead is set while heads are read. left is how many more bytes they may have.
 	inHead bool
 	left   int
+	// held is the memory for the heads. unpaid is what was read last, for which none is reserved yet.
+	held   *memory.Reservation
+	unpaid figbank.Bytes
 }
 
-func (h *headLimiter) begin(limit int) { h.inHead, h.left = true, limit }
-func (h *headLimiter) end()            { h.inHead = false }
+// begin starts reading heads of at most limit bytes. held must have room for them.
+func (h *headLimiter) begin(limit int, held *memory.Reservation) {
+	h.inHead, h.left, h.held, h.unpaid = true, limit, held, 0
+}
+
+func (h *headLimiter) end() { h.inHead, h.held = false, nil }
 
-// Read returns a ProtocolError once the heads are longer than their bound.
+// Read returns a ProtocolError once the heads are longer than their bound, and a memory.FullError once
+// there is no memory left for them.
 func (h *headLimiter) Read(buffer []byte) (int, error) {
 	if !h.inHead {
 		return h.source.Read(buffer)
@@ -28,7 +37,13 @@
 	if h.left <= 0 {
 		return 0, figbank.ProtocolError{Detail: "head is longer than " + strconv.Itoa(maxHeadBytes) + " bytes"}
 	}
+	// What was read before belongs to heads, since they are not complete yet. What is read now may
+	// belong to the body.
+	if !h.held.Grow(h.unpaid) {
+		return 0, memory.FullError{}
+	}
 	n, err := h.source.Read(buffer[:min(len(buffer), h.left)])
 	h.left -= n
+	h.unpaid = memory.HeadSize(buffer[:n])
 	return n, err
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"figbank"
+	"figbank/memory"
 
 	"golang.org/x/sys/unix"
 )
@@ -39,6 +40,7 @@
 		dial  Dialer
 		// onDial is called for each new connection.
 		onDial func()
+		memory *memory.Budget
 
 		mu   sync.Mutex
 		idle map[figbank.Address][]*conn
@@ -55,6 +57,11 @@
 	return func(p *Pool) { p.onDial = handle }
 }
 
+// WithMemory makes the heads of responses take their memory from budget.
+func WithMemory(budget *memory.Budget) Option {
+	return func(p *Pool) { p.memory = budget }
+}
+
 // NewPool returns an empty pool.
 func NewPool(clock figbank.Clock, options ...Option) *Pool {
 	p := &Pool{clock: clock, dial: dialTCP, onDial: func() {}, idle: map[figbank.Address][]*conn{}}
