upstream: at most 32 KiB wait unread on a connection

Bytes that have arrived and were not read count as memory of a gateway. The kernel lets the buffer of a connection grow to megabytes (tcp_rmem). Connections to upstreams now ask for a receive buffer of 32 KiB (the kernel reserves twice that): 800 connections that nobody reads take at most 52 MB, 26 MB of them bytes. An answer of 1 MB needs about 32 round trips.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"figbank"
@@ -20,6 +21,9 @@
 	// userTimeout ends a connection whose sent bytes are not acknowledged for this long. It
 	// is also the idle time before the first keep-alive probe and the time until the next.
 	userTimeout = 1500 * time.Millisecond
+	// receiveBufferBytes is the number of bytes that an upstream may send before they are read. An
+	// answer of 1 MB needs about 32 round trips with it.
+	receiveBufferBytes = 32 << 10
 	// The pool stops using an idle connection idleMargin before the upstream closes it.
 	idleMargin = 1200 * time.Millisecond
 	// defaultIdle is how long an upstream is assumed to keep an idle connection open when its
@@ -136,9 +140,10 @@
 }
 
 func dialTCP(ctx context.Context, address figbank.Address) (net.Conn, error) {
-	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: userTimeout, Interval: userTimeout, Count: 1,
-	}}
+	dialer := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: userTimeout, Interval: userTimeout, Count: 1},
+		Control:         setReceiveBuffer,
+	}
 	netConn, err := dialer.DialContext(ctx, "tcp", string(address))
 	if err != nil {
 		return nil, err
@@ -147,6 +152,14 @@
 	return netConn, nil
 }
 
+// setReceiveBuffer bounds the bytes that arrive on a connection before they are read. The kernel would
+// let them grow to several megabytes for each connection.
+func setReceiveBuffer(_, _ string, control syscall.RawConn) error {
+	return control.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+	})
+}
+
 // setUserTimeout sets how long sent bytes may stay unacknowledged before the kernel
 // ends the connection.
 func setUserTimeout(netConn net.Conn) {
