--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -21,8 +21,8 @@
 	// userTimeout ends a connection whose sent bytes are not acknowledged for this long. It
 	// is also the idle time before the first keep-alive probe and the time until the next.
 	userTimeout = 1500 * time.Millisecond
-	// receiveBufferBytes is the number of bytes that an upstream may send before they are read. An
-	// answer of 1 MB needs about 32 round trips with it.
+	// receiveBufferBytes is about how many bytes an upstream may send before they are read. The kernel
+	// reserves twice as much.
 	receiveBufferBytes = 32 << 10
 	// The pool stops using an idle connection idleMargin before the upstream closes it.
 	idleMargin = 1200 * time.Millisecond
