--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -8,6 +8,7 @@
 
 	"figbank"
 	"figbank/crashers"
+	"figbank/memory"
 
 	"go.uber.org/zap"
 )
@@ -117,6 +118,9 @@
 	case errors.As(err, new(streamError)):
 		// Who sends wrong bytes has not crashed.
 		target.Load.recordGarbage(now)
+	case errors.As(err, new(memory.FullError)):
+		// The request is not to blame.
+		target.Load.recordFailure(now, false)
 	case errors.As(err, new(figbank.FailedAnswerError)):
 		r.crashers.RecordAnswer(now, r.identity.Fingerprint)
 		target.Load.recordFailure(now, false)
--- a/dispatch/numberedevents.go
+++ b/dispatch/numberedevents.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"figbank"
+	"figbank/memory"
 )
 
 // forwardNumbered forwards the events of a stream whose events have numbers as soon as each has arrived
@@ -13,6 +14,8 @@
 func (r *run) forwardNumbered(answer *Answer) error {
 	r.format.versionField, r.format.version = answer.VersionField, answer.Version
 	events := newNumberedReader(answer.Body, &r.format)
+	events.held = r.settings.Memory.Reserve(memory.Event, answerShare)
+	defer events.held.Release()
 	events.skipMark()
 	given := false
 	defer func() {
--- a/dispatch/numberedreader.go
+++ b/dispatch/numberedreader.go
@@ -7,6 +7,7 @@
 	"io"
 
 	"figbank"
+	"figbank/memory"
 )
 
 // maxFiller is how many bytes of empty lines and comments may stand between two events. They are no
@@ -25,6 +26,8 @@
 	filler int
 	// stated is what the lines of the event state.
 	stated numberedEvent
+	// held is the memory for event.
+	held *memory.Reservation
 }
 
 func newNumberedReader(body io.Reader, format *eventFormat) *numberedReader {
@@ -44,7 +47,7 @@
 
 // next returns the bytes of the next event, valid until the next call, and its number. It returns
 // io.EOF when the stream ends after an event or is empty, IncompleteAnswerError when it ends inside an
-// event or cannot be read, and streamError when the bytes are no event, or have arrived with
+// event or cannot be read, memory.FullError when there is no memory for it, and streamError when the bytes are no event, or have arrived with
 // bytes that are none.
 func (r *numberedReader) next() (event []byte, number int64, err error) {
 	r.event, r.line, r.filler, r.stated = r.event[:0], 0, 0, numberedEvent{}
@@ -85,6 +88,8 @@
 		switch {
 		case len(r.event) > maxEvent:
 			return newStreamError(faultLength, "event is too long", r.event)
+		case !r.held.Fit(figbank.Bytes(cap(r.event))):
+			return memory.FullError{}
 		case r.line == 0 && len(r.event) > 0 && isFiller(r.event) && r.filler+len(r.event) > maxFiller:
 			return r.tooMuchFiller()
 		case errors.Is(err, bufio.ErrBufferFull):
