App: an agent has connections to upstreams without a budget of requests

Gateways and agents provide their own pools now. No test had started the application of an agent or a gateway: TestEachRoleStarts fails for the agent before (missing type: *memory.Budget) and passes.

--- a/app/platform_test.go
+++ b/app/platform_test.go
@@ -10,6 +10,9 @@
 	"testing"
 	"time"
 
+	"go.uber.org/fx"
+
+	"figbank/schema"
 	"figbank/settings"
 )
 
@@ -71,3 +74,34 @@
 		t.Errorf("status of a read on a replica without a log = %d, want 503", status)
 	}
 }
+
+// An agent lacked a part that only gateways provide, and ended at its start.
+func TestEachRoleStarts(t *testing.T) {
+	roles := []struct {
+		name, node string
+		start      func(*schema.PlatformSettings, SettingsFile, ...fx.Option) *fx.App
+	}{
+		{name: "gateway", node: "ListenCallers = 127.0.0.1:%d\nListenReadiness = 127.0.0.1:%d", start: NewPlatformGateway},
+		{name: "replica", node: "ListenControl = 127.0.0.1:%d\nListenMetrics = 127.0.0.1:%d", start: NewPlatformReplica},
+		{name: "agent", node: "Upstream = 127.0.0.1:%d\nService = s\nListenMetrics = 127.0.0.1:%d", start: NewPlatformAgent},
+	}
+	for _, role := range roles {
+		t.Run(role.name, func(t *testing.T) {
+			text := fmt.Sprintf("[Process]\nId = p\nRegion = r\nFailureDomain = z\nListenProcesses = 127.0.0.1:%d\nDataFolder = %s\nLogLevel = Error\n"+
+				"[Node]\nSeeds = 127.0.0.1:%d\nRegions = z=r\n"+role.node+"\n", freePort(t), t.TempDir(), freePort(t), freePort(t), freePort(t))
+			s, err := settings.ParsePlatform(role.name, []byte(text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			process := role.start(s, "none")
+			if err := process.Start(context.Background()); err != nil {
+				t.Fatalf("Start() = %v, want nil", err)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+			defer cancel()
+			if err := process.Stop(ctx); err != nil {
+				t.Errorf("Stop() = %v, want nil", err)
+			}
+		})
+	}
+}
--- a/app/platformagent.go
+++ b/app/platformagent.go
@@ -30,12 +30,16 @@
 	return fx.New(
 		platformOptions(s, schema.MemberRole_MEMBER_ROLE_AGENT),
 		fx.Supply(file, &transfer.Active{}),
-		fx.Provide(newUpstreamPool, newTemporaryStore, newLink),
+		fx.Provide(newAgentPool, newTemporaryStore, newLink),
 		fx.Invoke(watchSettings, serveWeights, runStager),
 		fx.Options(options...),
 	)
 }
 
+func newAgentPool(lifecycle fx.Lifecycle, common figbank.Common) *upstream.Pool {
+	return newUpstreamPool(lifecycle, common)
+}
+
 func newLink(common figbank.Common, s *schema.PlatformSettings) *transfer.Link {
 	return transfer.NewLink(common.Clock, settings.WeightBandwidth(s.GetWeights()))
 }
--- a/app/platformgateway.go
+++ b/app/platformgateway.go
@@ -40,15 +40,21 @@
 		platformOptions(s, schema.MemberRole_MEMBER_ROLE_GATEWAY),
 		fx.Supply(file),
 		fx.Provide(newStopState),
-		fx.Provide(newRequestMemory, newUpstreamPool, newDispatcher),
+		fx.Provide(newRequestMemory, newGatewayPool, newDispatcher),
 		fx.Invoke(watchSettings, reportRequestMemory, shareLoad, serveReadiness, servePlatformCallers),
 		fx.Options(options...),
 	)
 }
 
-func newUpstreamPool(lifecycle fx.Lifecycle, common figbank.Common, budget *memory.Budget) *upstream.Pool {
+// newGatewayPool returns the connections to upstreams of a gateway. What they read counts in the budget.
+func newGatewayPool(lifecycle fx.Lifecycle, common figbank.Common, budget *memory.Budget) *upstream.Pool {
+	return newUpstreamPool(lifecycle, common, upstream.WithMemory(budget))
+}
+
+func newUpstreamPool(lifecycle fx.Lifecycle, common figbank.Common, options ...upstream.Option) *upstream.Pool {
 	dialed := common.Scope.SubScope("upstream").Counter("connections")
-	pool := upstream.NewPool(common.Clock, upstream.WithDialHook(func() { dialed.Inc(1) }), upstream.WithMemory(budget))
+	options = append(options, upstream.WithDialHook(func() { dialed.Inc(1) }))
+	pool := upstream.NewPool(common.Clock, options...)
 	lifecycle.Append(fx.StopHook(pool.Close))
 	return pool
 }
