Agents: their pool of connections has no budget for requests

Agents did not start since: their pool asked for the budget of a gateway's requests, which an agent does not have.

--- a/app/platformagent.go
+++ b/app/platformagent.go
@@ -30,7 +30,7 @@
 	return fx.New(
 		platformOptions(s, schema.MemberRole_MEMBER_ROLE_AGENT),
 		fx.Supply(file, &transfer.Active{}),
-		fx.Provide(newUpstreamPool, newTemporaryStore, newLink),
+		fx.Provide(newAgentPool, newTemporaryStore, newLink),
 		fx.Invoke(watchSettings, serveWeights, runStager),
 		fx.Options(options...),
 	)
--- a/app/platformgateway.go
+++ b/app/platformgateway.go
@@ -46,9 +46,20 @@
 	)
 }
 
+// newUpstreamPool returns the pool of a gateway, whose responses take their memory from budget.
 func newUpstreamPool(lifecycle fx.Lifecycle, common figbank.Common, budget *memory.Budget) *upstream.Pool {
+	return newCountedPool(lifecycle, common, upstream.WithMemory(budget))
+}
+
+// newAgentPool returns the pool of an agent, which makes few calls at once.
+func newAgentPool(lifecycle fx.Lifecycle, common figbank.Common) *upstream.Pool {
+	return newCountedPool(lifecycle, common)
+}
+
+func newCountedPool(lifecycle fx.Lifecycle, common figbank.Common, options ...upstream.Option) *upstream.Pool {
 	dialed := common.Scope.SubScope("upstream").Counter("connections")
-	pool := upstream.NewPool(common.Clock, upstream.WithDialHook(func() { dialed.Inc(1) }), upstream.WithMemory(budget))
+	options = append(options, upstream.WithDialHook(func() { dialed.Inc(1) }))
+	pool := upstream.NewPool(common.Clock, options...)
 	lifecycle.Append(fx.StopHook(pool.Close))
 	return pool
 }
