--- a/transport/stream.go
+++ b/transport/stream.go
@@ -17,13 +17,9 @@
 	"google.golang.org/protobuf/proto"
 )
 
-const (
-	// maxMessage bounds the size of a message from another process.
-	maxMessage figbank.Bytes = 16 << 20
-	// readBuffer is the size of a stream's read buffer in bytes. It is small, since every
-	// open stream has one.
-	readBuffer = 4 << 10
-)
+// readBuffer is the size of a stream's read buffer in bytes. It is small, since every
+// open stream has one.
+const readBuffer = 4 << 10
 
 // pastDeadline is a time in the past. As a read deadline it makes reads fail at once.
 var pastDeadline = time.Unix(1, 0)
@@ -60,7 +56,12 @@
 // Receive reads one message into message. The error wraps io.EOF when the peer has
 // finished sending.
 func (s *Stream) Receive(message proto.Message) error {
-	if err := receive(s.reader, message); err != nil {
+	return s.receiveAtMost(message, maxMessage)
+}
+
+// receiveAtMost is like Receive, for messages of at most limit bytes.
+func (s *Stream) receiveAtMost(message proto.Message, limit figbank.Bytes) error {
+	if err := receive(s.reader, message, limit); err != nil {
 		return err
 	}
 	if s.meter != nil {
@@ -69,11 +70,6 @@
 	return nil
 }
 
-func receive(reader *bufio.Reader, message proto.Message) error {
-	options := protodelim.UnmarshalOptions{MaxSize: int64(maxMessage)}
-	return figbank.WrapError("transport", "Receive", options.UnmarshalFrom(reader, message))
-}
-
 // Close ends the stream in both directions and interrupts a blocked Receive.
 func (s *Stream) Close() {
 	_ = s.raw.Close()
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -163,7 +163,7 @@
 	reader := bufio.NewReader(bytes.NewReader(content))
 	for {
 		frame := &schema.CallFrame{}
-		if err := receive(reader, frame); err != nil {
+		if err := receive(reader, frame, maxMessage); err != nil {
 			return err
 		}
 	}
