Staging: a report that goes back does not serve wrong weights

What callers would have seen: weights that are known to be wrong. An engine that has loaded wrong pieces is withheld from callers until it has loaded again; one report with a lower number of orders made the order look as if it had not been accepted yet, one without a birth as if the engine had restarted, and the engine went back into service.

Cause: orderedLoad.outcome believed each report by itself.

Change: an order that a report has shown as accepted stays accepted until the engine's birth changes; a report without a birth is no restart.

--- a/staging/load.go
+++ b/staging/load.go
@@ -43,6 +43,9 @@
 		bornUnixMilli int64
 		// orders is the number of orders that the engine had accepted before.
 		orders uint64
+		// accepted is set once a report has shown that the engine accepted the order. A later report may
+		// be faulty, or older.
+		accepted bool
 		// inTime is set if the engine confirmed within maxReadAge after the reading of the first
 		// piece that it accepted the order.
 		inTime bool
@@ -58,9 +61,9 @@
 // outcome returns what has become of the order, given the engine's state.
 func (l *orderedLoad) outcome(report Report) loadOutcome {
 	switch {
-	case report.BornUnixMilli != l.bornUnixMilli:
+	case report.BornUnixMilli != l.bornUnixMilli && report.BornUnixMilli != 0:
 		return loadLost
-	case report.Orders <= l.orders:
+	case report.Orders <= l.orders && !l.accepted:
 		return loadPending
 	case report.Busy:
 		return loadRunning
@@ -107,7 +110,9 @@
 	if s.load == nil {
 		return
 	}
-	switch s.load.outcome(report) {
+	outcome := s.load.outcome(report)
+	s.load.accepted = outcome != loadPending
+	switch outcome {
 	case loadVerified, loadLost:
 		s.load = nil
 	case loadUnverified:
