Agent: a status without the engine's incarnation is no restart

What callers would have seen: an upstream that is gone for good. One status without the incarnation (a health page of something in between, an error with status 200) counted as a new incarnation, "life 0"; the engine's own one was then an earlier one, whose statuses are ignored, until the engine restarted.

Cause: an empty incarnation was believed even of an engine that has one.

Change: such a status counts as a missing one, up to 10 in succession; after that the engine is taken for one that reports none.

--- a/agent/monitor.go
+++ b/agent/monitor.go
@@ -11,15 +11,43 @@
 	"go.uber.org/zap"
 )
 
-// statusTimeout limits the duration of one status request to the engine.
-const statusTimeout = 2 * time.Second
+const (
+	// statusTimeout limits the duration of one status request to the engine.
+	statusTimeout = 2 * time.Second
+	// maxEmptyStatuses is how many statuses in succession may lack the incarnation that the engine has
+	// reported before. After more of them, it is taken for an engine that reports none.
+	maxEmptyStatuses = 10
+)
+
+// incarnationCheck notices statuses that lack the engine's incarnation. It is not safe for concurrent use.
+type incarnationCheck struct {
+	// expected is set if the engine reports its incarnation. empty counts the statuses since then
+	// without one.
+	expected bool
+	empty    int
+}
+
+// check returns a ProtocolError if a status lacks an incarnation that it should have.
+func (c *incarnationCheck) check(status *schema.EngineStatus) error {
+	if status.GetIncarnation() != "" {
+		c.expected, c.empty = true, 0
+		return nil
+	}
+	c.empty++
+	if !c.expected || c.empty > maxEmptyStatuses {
+		c.expected = false
+		return nil
+	}
+	return figbank.ProtocolError{Detail: "status without the engine's incarnation"}
+}
 
 // monitor polls the engine's status and sets the upstream's state accordingly until ctx ends.
 func (a *Agent) monitor(ctx context.Context) {
 	ticks, stop := a.common.Clock.Tick(a.settings.PollInterval)
 	defer stop()
+	check := &incarnationCheck{}
 	for {
-		a.poll(ctx)
+		a.poll(ctx, check)
 		select {
 		case <-ctx.Done():
 			return
@@ -45,11 +73,14 @@
 	a.requestPoll()
 }
 
-func (a *Agent) poll(ctx context.Context) {
+func (a *Agent) poll(ctx context.Context, check *incarnationCheck) {
 	statusCtx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	epoch := a.limiter.Epoch()
 	status, err := a.engine.Status(statusCtx)
+	if err == nil {
+		err = check.check(status)
+	}
 	if err != nil {
 		a.handleOutage(err)
 		return
