Traffic: a document that unpacks to more than the limit is corrupt

Measured: TestDocumentThatUnpacksToTooMuchIsRefused failed before (81428 bytes unpacked to, no error); it passes now.

--- a/traffic/pack.go
+++ b/traffic/pack.go
@@ -31,14 +31,17 @@
 }
 
 // Unpack decompresses a document that Pack has compressed. It returns CorruptError if that
-// fails. Of a document longer than maxUnpacked it returns only the first maxUnpacked bytes.
+// fails or the document is longer than maxUnpacked.
 func Unpack(packed []byte) ([]byte, error) {
 	reader := flate.NewReader(bytes.NewReader(packed))
 	defer reader.Close()
-	document, err := io.ReadAll(io.LimitReader(reader, maxUnpacked))
+	document, err := io.ReadAll(io.LimitReader(reader, maxUnpacked+1))
 	if err != nil {
 		return nil, figbank.WrapError("traffic", "Unpack", figbank.CorruptError{Subject: "document", Detail: err.Error()})
 	}
+	if len(document) > maxUnpacked {
+		return nil, figbank.WrapError("traffic", "Unpack", figbank.CorruptError{Subject: "document", Detail: "too long"})
+	}
 	return document, nil
 }
 
