Weights: bound each message of a peer by its kind

Cause: a part of a chunk, a request and an update could have 16 MiB, as every message; a host fetches 4 chunks at once and follows 24 peers or more. By reckoning, parts of 16 MiB in 4 fetches take up to 192 MB (the message, its content, the chunk), more than an agent's 128 or 152; not measured as memory.

Change: 128 KiB for a part (64 KiB are sent), 64 KiB for a request, 8 MiB for an update. A peer whose part is too long counts as one that sends corrupt content, as before.

--- a/transfer/chunk.go
+++ b/transfer/chunk.go
@@ -10,6 +10,8 @@
 	"figbank/schema"
 	"figbank/swarm"
 	"figbank/weights"
+
+	"google.golang.org/protobuf/encoding/protodelim"
 )
 
 // fetch fetches one chunk and writes it to disk.
@@ -77,10 +79,11 @@
 	var limited origin.RateLimitedError
 	var corrupt figbank.CorruptError
 	var refused PeerRefusedError
+	var tooLarge *protodelim.SizeTooLargeError
 	switch {
 	case errors.As(err, &limited):
 		return swarm.FailureBusy, limited.RetryAfter
-	case errors.As(err, &corrupt):
+	case errors.As(err, &corrupt), errors.As(err, &tooLarge):
 		return swarm.FailureCorrupt, 0
 	case errors.As(err, &refused) && refused.Busy:
 		return swarm.FailureBusy, 0
--- a/transfer/follow.go
+++ b/transfer/follow.go
@@ -11,9 +11,14 @@
 	"figbank/weights"
 )
 
-// maxFollowedPeers limits the number of peers whose chunks a host follows, without those that
-// bring chunks into its region.
-const maxFollowedPeers = 24
+const (
+	// maxFollowedPeers limits the number of peers whose chunks a host follows, without those that
+	// bring chunks into its region.
+	maxFollowedPeers = 24
+	// maxHaveUpdate limits the size of an update on the chunks that a peer holds. Each chunk takes at
+	// most five bytes of it, and 48 or more of the manifest.
+	maxHaveUpdate = maxManifest / 8
+)
 
 // followedPeers holds the peers of the last list, and how to stop following those whose
 // chunks this host follows.
@@ -96,7 +101,7 @@
 	}
 	for {
 		update := &schema.HaveUpdate{}
-		if err := stream.Receive(update); err != nil {
+		if err := stream.ReceiveAtMost(update, maxHaveUpdate); err != nil {
 			return false
 		}
 		sendUpdate(ctx, inbox, planUpdate{peer: peer.ID, narrow: update.GetNarrow(), chunks: chunksOf(update, len(version.Manifest.GetChunks()))})
--- a/transfer/peers.go
+++ b/transfer/peers.go
@@ -149,7 +149,7 @@
 	}()
 	for {
 		part := &schema.ChunkPart{}
-		if err := stream.Receive(part); err != nil {
+		if err := stream.ReceiveAtMost(part, maxPart); err != nil {
 			return nil, err
 		}
 		if part.GetBusy() || part.GetMissing() {
--- a/transfer/server.go
+++ b/transfer/server.go
@@ -18,6 +18,10 @@
 const (
 	// partSize limits the bytes of a chunk or manifest in one message.
 	partSize = 64 << 10
+	// maxPart limits the size of a message with a part.
+	maxPart figbank.Bytes = 2 * partSize
+	// maxRequest limits the size of a request.
+	maxRequest figbank.Bytes = 64 << 10
 	// pacedPartSize replaces partSize for messages that are sent at a limited rate.
 	pacedPartSize = 8 << 10
 	// haveInterval is the shortest time between two reports of new chunks to a peer.
@@ -87,7 +91,7 @@
 // manifest is missing.
 func (s *Server) ServeManifest(ctx context.Context, _ figbank.ProcessID, stream *transport.Stream) {
 	request := &schema.ManifestRequest{}
-	if err := stream.Receive(request); err != nil {
+	if err := stream.ReceiveAtMost(request, maxRequest); err != nil {
 		return
 	}
 	readable := s.find(figbank.ManifestDigest(request.GetManifest()))
@@ -102,7 +106,7 @@
 // busy or lacks the chunk. The peer verifies the bytes.
 func (s *Server) ServeChunk(ctx context.Context, _ figbank.ProcessID, stream *transport.Stream) {
 	request := &schema.ChunkRequest{}
-	if err := stream.Receive(request); err != nil {
+	if err := stream.ReceiveAtMost(request, maxRequest); err != nil {
 		return
 	}
 	if state, _ := s.link.State(); len(s.slots) >= s.servedAtOnce(state) {
@@ -161,7 +165,7 @@
 	ctx, cancel := context.WithTimeout(ctx, receiveTimeout)
 	defer cancel()
 	defer stream.CloseWhenDone(ctx)()
-	_ = stream.Receive(&schema.ChunkRequest{})
+	_ = stream.ReceiveAtMost(&schema.ChunkRequest{}, maxRequest)
 }
 
 // ServeHave tells a peer which chunks of a version this host holds. It sends the indexes of new
@@ -169,7 +173,7 @@
 // link becomes reduced or normal again.
 func (s *Server) ServeHave(ctx context.Context, _ figbank.ProcessID, stream *transport.Stream) {
 	request := &schema.HaveRequest{}
-	if err := stream.Receive(request); err != nil {
+	if err := stream.ReceiveAtMost(request, maxRequest); err != nil {
 		return
 	}
 	digest := figbank.ManifestDigest(request.GetManifest())
@@ -290,5 +294,5 @@
 // cancelOnClose calls cancel when the peer closes its side of the stream.
 func cancelOnClose(cancel context.CancelFunc, stream *transport.Stream) {
 	defer cancel()
-	_ = stream.Receive(&schema.HaveRequest{})
+	_ = stream.ReceiveAtMost(&schema.HaveRequest{}, maxRequest)
 }
--- a/transport/server.go
+++ b/transport/server.go
@@ -87,7 +87,7 @@
 	defer stream.Close()
 	defer stream.CloseWhenDone(ctx)()
 	var open schema.StreamOpen
-	if err := stream.receiveAtMost(&open, maxOpenMessage); err != nil {
+	if err := stream.ReceiveAtMost(&open, maxOpenMessage); err != nil {
 		return
 	}
 	s.common.Recorder.Observe(open.GetStamp())
--- a/transport/stream.go
+++ b/transport/stream.go
@@ -56,11 +56,11 @@
 // Receive reads one message into message. The error wraps io.EOF when the peer has
 // finished sending.
 func (s *Stream) Receive(message proto.Message) error {
-	return s.receiveAtMost(message, maxMessage)
+	return s.ReceiveAtMost(message, maxMessage)
 }
 
-// receiveAtMost is like Receive, for messages of at most limit bytes.
-func (s *Stream) receiveAtMost(message proto.Message, limit figbank.Bytes) error {
+// ReceiveAtMost is like Receive, for messages of at most limit bytes.
+func (s *Stream) ReceiveAtMost(message proto.Message, limit figbank.Bytes) error {
 	if err := receive(s.reader, message, limit); err != nil {
 		return err
 	}
