--- a/dispatch/brokenstream_test.go
+++ b/dispatch/brokenstream_test.go
@@ -26,6 +26,8 @@
 	text     string
 	breaks   bool
 	unframed bool
+	// other is set if the answer is of another type than a stream.
+	other bool
 }
 
 // failingReader fails like a connection that was reset.
@@ -41,7 +43,7 @@
 	if next.breaks {
 		body = io.MultiReader(body, failingReader{})
 	}
-	return &Answer{Status: next.status, Length: -1, Unframed: next.unframed, Events: next.status == http.StatusOK, Body: io.NopCloser(body)}, nil
+	return &Answer{Status: next.status, Length: -1, Unframed: next.unframed, Events: next.status == http.StatusOK && !next.other, Body: io.NopCloser(body)}, nil
 }
 
 // A stream breaks off, and what the next upstream sends does not continue it. The caller got the text or
@@ -60,7 +62,7 @@
 		{name: "nothing was left", answers: []streamAnswer{broken, {status: http.StatusOK}}, want: beginning, complete: true},
 		{name: "the next one fails", answers: []streamAnswer{broken, {status: http.StatusInternalServerError, text: "oops"}}, want: beginning},
 		{name: "the next one fails with a head that looks like an event", answers: []streamAnswer{broken, {status: http.StatusOK, text: "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\noops"}}, want: beginning},
-		{name: "the first one writes an error into the stream", answers: []streamAnswer{{status: http.StatusOK, text: beginning + "HTTP/1.1 500 Internal Server Error\r\n\r\n"}, {status: http.StatusOK, text: rest}}, want: beginning + rest, complete: true},
+		{name: "the first one writes an error into the stream", answers: []streamAnswer{{status: http.StatusOK, text: beginning + "HTTP/1.1 500 Internal Server Error\r\n\r\n"}, {status: http.StatusOK, text: "id: 2\ndata: b\n\n" + rest}}, want: beginning + rest, complete: true},
 		{name: "the text of an error is in the stream", answers: []streamAnswer{broken, {status: http.StatusOK, text: "{\"error\": \"overloaded\"}\n\n"}}, want: beginning},
 		{name: "the next one ends at once, without a frame", answers: []streamAnswer{broken, {status: http.StatusOK, unframed: true}}, want: beginning},
 		{name: "the next one begins again", answers: []streamAnswer{broken, {status: http.StatusOK, text: beginning + rest}}, want: beginning},
