Gateway of declared services: a caller's body must arrive at a pace

What callers would have seen: 503 MemoryFull for as long as a few others sent a byte of their bodies now and then, each of which holds a part of the memory for all requests.

Cause: the memory has a bound for all, the time to read a body has none.

Change: each 5 s, 16 KiB of a body must arrive, or its end. Otherwise the request was not run, and its memory comes back.

Measured: TestSlowBodiesDoNotKeepTheMemory failed before (the memory had not come back after 10 s); it passes now, and a body of 112 KiB at 16 KiB/s is served (TestLongBodyOverASlowLinkIsServed).

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -77,7 +77,7 @@
 
 // readRequest reads a request and its body within the memory budget. Unless it returns an
 // error, its caller must release the request's reservation.
-func (g *Gateway) readRequest(r *http.Request, workspace figbank.Workspace) (*request, error) {
+func (g *Gateway) readRequest(w http.ResponseWriter, r *http.Request, workspace figbank.Workspace) (*request, error) {
 	req := &request{
 		Request: relay.Request{ID: newRequestID(), Workspace: workspace, Method: r.Method},
 		key:     r.Header.Get(headerIdempotencyKey), reservation: g.memory.reserve(),
@@ -89,7 +89,7 @@
 	if !req.reservation.grow(int64(g.settings.Relay.StreamWindow)) {
 		return nil, figbank.NotRunError{Reason: figbank.ReasonMemoryFull}
 	}
-	body, err := g.readBody(r, req.reservation)
+	body, err := g.readBody(w, r, req.reservation)
 	if err != nil {
 		req.reservation.release()
 		return nil, err
@@ -98,14 +98,15 @@
 	return req, nil
 }
 
-func (g *Gateway) readBody(r *http.Request, reservation *reservation) ([]byte, error) {
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, reservation *reservation) ([]byte, error) {
 	if r.ContentLength > int64(g.settings.MaxBody) {
 		return nil, bodyTooLargeError{limit: g.settings.MaxBody}
 	}
 	var body []byte
 	piece := make([]byte, readBufferBytes)
+	paced := newPacedBody(g.common.Clock, w, r.Body)
 	for {
-		n, err := r.Body.Read(piece)
+		n, err := paced.Read(piece)
 		if n > 0 && !reservation.grow(int64(n)) {
 			return nil, figbank.NotRunError{Reason: figbank.ReasonMemoryFull}
 		}
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -85,7 +85,7 @@
 		writeProblem(c.Writer, newRequestID(), err)
 		return
 	}
-	req, err := g.readRequest(c.Request, workspace)
+	req, err := g.readRequest(c.Writer, c.Request, workspace)
 	if err != nil {
 		writeProblem(c.Writer, newRequestID(), err)
 		return
