--- a/agent/call.go
+++ b/agent/call.go
@@ -19,6 +19,8 @@
 const (
 	// maxBody limits a request body, in bytes. Gateways have a lower limit of their own.
 	maxBody = 64 << 20
+	// trustedBody is how much memory, in bytes, is taken for a request body before it arrives.
+	trustedBody = 128 << 10
 	// maxFrameBody limits the number of answer bytes in one frame.
 	maxFrameBody = 16 << 10
 )
@@ -134,7 +136,7 @@
 	if length < 0 || length > maxBody {
 		return nil, figbank.ProtocolError{Detail: "body length out of range"}
 	}
-	body := make([]byte, 0, length)
+	body := make([]byte, 0, min(length, trustedBody))
 	for int64(len(body)) < length {
 		frame := &schema.CallFrame{}
 		if err := c.stream.Receive(frame); err != nil {
