--- a/dispatch/badstream_test.go
+++ b/dispatch/badstream_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -20,27 +22,39 @@
 	response *responseRecorder
 	err      error
 	log      []observer.LoggedEntry
-	targets  []*Target
 }
 
-// serveStream serves a request for a stream by the upstreams of the script, one for each answer.
-func serveStream(t *testing.T, script *streamScript, lastEvent string, resumable bool) served {
-	t.Helper()
-	core, logs := observer.New(zap.InfoLevel)
+// newStreamDispatcher returns a dispatcher with an upstream for each answer of the script.
+func newStreamDispatcher(script *streamScript) (*Dispatcher, []*Target) {
 	d := newTestDispatcher(script)
-	d.common.Log = zap.New(core)
 	targets := make([]*Target, len(script.answers))
 	for i := range targets {
 		targets[i] = &Target{ID: figbank.UpstreamID(rune('a' + i)), Slots: 8, Load: &Load{}}
 	}
 	d.table.Store(&Table{services: map[figbank.ServiceName][]*Target{"s": targets}})
+	return d, targets
+}
+
+// streamRequest returns a request for a resumable stream. Requests with different bodies share a part.
+func streamRequest(body string) *Request {
 	now := time.Now()
+	return &Request{
+		ID: "r", Service: "s", Body: []byte(body), SharedParts: []string{"p"}, ReceivedAt: now, Deadline: now.Add(time.Second),
+		Route: &traffic.Route{Route: &schema.Route{Kind: schema.CallKind_CALL_KIND_STREAM, Resumable: true, MaxUpstreams: 4}, LatencyTarget: time.Second},
+	}
+}
+
+// serveStream serves a request for a stream by the upstreams of the script, one for each answer.
+func serveStream(t *testing.T, script *streamScript, lastEvent string, resumable bool) served {
+	t.Helper()
+	core, logs := observer.New(zap.InfoLevel)
+	d, _ := newStreamDispatcher(script)
+	d.common.Log = zap.New(core)
+	request := streamRequest("")
+	request.LastEvent, request.Route.Resumable = lastEvent, resumable
 	response := &responseRecorder{}
-	err := d.Serve(context.Background(), &Request{
-		ID: "r", Service: "s", LastEvent: lastEvent, ReceivedAt: now, Deadline: now.Add(time.Second),
-		Route: &traffic.Route{Route: &schema.Route{Kind: schema.CallKind_CALL_KIND_STREAM, Resumable: resumable, MaxUpstreams: 4}, LatencyTarget: time.Second},
-	}, response)
-	return served{response: response, err: err, log: logs.All(), targets: targets}
+	err := d.Serve(context.Background(), request, response)
+	return served{response: response, err: err, log: logs.All()}
 }
 
 // A stream was cut for its bytes, and the log told neither which they were nor where they came.
@@ -69,3 +83,84 @@
 		t.Errorf("lines about the bytes = %d, want 1", lines)
 	}
 }
+
+// Several upstreams sent garbage to requests with one part. They counted as crashed, and sound requests with that
+// part were refused.
+func TestGarbageIsNotTakenForACrash(t *testing.T) {
+	garbage := streamAnswer{status: http.StatusOK, text: "no event\n\n"}
+	script := &streamScript{answers: slices.Repeat([]streamAnswer{garbage}, 8)}
+	d, targets := newStreamDispatcher(script)
+	script.answers = slices.Repeat(script.answers, maxAttempts)
+	for i := range 2 * len(targets) {
+		_ = d.Serve(context.Background(), streamRequest(fmt.Sprint(i)), &responseRecorder{})
+	}
+	failing := 0
+	for _, target := range targets {
+		if target.Load.Paused(time.Now()) && target.Load.Penalty() > 0 {
+			failing++
+		}
+	}
+	if failing != len(targets) {
+		t.Errorf("upstreams that are spared after garbage = %d, want %d", failing, len(targets))
+	}
+	request := streamRequest("sound")
+	if d.crashers.Refuses(time.Now(), identityOf(request)) {
+		t.Error("a request with a part of requests that got garbage is refused, want it sent")
+	}
+}
+
+// Each upstream had garbled one answer. All were paused as if lost, and requests were refused although all
+// upstreams ran and had places.
+func TestGarbageOnceLeavesNoServiceWithoutUpstreams(t *testing.T) {
+	script := &streamScript{answers: []streamAnswer{
+		{status: http.StatusOK, text: "no event\n\n"},
+		{status: http.StatusOK, text: "id: 1\ndata: a\n\nno event\n\n"},
+	}}
+	d, _ := newStreamDispatcher(script)
+	script.answers = append(script.answers, streamAnswer{status: http.StatusOK, text: "id: 1\ndata: a\n\n"})
+	first := d.Serve(context.Background(), streamRequest("first"), &responseRecorder{})
+	if first == nil || len(script.answers) != 1 {
+		t.Fatalf("Serve() = %v with %d answers left, want an error after garbage of both upstreams", first, len(script.answers))
+	}
+	if err := d.Serve(context.Background(), streamRequest("second"), &responseRecorder{}); err != nil {
+		t.Errorf("Serve() = %v, want the answer of an upstream that garbled one before", err)
+	}
+}
+
+func TestPauseAfterGarbage(t *testing.T) {
+	const garbage, broken, sound = 'g', 'b', 's'
+	scenarios := []struct {
+		name, outcomes string
+		want           time.Duration
+	}{
+		{name: "once", outcomes: "g"},
+		{name: "twice in a row", outcomes: "gg", want: minPause},
+		{name: "three times in a row", outcomes: "ggg", want: 2 * minPause},
+		{name: "again after a sound answer", outcomes: "ggsg"},
+		{name: "always", outcomes: strings.Repeat("g", 40), want: maxPause},
+		{name: "a broken answer", outcomes: "b", want: minPause},
+		{name: "a broken answer after garbage", outcomes: "gb", want: 2 * minPause},
+		{name: "garbage after a broken answer", outcomes: "bg", want: minPause},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			var load Load
+			now := time.Unix(100, 0)
+			for _, outcome := range s.outcomes {
+				now = now.Add(time.Minute)
+				switch outcome {
+				case garbage:
+					load.recordGarbage(now)
+				case broken:
+					load.recordFailure(now, true)
+				case sound:
+					load.recordSuccess(now)
+				}
+			}
+			got := max(0, time.Unix(0, load.pausedUntil.Load()).Sub(now))
+			if got != s.want || load.Penalty() == 0 {
+				t.Errorf("pause = %v, penalty = %v, want %v and some", got, load.Penalty(), s.want)
+			}
+		})
+	}
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -61,11 +61,13 @@
 	if r.Scenario != nil {
 		group.Go(func() { r.callers.press(ctx, r.cluster.gateways[0], r.Scenario.pressing) })
 	}
+	group.Go(func() { r.watchUnread(ctx) })
 	r.faultsBegan = wall.Now()
 	(&injector{cluster: r.cluster, operators: r.operators, record: r.record}).run(ctx, plan)
 	r.faultsEnded = wall.Now()
 	cancel()
 	group.Wait()
+	r.calmBegan = wall.Now()
 }
 
 func (i *injector) inject(ctx context.Context, fault Fault) {
