--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -226,6 +226,7 @@
 Bootstrap = yes
 Regions = za=region-za, zb=region-zb, zc=region-zc
 ListenMetrics = %s
+MemoryLimit = %d
 %s
 [Log]
 ElectionTimeout = 400ms
@@ -242,7 +243,7 @@
 OriginDelay = 100ms
 StallTime = 1s
 `, id, failureDomain, failureDomain, c.listenAddress(n, portProcess), c.proxyAddress(n, portProcess), filepath.Join(c.folder, id),
-		strings.Join(c.control, ", "), c.listenAddress(n, portMetrics), node, retryRatio, retrySlack, retryWindow)
+		strings.Join(c.control, ", "), c.listenAddress(n, portMetrics), maxGatewayBytes/megabyte, node, retryRatio, retrySlack, retryWindow)
 }
 
 // close ends everything that start and newCluster have started.
--- a/soak/garbled.go
+++ b/soak/garbled.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// garbledShare is the share of streams that the upstreams of the model garble. It is as large as the
-	// share of requests that may be repeated.
-	garbledShare = retryRatio
+	// garbledShare is the share of streams that the upstreams of the model garble. Half of the share of
+	// requests that may be repeated leaves room for streams that are garbled twice.
+	garbledShare = retryRatio / 2
 	// minResumedShare is the least share of garbled streams that must be complete at their callers, by
 	// a resumption at another upstream.
 	minResumedShare = 0.5
