--- a/gateway/slowbody_test.go
+++ b/gateway/slowbody_test.go
@@ -33,8 +33,8 @@
 			}
 		}()
 	}
-	h.waitFor("the memory to be taken", func() bool { return h.gateway.memory.used.Load() >= slowCallers*(40<<10)-(8<<10) })
-	h.waitFor("the memory to come back", func() bool { return h.gateway.memory.used.Load() == 0 })
+	h.waitFor("the memory to be taken", func() bool { return int64(h.gateway.memory.Used()) >= slowCallers*(40<<10)-(8<<10) })
+	h.waitFor("the memory to come back", func() bool { return int64(h.gateway.memory.Used()) == 0 })
 	if got := h.send(http.MethodPost, "/services/s/x", "", strings.Repeat("x", 16<<10)); got.status != http.StatusOK {
 		t.Errorf("answer beside slow callers = %d, want 200", got.status)
 	}
