--- a/dispatch/numberedreader.go
+++ b/dispatch/numberedreader.go
@@ -14,24 +14,43 @@
 // progress of a stream.
 const maxFiller = 4 << 10
 
-// numberedReader splits a stream of numbered events into events that its format allows. It leaves out
-// empty lines and comments between them.
-type numberedReader struct {
-	reader *bufio.Reader
-	format *eventFormat
-	// event holds the bytes of the event, line the start of its last line, filler the number of bytes
-	// that were left out before it.
-	event  []byte
-	line   int
-	filler int
-	// stated is what the lines of the event state.
-	stated numberedEvent
-	// held is the memory for event.
-	held *memory.Reservation
+type (
+	// numberedReader splits a stream of numbered events into events that its format allows. It leaves out
+	// empty lines and comments between them.
+	numberedReader struct {
+		reader *bufio.Reader
+		format *eventFormat
+		// event holds the bytes of the event, line the start of its last line, filler the number of bytes
+		// that were left out before it.
+		event  []byte
+		line   int
+		filler int
+		// stated is what the lines of the event state.
+		stated numberedEvent
+		// held is the memory for event.
+		held *memory.Reservation
+	}
+
+	// firstErrorReader reads from source and returns its first error again at each later read. A
+	// connection reports once that it was reset, and its end after that. bufio.Reader.Peek returns an
+	// error without keeping it.
+	firstErrorReader struct {
+		source io.Reader
+		err    error
+	}
+)
+
+func (r *firstErrorReader) Read(buffer []byte) (int, error) {
+	if r.err != nil {
+		return 0, r.err
+	}
+	n, err := r.source.Read(buffer)
+	r.err = err
+	return n, err
 }
 
 func newNumberedReader(body io.Reader, format *eventFormat) *numberedReader {
-	return &numberedReader{reader: bufio.NewReaderSize(body, eventBuffer), format: format}
+	return &numberedReader{reader: bufio.NewReaderSize(&firstErrorReader{source: body}, eventBuffer), format: format}
 }
 
 // skipMark removes a byte order mark, which may stand at the very start of a stream.
