--- a/dispatch/numberedreader.go
+++ b/dispatch/numberedreader.go
@@ -66,8 +66,8 @@
 
 // next returns the bytes of the next event, valid until the next call, and its number. It returns
 // io.EOF when the stream ends after an event or is empty, IncompleteAnswerError when it ends inside an
-// event or cannot be read, memory.FullError when there is no memory for it, and streamError when the bytes are no event, or have arrived with
-// bytes that are none.
+// event or cannot be read, memory.FullError when there is no memory for it, and streamError when the
+// bytes are no event, or have arrived with bytes that are none.
 func (r *numberedReader) next() (event []byte, number int64, err error) {
 	r.event, r.line, r.filler, r.stated = r.event[:0], 0, 0, numberedEvent{}
 	for {
@@ -109,7 +109,7 @@
 			return newStreamError(faultLength, "event is too long", r.event)
 		case !r.held.Fit(figbank.Bytes(cap(r.event))):
 			return memory.FullError{}
-		case r.line == 0 && len(r.event) > 0 && isFiller(r.event) && r.filler+len(r.event) > maxFiller:
+		case r.inFiller() && r.filler+len(r.event) > maxFiller:
 			return r.tooMuchFiller()
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
@@ -124,6 +124,11 @@
 	}
 }
 
+// inFiller reports whether what has been read of the event is a line between two events.
+func (r *numberedReader) inFiller() bool {
+	return r.line == 0 && len(r.event) > 0 && isFiller(r.event)
+}
+
 // start waits for the next line and returns what has arrived of it if its end has not. Bytes that begin
 // no line need no more.
 func (r *numberedReader) start() []byte {
@@ -168,8 +173,8 @@
 	return nil
 }
 
-// follows reports whether the bytes can follow the event. For the first event of a stream, they need
-// not be fields that it has.
+// follows reports whether the bytes can follow the event. Behind the first event of a stream too, they
+// may only be fields that it has.
 func (r *numberedReader) follows(arrived []byte) bool {
 	if len(arrived) == 0 {
 		return true
