Gateway of declared services: a body that comes too slowly is named as the reason

What callers saw: 503, reason CallerGone, outcome NotRun and a Retry-After, though they were there and the service was available. Since a body has a pace, and its end by that was reported like a lost connection. It is 408 now, NotRun as before.

TestSlowBodyIsNamedAsTheReason failed before (503), passes now.

--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -54,6 +54,9 @@
 		digest []byte
 	}
 
+	// bodyTooSlowError means that too little of the request body has arrived in time.
+	bodyTooSlowError struct{}
+
 	// problem is a problem body (RFC 9457) with extra members for the outcome, the
 	// reason and the request ID.
 	problem struct {
@@ -81,6 +84,8 @@
 	return fmt.Sprintf("body is longer than %d bytes", e.limit)
 }
 
+func (bodyTooSlowError) Error() string { return "the body has not arrived in time" }
+
 func (e alreadyRanError) Error() string {
 	return fmt.Sprintf("the request under this key ran with status %d; its answer was too large to keep, SHA-256 %x", e.status, e.digest)
 }
@@ -120,6 +125,8 @@
 		return refused(http.StatusForbidden, "Workspace refused")
 	case errors.As(err, new(bodyTooLargeError)):
 		return refused(http.StatusRequestEntityTooLarge, "Body too large")
+	case errors.As(err, new(bodyTooSlowError)):
+		return refused(http.StatusRequestTimeout, "Body too slow")
 	case errors.As(err, new(figbank.InvalidError)):
 		return refused(http.StatusBadRequest, "Invalid request")
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 
@@ -117,6 +118,8 @@
 			return nil, bodyTooLargeError{limit: g.settings.MaxBody}
 		case errors.Is(err, io.EOF):
 			return body, nil
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, bodyTooSlowError{}
 		case err != nil:
 			return nil, figbank.NotRunError{Reason: figbank.ReasonCallerGone}
 		}
--- a/gateway/slowbody_test.go
+++ b/gateway/slowbody_test.go
@@ -68,3 +68,25 @@
 		t.Errorf("answer to a long body = %d, want 200", response.StatusCode)
 	}
 }
+
+// A caller whose body came too slowly was told that the service is not available and the caller gone, and to
+// send the same again.
+func TestSlowBodyIsNamedAsTheReason(t *testing.T) {
+	h := newHarness(t, nil)
+	h.declare(plain(true))
+	conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "POST /services/s/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\nx", callerKey)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	outcome := response.Header.Get(headerOutcome)
+	if response.StatusCode != http.StatusRequestTimeout || outcome != outcomeNotRun {
+		t.Errorf("answer to a slow body = %d %s, want 408 %s", response.StatusCode, outcome, outcomeNotRun)
+	}
+}
