--- a/dispatch/numberedreader.go
+++ b/dispatch/numberedreader.go
@@ -85,13 +85,10 @@
 	for {
 		line, err := r.reader.ReadSlice('\n')
 		r.event = append(r.event, line...)
+		if err := r.checkSize(); err != nil {
+			return err
+		}
 		switch {
-		case len(r.event) > maxEvent:
-			return newStreamError(faultLength, "event is too long", r.event)
-		case !r.held.Fit(figbank.Bytes(cap(r.event))):
-			return memory.FullError{}
-		case r.line == 0 && len(r.event) > 0 && isFiller(r.event) && r.filler+len(r.event) > maxFiller:
-			return r.tooMuchFiller()
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(r.event) > 0:
@@ -105,6 +102,19 @@
 	}
 }
 
+// checkSize returns an error if there are too many bytes without an event, or no memory for them.
+func (r *numberedReader) checkSize() error {
+	switch {
+	case len(r.event) > maxEvent:
+		return newStreamError(faultLength, "event is too long", r.event)
+	case !r.held.Fit(figbank.Bytes(cap(r.event))):
+		return memory.FullError{}
+	case r.line == 0 && len(r.event) > 0 && isFiller(r.event) && r.filler+len(r.event) > maxFiller:
+		return r.tooMuchFiller()
+	}
+	return nil
+}
+
 // start waits for the next line and returns what has arrived of it if its end has not. Bytes that begin
 // no line need no more.
 func (r *numberedReader) start() []byte {
