--- a/dispatch/numberedreader.go
+++ b/dispatch/numberedreader.go
@@ -31,7 +31,7 @@
 }
 
 func newNumberedReader(body io.Reader, format *eventFormat) *numberedReader {
-	return &numberedReader{reader: bufio.NewReaderSize(body, eventBuffer), format: format}
+	return &numberedReader{reader: bufio.NewReaderSize(&stickyReader{source: body}, eventBuffer), format: format}
 }
 
 // skipMark removes a byte order mark, which may stand at the very start of a stream.
