--- a/dispatch/numberedreader.go
+++ b/dispatch/numberedreader.go
@@ -14,43 +14,24 @@
 // progress of a stream.
 const maxFiller = 4 << 10
 
-type (
-	// numberedReader splits a stream of numbered events into events that its format allows. It leaves out
-	// empty lines and comments between them.
-	numberedReader struct {
-		reader *bufio.Reader
-		format *eventFormat
-		// event holds the bytes of the event, line the start of its last line, filler the number of bytes
-		// that were left out before it.
-		event  []byte
-		line   int
-		filler int
-		// stated is what the lines of the event state.
-		stated numberedEvent
-		// held is the memory for event.
-		held *memory.Reservation
-	}
-
-	// firstErrorReader reads from source and returns its first error again at each later read. A
-	// connection reports once that it was reset, and its end after that. bufio.Reader.Peek returns an
-	// error without keeping it.
-	firstErrorReader struct {
-		source io.Reader
-		err    error
-	}
-)
-
-func (r *firstErrorReader) Read(buffer []byte) (int, error) {
-	if r.err != nil {
-		return 0, r.err
-	}
-	n, err := r.source.Read(buffer)
-	r.err = err
-	return n, err
+// numberedReader splits a stream of numbered events into events that its format allows. It leaves out
+// empty lines and comments between them.
+type numberedReader struct {
+	reader *bufio.Reader
+	format *eventFormat
+	// event holds the bytes of the event, line the start of its last line, filler the number of bytes
+	// that were left out before it.
+	event  []byte
+	line   int
+	filler int
+	// stated is what the lines of the event state.
+	stated numberedEvent
+	// held is the memory for event.
+	held *memory.Reservation
 }
 
 func newNumberedReader(body io.Reader, format *eventFormat) *numberedReader {
-	return &numberedReader{reader: bufio.NewReaderSize(&firstErrorReader{source: body}, eventBuffer), format: format}
+	return &numberedReader{reader: bufio.NewReaderSize(&stickyReader{source: body}, eventBuffer), format: format}
 }
 
 // skipMark removes a byte order mark, which may stand at the very start of a stream.
@@ -66,8 +47,8 @@
 
 // next returns the bytes of the next event, valid until the next call, and its number. It returns
 // io.EOF when the stream ends after an event or is empty, IncompleteAnswerError when it ends inside an
-// event or cannot be read, memory.FullError when there is no memory for it, and streamError when the
-// bytes are no event, or have arrived with bytes that are none.
+// event or cannot be read, memory.FullError when there is no memory for it, and streamError when the bytes are no event, or have arrived with
+// bytes that are none.
 func (r *numberedReader) next() (event []byte, number int64, err error) {
 	r.event, r.line, r.filler, r.stated = r.event[:0], 0, 0, numberedEvent{}
 	for {
@@ -104,13 +85,10 @@
 	for {
 		line, err := r.reader.ReadSlice('\n')
 		r.event = append(r.event, line...)
+		if err := r.checkSize(); err != nil {
+			return err
+		}
 		switch {
-		case len(r.event) > maxEvent:
-			return newStreamError(faultLength, "event is too long", r.event)
-		case !r.held.Fit(figbank.Bytes(cap(r.event))):
-			return memory.FullError{}
-		case r.inFiller() && r.filler+len(r.event) > maxFiller:
-			return r.tooMuchFiller()
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(r.event) > 0:
@@ -124,9 +102,17 @@
 	}
 }
 
-// inFiller reports whether what has been read of the event is a line between two events.
-func (r *numberedReader) inFiller() bool {
-	return r.line == 0 && len(r.event) > 0 && isFiller(r.event)
+// checkSize returns an error if there are too many bytes without an event, or no memory for them.
+func (r *numberedReader) checkSize() error {
+	switch {
+	case len(r.event) > maxEvent:
+		return newStreamError(faultLength, "event is too long", r.event)
+	case !r.held.Fit(figbank.Bytes(cap(r.event))):
+		return memory.FullError{}
+	case r.line == 0 && len(r.event) > 0 && isFiller(r.event) && r.filler+len(r.event) > maxFiller:
+		return r.tooMuchFiller()
+	}
+	return nil
 }
 
 // start waits for the next line and returns what has arrived of it if its end has not. Bytes that begin
