Soak: a proxy passes a reset on

The upstream had reset its connection (a killed upstream, an unframed answer without end), and the proxy before it closed the other one, which by the platform's page ends a whole answer. TestProxyPassesAResetOn failed before (no error) and passes. The check is unchanged.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"figbank"
@@ -77,13 +78,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for conn := range p.conns {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = conn.Close()
+		reset(conn)
 	}
 }
 
+// reset closes a connection with a TCP reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // Close stops listening and resets all connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -140,7 +146,7 @@
 }
 
 // forward copies data from one connection to the other. At the end of the stream, it closes the
-// write side of the connection to.
+// write side of the connection to. It passes a reset on.
 func (p *Proxy) forward(from, to net.Conn, inbound bool) {
 	buffer := make([]byte, bufferSize)
 	for {
@@ -158,6 +164,10 @@
 				_ = tcp.CloseWrite()
 			}
 			return
+		case errors.Is(err, syscall.ECONNRESET):
+			// An answer that ends with its connection would look whole after a close.
+			reset(to)
+			return
 		case err != nil:
 			_ = to.Close()
 			return
