Soak: streams that were garbled are counted, not reckoned from their share

With so few, the number that the upstreams happened to garble decides. The check now counts the garbled streams: half of these must be complete, as before, and of the others as many as in the calm time.

--- a/soak/garbled.go
+++ b/soak/garbled.go
@@ -36,9 +36,37 @@
 	}
 }
 
-// checkResumed records a violation if too few streams were complete, against the share that was garbled.
+// checkResumed records a violation if too few streams were complete: of those that were garbled at least
+// minResumedShare, of the others as many as in the calm time after the faults.
 func (r *run) checkResumed() {
-	r.checkServedShare("streams", 1-garbledShare*(1-minResumedShare), func(request *sentRequest) bool { return request.route == standin.Stream })
+	isStream := func(request *sentRequest) bool { return request.route == standin.Stream }
+	sent, took := r.callers.sentWithin(r.faultsBegan, r.faultsEnded, isStream)
+	calm, calmTook := r.callers.sentWithin(r.calmBegan, r.restartsBegan, isStream)
+	garbled := r.callers.garbledWithin(r.faultsBegan, r.faultsEnded)
+	if garbled == 0 || calm == 0 {
+		r.record.addViolation("Soak", "streams: %d garbled during the faults, %d sent later, want some", garbled, calm)
+		return
+	}
+	calmShare := float64(len(calmTook)) / float64(calm)
+	want := minResumedShare*float64(garbled) + calmShare*float64(sent-garbled)
+	r.printf("streams: %d of %d were complete during the faults, %d garbled, half within %v; later %.3f of %d, within %v",
+		len(took), sent, garbled, median(took), calmShare, calm, median(calmTook))
+	if float64(len(took)) < want {
+		r.record.addViolation("Served", "streams: %d of %d were complete during the faults, %d garbled, want %.1f", len(took), sent, garbled, want)
+	}
+}
+
+// garbledWithin returns how many streams that were sent within a time were garbled.
+func (c *callers) garbledWithin(from, to time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := 0
+	for id, request := range c.sent {
+		if !request.unreachable && !request.at.Before(from) && !request.at.After(to) && len(c.garbled(id)) > 0 {
+			count++
+		}
+	}
+	return count
 }
 
 // printBroken prints how many violations there were of each promise, and how upstreams garbled the streams
