--- a/raft/raft.go
+++ b/raft/raft.go
@@ -83,6 +83,8 @@
 		electionDeadline  time.Time
 		heartbeatDue      time.Time
 		lastLeaderContact time.Time
+		// heard holds when each other replica was last known to be alive.
+		heard map[figbank.ProcessID]time.Time
 
 		ready Ready
 	}
@@ -109,7 +111,7 @@
 // before any entry or snapshot sets another one; it is nil for a replica that waits
 // to be added. random supplies the random part of the election timeouts.
 func NewNode(id figbank.ProcessID, initial *schema.Membership, timing Timing, random *rand.Rand, stored PersistentState, now time.Time) *Node {
-	n := &Node{id: id, timing: timing, random: random, now: now}
+	n := &Node{id: id, timing: timing, random: random, now: now, heard: map[figbank.ProcessID]time.Time{}}
 	n.term = stored.HardState.GetTerm()
 	n.votedFor = figbank.ProcessID(stored.HardState.GetVotedFor())
 	n.log = newEntryLog(initial, stored.Snapshot, stored.Entries)
@@ -218,6 +220,7 @@
 	if m.GetTo() != string(n.id) {
 		return
 	}
+	n.noteHeard(figbank.ProcessID(m.GetFrom()), now)
 	switch m.GetKind() {
 	case schema.RaftKind_RAFT_KIND_PRE_VOTE:
 		n.handlePreVote(m)
--- a/replica/client.go
+++ b/replica/client.go
@@ -34,6 +34,7 @@
 		// observed returns the leader that this process knows from the log itself, or "".
 		observed func() figbank.ProcessID
 		leader   atomic.Value
+		failures failureLog
 	}
 
 	// ClientOption configures a Client under construction.
@@ -77,12 +78,13 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	unknown := false
+	tried := &attempts{began: c.common.Clock.Now()}
 	for {
 		for _, replica := range c.leaderFirst() {
 			if ctx.Err() != nil {
 				break
 			}
-			answer, maybeAccepted := c.try(ctx, replica, command)
+			answer, maybeAccepted := c.try(ctx, replica, command, tried)
 			unknown = unknown || maybeAccepted
 			if answer.GetResult() != nil {
 				c.leader.Store(replica.ID)
@@ -92,6 +94,7 @@
 		}
 		select {
 		case <-ctx.Done():
+			c.failures.write(c.common, tried, c.presumedLeader())
 			return nil, c.proposeError(unknown)
 		case <-c.common.Clock.After(retryDelay):
 		}
@@ -100,14 +103,16 @@
 
 // try sends the command to one replica. If answer has no result, maybeAccepted
 // reports whether the command may have been accepted nevertheless.
-func (c *Client) try(ctx context.Context, replica Endpoint, command *schema.Command) (answer *schema.ProposeAnswer, maybeAccepted bool) {
+func (c *Client) try(ctx context.Context, replica Endpoint, command *schema.Command, tried *attempts) (answer *schema.ProposeAnswer, maybeAccepted bool) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	if c.presumedLeader() == replica.ID {
 		go c.cancelWhenReplaced(ctx, cancel, replica.ID)
 	}
 	answer = &schema.ProposeAnswer{}
+	began := c.common.Clock.Now()
 	sent, err := c.pool.Call(ctx, replica.Address, schema.StreamKind_STREAM_KIND_PROPOSE, command, answer)
+	tried.note(replica, c.common.Clock.Now().Sub(began), answer, err)
 	if err != nil {
 		return nil, sent
 	}
--- a/replica/members.go
+++ b/replica/members.go
@@ -85,9 +85,12 @@
 		return
 	}
 	r.noteFailedLearners(now, state, next)
+	cause := voters.CauseOf(state)
 	err := r.node.ProposeMembership(next)
 	r.common.Log.Info("membership change", zap.Strings("voters", idsOf(next.GetVoters())), zap.Strings("learners", idsOf(next.GetLearners())),
-		zap.Strings("before", idsOf(r.node.Membership().GetOutgoing())), zap.Bool("proposed", err == nil))
+		zap.Strings("before", idsOf(r.node.Membership().GetOutgoing())), zap.Bool("proposed", err == nil),
+		zap.Stringer("cause", cause.Reason), zap.String("replaces", string(cause.Voter)), zap.String("address", string(cause.Address)),
+		zap.Duration("silence", cause.Silence), zap.Int("replicas", len(state.Replicas)))
 }
 
 // noteFailedLearners remembers for failedLearnerTime which learners a change of the membership drops
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -17,6 +17,7 @@
 	"figbank/voters"
 	"figbank/wal"
 
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -83,6 +84,11 @@
 		status  atomic.Pointer[schema.ReplicaStatus]
 		members atomic.Pointer[schema.Membership]
 		delays  delayMeter
+
+		leaderWatch leaderWatch
+		// leaderless is for how many seconds this replica has known no leader.
+		leaderless tally.Gauge
+
 		cancel  context.CancelFunc
 		group   sync.WaitGroup
 		stopped chan struct{}
@@ -142,6 +148,7 @@
 		onLeaves:        func([]*schema.Instance) {},
 		onFailure:       func(error) {},
 		stopped:         make(chan struct{}),
+		leaderless:      common.Scope.Gauge("leaderless_seconds"),
 	}
 	r.deliver = r.send
 	for _, option := range options {
@@ -238,6 +245,7 @@
 			due = now.Add(interval)
 			r.node.Tick(now)
 			r.reviewMembers()
+			r.watchLeader(now)
 		case first := <-r.inbox:
 			r.handleBatch(first)
 		}
--- a/voters/voters.go
+++ b/voters/voters.go
@@ -79,7 +79,7 @@
 // NextMembership returns the membership to propose next, or nil if no change is needed or
 // possible. It never reduces the number of voters.
 func NextMembership(s ClusterState) *schema.Membership {
-	toReplace := s.voterToReplace()
+	toReplace, _ := s.voterToReplace()
 	if learners := s.Membership.GetLearners(); len(learners) > 0 {
 		return s.promoteOrDropLearner(learners[0], toReplace)
 	}
@@ -118,14 +118,17 @@
 
 // voterToReplace returns the voter to replace first, or nil if there is none: one whose
 // host is back with an empty disk, else one that is silent, else one that is leaving.
-func (s ClusterState) voterToReplace() *schema.Voter {
-	rules := []func(*schema.Voter) bool{s.addressReused, s.isSilent, s.isLeaving}
+func (s ClusterState) voterToReplace() (*schema.Voter, Reason) {
+	rules := []struct {
+		reason  Reason
+		applies func(*schema.Voter) bool
+	}{{AddressReused, s.addressReused}, {Silent, s.isSilent}, {Leaving, s.isLeaving}}
 	for _, rule := range rules {
-		if i := slices.IndexFunc(s.Membership.GetVoters(), rule); i >= 0 {
-			return s.Membership.GetVoters()[i]
+		if i := slices.IndexFunc(s.Membership.GetVoters(), rule.applies); i >= 0 {
+			return s.Membership.GetVoters()[i], rule.reason
 		}
 	}
-	return nil
+	return nil, NoReason
 }
 
 // addressReused reports whether another replica now runs at the voter's address, which means that
