Simulation: losses by the clock, as operators are promised, with leaders that change (fails)

The simulation allowed the next loss once the replicas had in fact replaced the last one. Operators are promised a time: 4 s after the successor has started.

--- a/replica/losses_test.go
+++ b/replica/losses_test.go
@@ -48,9 +48,9 @@
 }
 
 // newSmallSimulation runs a deployment of a number of hosts that all vote in the end.
-func newSmallSimulation(t *testing.T, seed uint64, hosts int) *simulation {
+func newSmallSimulation(t *testing.T, seed uint64, hosts int, options ...func(*simulation)) *simulation {
 	t.Helper()
-	m := newSimulation(seed, (hosts-1)/2, t.Fatalf)
+	m := newSimulation(seed, (hosts-1)/2, t.Fatalf, options...)
 	for _, h := range m.hosts[hosts:] {
 		m.stop(h, false, 0)
 	}
--- a/replica/simulation_test.go
+++ b/replica/simulation_test.go
@@ -41,6 +41,7 @@
 		fail     func(format string, args ...any)
 		now      time.Time
 		random   *rand.Rand
+		timing   raft.Timing
 		hosts    []*simulatedHost
 		inFlight []*schema.RaftMessage
 		// blocked holds links as the indexes of sender and receiver. A blocked link loses all
@@ -51,6 +52,8 @@
 		lastNumber  int64
 		// acknowledged is the highest number for which a caller got a positive answer.
 		acknowledged int64
+		// answered counts the commands that were answered with a result.
+		answered int
 		// states holds the state after each index of the log, which must be the same on
 		// all replicas.
 		states map[figbank.CommitIndex]string
@@ -105,11 +108,20 @@
 
 func (simulationClock) Tick(time.Duration) (<-chan time.Time, func()) { return nil, func() {} }
 
-func newSimulation(seed uint64, maxLostDisks int, fail func(string, ...any)) *simulation {
+// withTiming makes replicas use other timeouts than simulationTiming.
+func withTiming(timing raft.Timing) func(*simulation) {
+	return func(m *simulation) { m.timing = timing }
+}
+
+func newSimulation(seed uint64, maxLostDisks int, fail func(string, ...any), options ...func(*simulation)) *simulation {
 	m := &simulation{
-		fail: fail, maxLostDisks: maxLostDisks, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 7)),
+		timing: simulationTiming,
+		fail:   fail, maxLostDisks: maxLostDisks, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 7)),
 		blocked: map[[2]int]bool{}, states: map[figbank.CommitIndex]string{},
 	}
+	for _, option := range options {
+		option(m)
+	}
 	for index := range hostCount {
 		h := &simulatedHost{index: index, disk: fake.NewDisk(), initialVoter: index < initialVoters}
 		h.id = figbank.ProcessID(fmt.Sprintf("h%d-0", index))
@@ -139,7 +151,7 @@
 
 // start opens a replica with what its disk holds.
 func (m *simulation) start(h *simulatedHost) {
-	settings := Settings{Timing: simulationTiming, SnapshotEntries: 12, LostDisks: m.maxLostDisks, RewriteLog: h.rewriteLog, Address: h.address()}
+	settings := Settings{Timing: m.timing, SnapshotEntries: 12, LostDisks: m.maxLostDisks, RewriteLog: h.rewriteLog, Address: h.address()}
 	if h.initialVoter {
 		settings.Voters = map[figbank.ProcessID]figbank.Address{}
 		for index := range initialVoters {
@@ -280,6 +292,9 @@
 }
 
 func (m *simulation) checkAnswer(p *pendingCommand, answer *schema.ProposeAnswer) {
+	if answer.GetResult() != nil {
+		m.answered++
+	}
 	switch {
 	case answer.GetResult() == nil, p.number < 0:
 		return
