Raft: the next leader goes on counting how long a voter has been silent

Cause: a leader counted the silence of a voter from its own election on, so a log whose leaders change more often than each 3 s never replaced a lost voter, and the next loss, in its time, took the majority. Class: a bound that each leader begins anew.

Change: replicas keep when each member was last known to be alive. Appends carry for how long the leader has not heard a member; followers take that over. A voter is replaced when no leader has heard it for 3 s and the present one has tried for more than 500 ms itself.

Cases of TestNextMembership now say how long the leader has tried; what they want is unchanged.

--- a/raft/membership.go
+++ b/raft/membership.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"figbank"
 	"figbank/schema"
@@ -45,16 +44,6 @@
 	return 0
 }
 
-// LastContact returns when this leader last heard from another replica. If the replica has not
-// answered yet, it returns when the leader first sent to it. It returns the zero time if the leader
-// has sent nothing to it, and on a replica that is not the leader.
-func (n *Node) LastContact(id figbank.ProcessID) time.Time {
-	if p := n.progress[id]; p != nil {
-		return p.lastContact
-	}
-	return time.Time{}
-}
-
 // ProposeMembership changes the voters and learners to those of next. If the voters change, the
 // leader first appends a joint membership, under which majorities of both the old and the new
 // voters are needed. Once the joint membership is committed, the leader appends the new one.
@@ -88,6 +77,11 @@
 		}
 	})
 	n.progress = kept
+	for id := range n.heard {
+		if kept[id] == nil {
+			delete(n.heard, id)
+		}
+	}
 }
 
 // advanceMembershipChange continues a membership change once the newest membership is committed. If
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -99,6 +99,8 @@
 		// lastContact is the time of the replica's last answer, or of the first message to it if
 		// it has not answered yet.
 		lastContact time.Time
+		// since is the time of the first message to it.
+		since time.Time
 	}
 )
 
--- a/raft/replication.go
+++ b/raft/replication.go
@@ -35,7 +35,7 @@
 func (n *Node) sendAppend(peer figbank.ProcessID) {
 	p := n.progress[peer]
 	if p == nil {
-		p = &progress{nextIndex: n.log.last() + 1, lastContact: n.now}
+		p = &progress{nextIndex: n.log.last() + 1, lastContact: n.now, since: n.now}
 		n.progress[peer] = p
 	}
 	before, found := n.log.termAt(p.nextIndex - 1)
@@ -47,6 +47,7 @@
 	n.send(peer, &schema.RaftMessage{
 		Kind: schema.RaftKind_RAFT_KIND_APPEND, Term: n.term,
 		LogIndex: p.nextIndex - 1, LogTerm: before, Entries: entries, Commit: n.commitIndex,
+		Silences: n.silences(),
 	})
 	p.nextIndex += uint64(len(entries))
 }
@@ -64,6 +65,7 @@
 		return
 	}
 	n.followLeader(from)
+	n.noteSilences(from, m.GetSilences())
 	if m.GetLogIndex() < n.commitIndex {
 		// All entries up to the commit index are in the log of every later leader, so
 		// they match.
--- a/replica/members.go
+++ b/replica/members.go
@@ -120,8 +120,9 @@
 			id := figbank.ProcessID(voter.GetId())
 			if id != r.common.Process {
 				match := r.node.MatchIndex(id)
+				heard, since := r.node.Contact(id)
 				s.Contacts[id] = voters.Contact{
-					Silence: now.Sub(r.node.LastContact(id)), Answered: match > 0,
+					Silence: now.Sub(heard), Tried: now.Sub(since), Answered: match > 0,
 					Lag: uint64(r.node.CommitIndex()) - min(match, uint64(r.node.CommitIndex())),
 				}
 			}
--- a/voters/voters.go
+++ b/voters/voters.go
@@ -44,9 +44,10 @@
 
 	// Contact is what the leader has heard from a voter or learner.
 	Contact struct {
-		// Silence is the time since the leader last heard from it, or since the leader first sent
-		// to it.
+		// Silence is the time since any leader last heard from it, as far as this leader knows.
 		Silence time.Duration
+		// Tried is the time since this leader first sent to it.
+		Tried time.Duration
 		// Answered is set once it has confirmed to this leader what it has of the log.
 		Answered bool
 		// Lag is the number of committed entries that it still lacks.
@@ -135,14 +136,21 @@
 // the voter has lost its disk. A voter that still answers has not, whoever else is reported there:
 // the report may be of an earlier incarnation.
 func (s ClusterState) addressReused(voter *schema.Voter) bool {
-	return s.Contacts[figbank.ProcessID(voter.GetId())].Silence > maxLiveSilence &&
+	return s.unheardFor(voter, maxLiveSilence) &&
 		slices.ContainsFunc(s.Replicas, func(r Replica) bool {
 			return !r.LastKnown && string(r.Address) == voter.GetAddress() && string(r.ID) != voter.GetId()
 		})
 }
 
 func (s ClusterState) isSilent(voter *schema.Voter) bool {
-	return s.Contacts[figbank.ProcessID(voter.GetId())].Silence > maxSilence
+	return s.unheardFor(voter, maxSilence)
+}
+
+// unheardFor reports whether no leader has heard a voter or learner for longer than a time. This leader
+// must have tried for longer than maxLiveSilence, since an earlier one may have been cut off itself.
+func (s ClusterState) unheardFor(voter *schema.Voter, limit time.Duration) bool {
+	contact := s.Contacts[figbank.ProcessID(voter.GetId())]
+	return contact.Silence > limit && contact.Tried > maxLiveSilence
 }
 
 // isCaughtUp reports whether a learner can become a voter. One that has not answered yet cannot,
--- a/voters/voters_test.go
+++ b/voters/voters_test.go
@@ -34,9 +34,9 @@
 }
 
 func TestNextMembership(t *testing.T) {
-	silent := map[figbank.ProcessID]Contact{"c": {Silence: time.Minute, Answered: true}}
+	silent := map[figbank.ProcessID]Contact{"c": {Tried: time.Minute, Silence: time.Minute, Answered: true}}
 	silentAndLearner := func(learner Contact) map[figbank.ProcessID]Contact {
-		return map[figbank.ProcessID]Contact{"c": {Silence: time.Minute, Answered: true}, "d": learner}
+		return map[figbank.ProcessID]Contact{"c": {Tried: time.Minute, Silence: time.Minute, Answered: true}, "d": learner}
 	}
 	emptyDisk := append(replicas("a", "b"), Replica{ID: "c2", Address: "c:1"})
 	lastKnownAtAddress := append(replicas("a", "b", "c"), Replica{ID: "c0", Address: "c:1", LastKnown: true})
@@ -60,7 +60,7 @@
 			name: "a host that is back with an empty disk becomes a learner before its voter counts as silent",
 			s: ClusterState{
 				Membership: members("", "a", "b", "c"), Replicas: emptyDisk,
-				Contacts: map[figbank.ProcessID]Contact{"c": {Silence: maxLiveSilence + 1, Answered: true}},
+				Contacts: map[figbank.ProcessID]Contact{"c": {Tried: time.Minute, Silence: maxLiveSilence + 1, Answered: true}},
 			},
 			want: emptyDiskLearner,
 		},
@@ -68,14 +68,21 @@
 			name: "a voter that answers has its disk, whatever is reported at its address",
 			s: ClusterState{
 				Membership: members("", "a", "b", "c"), Replicas: emptyDisk,
-				Contacts: map[figbank.ProcessID]Contact{"c": {Silence: maxLiveSilence, Answered: true}},
+				Contacts: map[figbank.ProcessID]Contact{"c": {Tried: time.Minute, Silence: maxLiveSilence, Answered: true}},
+			},
+		},
+		{
+			name: "a new leader tries a voter itself before it replaces it",
+			s: ClusterState{
+				Membership: members("", "a", "b", "c"), Replicas: replicas("a", "b", "d"),
+				Contacts: map[figbank.ProcessID]Contact{"c": {Tried: maxLiveSilence, Silence: time.Minute, Answered: true}},
 			},
 		},
 		{
 			name: "what a lost replica reported does not prove a lost disk",
 			s: ClusterState{
 				Membership: members("", "a", "b", "c"), Replicas: lastKnownAtAddress,
-				Contacts: map[figbank.ProcessID]Contact{"c": {Silence: maxSilence, Answered: true}},
+				Contacts: map[figbank.ProcessID]Contact{"c": {Tried: time.Minute, Silence: maxSilence, Answered: true}},
 			},
 		},
 		{
@@ -103,7 +110,7 @@
 			name: "a learner that is silent too is removed",
 			s: ClusterState{
 				Membership: members("d", "a", "b", "c"), Replicas: replicas("a", "b"),
-				Contacts: silentAndLearner(Contact{Silence: time.Minute}),
+				Contacts: silentAndLearner(Contact{Tried: time.Minute, Silence: time.Minute}),
 			},
 			want: members("", "a", "b", "c"),
 		},
@@ -145,7 +152,7 @@
 func TestReplacementKeepsVotersApart(t *testing.T) {
 	s := ClusterState{
 		Membership: members("", "a1", "b1", "c1"), VoterCount: RequiredVoters(1),
-		Contacts: map[figbank.ProcessID]Contact{"c1": {Silence: time.Minute, Answered: true}},
+		Contacts: map[figbank.ProcessID]Contact{"c1": {Tried: time.Minute, Silence: time.Minute, Answered: true}},
 	}
 	for _, id := range []string{"a1", "a2", "b1", "c2"} {
 		s.Replicas = append(s.Replicas, Replica{ID: figbank.ProcessID(id), Address: figbank.Address(id + ":1"), Domain: figbank.FailureDomain(id[:1])})
@@ -160,7 +167,7 @@
 func TestLastKnownVoterKeepsItsFailureDomain(t *testing.T) {
 	s := ClusterState{
 		Membership: members("", "a1", "b1", "c1"), VoterCount: RequiredVoters(1),
-		Contacts: map[figbank.ProcessID]Contact{"c1": {Silence: time.Minute, Answered: true}, "b1": {Answered: true}},
+		Contacts: map[figbank.ProcessID]Contact{"c1": {Tried: time.Minute, Silence: time.Minute, Answered: true}, "b1": {Answered: true}},
 	}
 	for _, id := range []string{"a1", "b1", "b2", "c2"} {
 		s.Replicas = append(s.Replicas, Replica{ID: figbank.ProcessID(id), Address: figbank.Address(id + ":1"), Domain: figbank.FailureDomain(id[:1]), LastKnown: id == "b1"})
