Voters: a spare stands by as a learner before a voter is lost

Cause: a successor became a learner only once some voter had been silent for 3 s. A leader that was lost in between left it without a log, and catching up came on top of the silence. Class: a step of a repair that waits for another one without need.

Change: one spare, if there is any, is a learner at all times. It gets the log while nobody is missed, stays when a silent voter is back, and goes if it is silent, lost its disk or leaves. It makes room for a spare whose failure domain has fewer voters. A replica at the address of another voter is no spare.

--- a/voters/voters.go
+++ b/voters/voters.go
@@ -1,9 +1,9 @@
 // Package voters decides which replicas vote in the replicated log: as many as are
 // needed to survive the loss of a given number of disks at once, spread over failure
-// domains. A voter that is lost or about to leave is replaced by a learner that has
-// caught up. The package covers growth from a few seeds, the permanent loss of a host,
-// a host that comes back with an empty disk, a planned replacement, and a second loss
-// right after a first.
+// domains. One spare replica, if there is any, is a learner at all times, so that a voter
+// that is lost or about to leave can be replaced at once. The package covers growth from a
+// few seeds, the permanent loss of a host, a host that comes back with an empty disk, a
+// planned replacement, and a second loss right after a first.
 package voters
 
 import (
@@ -84,25 +84,33 @@
 	if learners := s.Membership.GetLearners(); len(learners) > 0 {
 		return s.promoteOrDropLearner(learners[0], toReplace)
 	}
-	if toReplace == nil && len(s.Membership.GetVoters()) >= s.VoterCount {
-		return nil
-	}
 	spare := s.spareFor(toReplace)
-	if spare == nil {
+	if spare == nil || !s.needsVoter(toReplace) && s.Failed[figbank.ProcessID(spare.GetId())] {
 		return nil
 	}
 	return &schema.Membership{Voters: s.Membership.GetVoters(), Learners: []*schema.Voter{spare}}
 }
 
-// promoteOrDropLearner returns the next membership while there is a learner. A learner
-// that has caught up becomes a voter, in place of the voter toReplace if that is not
-// nil. A learner that is no longer needed, is silent or has lost its disk is removed.
+// needsVoter reports whether a learner is to become a voter as soon as it has caught up.
+func (s ClusterState) needsVoter(toReplace *schema.Voter) bool {
+	return toReplace != nil || len(s.Membership.GetVoters()) < s.VoterCount
+}
+
+// promoteOrDropLearner returns the next membership while there is a learner. A learner that has caught up
+// becomes a voter if one is needed, in place of the voter toReplace if that is not nil. A learner that is
+// silent, has lost its disk or leaves is removed. If another spare would keep the voters further apart,
+// that one becomes the learner.
 func (s ClusterState) promoteOrDropLearner(learner, toReplace *schema.Voter) *schema.Membership {
-	id := figbank.ProcessID(learner.GetId())
 	switch {
-	case toReplace == nil && len(s.Membership.GetVoters()) >= s.VoterCount, s.isSilent(learner), s.addressReused(learner):
+	case s.isSilent(learner), s.addressReused(learner), s.isLeaving(learner):
 		return &schema.Membership{Voters: s.Membership.GetVoters()}
-	case !s.isCaughtUp(id):
+	case !s.needsVoter(toReplace):
+		return nil
+	}
+	if better := s.betterPlaced(learner, toReplace); better != nil {
+		return &schema.Membership{Voters: s.Membership.GetVoters(), Learners: []*schema.Voter{better}}
+	}
+	if !s.isCaughtUp(figbank.ProcessID(learner.GetId())) {
 		return nil
 	}
 	next := slices.Clone(s.Membership.GetVoters())
@@ -117,6 +125,24 @@
 	return &schema.Membership{Voters: next}
 }
 
+// betterPlaced returns a spare whose failure domain has fewer voters than the learner's, or nil. The voter
+// toReplace does not count.
+func (s ClusterState) betterPlaced(learner, toReplace *schema.Voter) *schema.Voter {
+	spare := s.spareFor(toReplace)
+	if spare == nil || s.Failed[figbank.ProcessID(spare.GetId())] {
+		return nil
+	}
+	counts := s.votersByDomain(toReplace)
+	of := func(v *schema.Voter) int {
+		domain, _ := s.domainAt(v.GetAddress())
+		return counts[domain]
+	}
+	if of(spare) >= of(learner) {
+		return nil
+	}
+	return spare
+}
+
 // voterToReplace returns the voter to replace first, or nil if there is none: one whose
 // host is back with an empty disk, else one that is silent, else one that is leaving.
 func (s ClusterState) voterToReplace() (*schema.Voter, Reason) {
@@ -167,9 +193,12 @@
 }
 
 // spareFor returns a replica that can replace a voter, or that can vote in addition if voter is nil.
-// It returns nil if there is none.
+// It returns nil if there is none. A replica at the address of another voter is no spare: only one of
+// the two can be running.
 func (s ClusterState) spareFor(voter *schema.Voter) *schema.Voter {
-	spares := slices.DeleteFunc(slices.Clone(s.Replicas), func(r Replica) bool { return r.LastKnown || r.Leaving || s.isVoter(r.ID) })
+	spares := slices.DeleteFunc(slices.Clone(s.Replicas), func(r Replica) bool {
+		return r.LastKnown || r.Leaving || s.isVoter(r.ID) || s.hasVoterAt(r.Address, voter)
+	})
 	if len(spares) == 0 {
 		return nil
 	}
@@ -233,6 +262,13 @@
 	return domain, found
 }
 
+// hasVoterAt reports whether a voter other than the excluded one has an address.
+func (s ClusterState) hasVoterAt(address figbank.Address, excluded *schema.Voter) bool {
+	return slices.ContainsFunc(s.Membership.GetVoters(), func(v *schema.Voter) bool {
+		return v.GetAddress() == string(address) && v.GetId() != excluded.GetId()
+	})
+}
+
 func (s ClusterState) isVoter(id figbank.ProcessID) bool {
 	return slices.ContainsFunc(s.Membership.GetVoters(), func(v *schema.Voter) bool { return v.GetId() == string(id) })
 }
