Raft: a candidate asks again for votes within its election timeout

Cause: a lost message cost an election timeout. The thesis has candidates repeat their requests.

Change: a candidate asks those who have not granted again after each heartbeat interval.

--- a/raft/election.go
+++ b/raft/election.go
@@ -45,14 +45,33 @@
 	n.requestVotes(schema.RaftKind_RAFT_KIND_VOTE, n.term)
 }
 
+// requestVotes asks all other voters that have not granted their votes yet.
 func (n *Node) requestVotes(kind schema.RaftKind, term uint64) {
+	n.voteRequestDue = n.now.Add(n.timing.HeartbeatInterval)
 	last := n.log.last()
 	lastTerm, _ := n.log.termAt(last)
 	n.eachVoter(func(peer figbank.ProcessID) {
-		n.send(peer, &schema.RaftMessage{Kind: kind, Term: term, LogIndex: last, LogTerm: lastTerm})
+		if !n.votes[peer] {
+			n.send(peer, &schema.RaftMessage{Kind: kind, Term: term, LogIndex: last, LogTerm: lastTerm})
+		}
 	})
 }
 
+// repeatVoteRequests asks again for votes while this replica is a candidate. Otherwise one lost message
+// would cost a whole election timeout.
+func (n *Node) repeatVoteRequests() {
+	if n.now.Before(n.voteRequestDue) {
+		return
+	}
+	switch n.role {
+	case PreCandidate:
+		n.requestVotes(schema.RaftKind_RAFT_KIND_PRE_VOTE, n.term+1)
+	case Candidate:
+		n.requestVotes(schema.RaftKind_RAFT_KIND_VOTE, n.term)
+	default:
+	}
+}
+
 func (n *Node) handlePreVote(m *schema.RaftMessage) {
 	granted := m.GetTerm() > n.term && !n.hasActiveLeader() && n.upToDate(m)
 	term := n.term
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -76,12 +76,14 @@
 		// persistedIndex is the highest index that is synced on this replica's disk.
 		persistedIndex uint64
 
-		role              Role
-		leader            figbank.ProcessID
-		votes             map[figbank.ProcessID]bool
-		progress          map[figbank.ProcessID]*progress
-		electionDeadline  time.Time
-		heartbeatDue      time.Time
+		role             Role
+		leader           figbank.ProcessID
+		votes            map[figbank.ProcessID]bool
+		progress         map[figbank.ProcessID]*progress
+		electionDeadline time.Time
+		heartbeatDue     time.Time
+		// voteRequestDue is when a candidate asks again for votes that it has not got.
+		voteRequestDue    time.Time
 		lastLeaderContact time.Time
 		// heard holds when each other replica was last known to be alive.
 		heard map[figbank.ProcessID]time.Time
@@ -196,7 +198,8 @@
 
 // Tick advances the time. A leader steps down if it has not heard from a quorum within the election
 // timeout, and otherwise sends a heartbeat if one is due. Any other voter starts a pre-vote if its
-// election timeout has passed. A replica that does not vote then knows of no leader any more.
+// election timeout has passed, and until then asks again for votes that it has asked for and not got. A
+// replica that does not vote knows of no leader any more once its election timeout has passed.
 func (n *Node) Tick(now time.Time) {
 	n.now = now
 	if n.role == Leader {
@@ -204,6 +207,7 @@
 		return
 	}
 	if now.Before(n.electionDeadline) {
+		n.repeatVoteRequests()
 		return
 	}
 	if n.isVoter() {
