Voters: a learner that was never heard makes room for another spare

A learner of which nothing was heard for a second is exchanged for another spare, if there is one. The case of TestNextMembership fails without it.

--- a/voters/voters.go
+++ b/voters/voters.go
@@ -107,12 +107,13 @@
 	switch {
 	case s.isSilent(learner), s.addressReused(learner), s.isLeaving(learner):
 		return &schema.Membership{Voters: s.Membership.GetVoters()}
-	case !s.needsVoter(toReplace):
-		return nil
 	}
-	if better := s.betterPlaced(learner, toReplace); better != nil {
+	if better := s.betterLearner(learner, toReplace); better != nil {
 		return &schema.Membership{Voters: s.Membership.GetVoters(), Learners: []*schema.Voter{better}}
 	}
+	if !s.needsVoter(toReplace) {
+		return nil
+	}
 	if !s.isCaughtUp(figbank.ProcessID(learner.GetId())) {
 		return nil
 	}
@@ -128,18 +129,28 @@
 	return &schema.Membership{Voters: next}
 }
 
-// betterPlaced returns a spare whose failure domain has fewer voters than the learner's, or nil. The voter
-// toReplace does not count.
-func (s ClusterState) betterPlaced(learner, toReplace *schema.Voter) *schema.Voter {
-	spare := s.spareFor(toReplace)
+// betterLearner returns a spare that should be the learner in place of the present one, or nil: one whose
+// failure domain has fewer voters, if a voter is needed, or any, if the learner has not been heard at all. The
+// voter toReplace does not count.
+func (s ClusterState) betterLearner(learner, toReplace *schema.Voter) *schema.Voter {
+	others := s
+	others.Replicas = slices.DeleteFunc(slices.Clone(s.Replicas), func(r Replica) bool { return string(r.ID) == learner.GetId() })
+	spare := others.spareFor(toReplace)
 	if spare == nil || s.Failed[figbank.ProcessID(spare.GetId())] {
 		return nil
 	}
 	votersBeside := s.votersBeside(toReplace)
-	if votersBeside(spare) >= votersBeside(learner) {
-		return nil
+	if s.isAbsent(learner) || s.needsVoter(toReplace) && votersBeside(spare) < votersBeside(learner) {
+		return spare
 	}
-	return spare
+	return nil
+}
+
+// isAbsent reports whether a learner has not been heard since this leader first sent to it, for so long that
+// it may be gone: a lost host is listed among the replicas for some seconds.
+func (s ClusterState) isAbsent(learner *schema.Voter) bool {
+	contact := s.Contacts[figbank.ProcessID(learner.GetId())]
+	return contact.Silence >= contact.Tried && contact.Tried > maxSilenceWithStandby
 }
 
 // voterToReplace returns the voter to replace first, or nil if there is none: one whose host is back with
--- a/voters/voters_test.go
+++ b/voters/voters_test.go
@@ -84,6 +84,21 @@
 			},
 			want: members("", "a", "b", "d"),
 		},
+		{
+			name: "a learner that was never heard makes room for another spare",
+			s: ClusterState{
+				Membership: members("d", "a", "b", "c"), Replicas: replicas("a", "b", "c", "d", "e"),
+				Contacts: map[figbank.ProcessID]Contact{"d": {Tried: 1100 * time.Millisecond, Silence: 1100 * time.Millisecond}},
+			},
+			want: members("e", "a", "b", "c"),
+		},
+		{
+			name: "a learner that was never heard stays while there is no other spare",
+			s: ClusterState{
+				Membership: members("d", "a", "b", "c"), Replicas: replicas("a", "b", "c", "d"),
+				Contacts: map[figbank.ProcessID]Contact{"d": {Tried: 1100 * time.Millisecond, Silence: 1100 * time.Millisecond}},
+			},
+		},
 		{
 			name: "a learner that leaves is removed",
 			s: ClusterState{
