Replica client: addresses of lost hosts do not use up a call

What callers saw: reads of the configuration without an answer for as long as an operator waits, while the log works. Evidence: 'proposal failed' in idle-narrow lists attempts of 800 to 990 ms at the address of a host that was gone, in calls that end after 990 ms. Cause: attempts came one after the other, each for up to 2 s, and the addresses to try include those of lost hosts. Class: a time limit for a part that is longer than the one for the whole.

Commands are idempotent and only a leader accepts them. What is still open when a call ends counts as unknown.

In TestProposalsLeaveALeaderThatIsSilent the fixture's replica is read once, since attempts may end after the call that began them.

--- a/replica/client.go
+++ b/replica/client.go
@@ -16,6 +16,8 @@
 	attemptTimeout = 2 * time.Second
 	// retryDelay is the pause after all replicas have been tried once.
 	retryDelay = 50 * time.Millisecond
+	// hedgeDelay is how long an attempt may take before another replica is tried beside it.
+	hedgeDelay = 200 * time.Millisecond
 	// proposeTimeout bounds a whole proposal; an earlier deadline of the caller takes
 	// precedence.
 	proposeTimeout = 5 * time.Second
@@ -77,46 +79,29 @@
 func (c *Client) Propose(ctx context.Context, command *schema.Command) (*schema.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	unknown := false
-	tried := &attempts{began: c.common.Clock.Now()}
-	for {
-		for _, replica := range c.leaderFirst() {
-			if ctx.Err() != nil {
-				break
-			}
-			answer, maybeAccepted := c.try(ctx, replica, command, tried)
-			unknown = unknown || maybeAccepted
-			if answer.GetResult() != nil {
-				c.leader.Store(replica.ID)
-				return answer.GetResult(), nil
-			}
-			c.updateLeader(answer)
-		}
-		select {
-		case <-ctx.Done():
-			c.failures.write(c.common, tried, c.presumedLeader())
-			return nil, c.proposeError(unknown)
-		case <-c.common.Clock.After(retryDelay):
-		}
+	r := newRace(ctx, c, command)
+	result, unknown := r.run()
+	if result != nil {
+		return result, nil
 	}
+	c.failures.write(c.common, &r.tried, c.presumedLeader())
+	return nil, c.proposeError(unknown)
 }
 
 // try sends the command to one replica. If answer has no result, maybeAccepted
 // reports whether the command may have been accepted nevertheless.
-func (c *Client) try(ctx context.Context, replica Endpoint, command *schema.Command, tried *attempts) (answer *schema.ProposeAnswer, maybeAccepted bool) {
+func (c *Client) try(ctx context.Context, replica Endpoint, command *schema.Command) (answer *schema.ProposeAnswer, maybeAccepted bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	if c.presumedLeader() == replica.ID {
 		go c.cancelWhenReplaced(ctx, cancel, replica.ID)
 	}
 	answer = &schema.ProposeAnswer{}
-	began := c.common.Clock.Now()
 	sent, err := c.pool.Call(ctx, replica.Address, schema.StreamKind_STREAM_KIND_PROPOSE, command, answer)
-	tried.note(replica, c.common.Clock.Now().Sub(began), answer, err)
 	if err != nil {
-		return nil, sent
+		return nil, sent, err
 	}
-	return answer, answer.GetUnknown()
+	return answer, answer.GetUnknown(), nil
 }
 
 // cancelWhenReplaced calls cancel and returns when another replica is known to lead.
--- /dev/null
+++ b/replica/race_test.go
@@ -0,0 +1,38 @@
+package replica
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"figbank"
+)
+
+// Hosts of the log were lost, and their addresses are still among those to try. An operator waits a second
+// for an answer. Each attempt at such an address may take two, so every call was spent on the first one.
+func TestLostHostsDoNotUseUpACall(t *testing.T) {
+	const callTimeout = time.Second
+	g := newCluster(t)
+	g.mustPublish(1)
+	var endpoints []Endpoint
+	for _, id := range []figbank.ProcessID{"lost1", "lost2"} {
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = silent.Close() }()
+		endpoints = append(endpoints, Endpoint{ID: id, Address: figbank.Address(silent.Addr().String())})
+	}
+	for _, m := range g.members {
+		endpoints = append(endpoints, Endpoint{ID: m.id, Address: m.address})
+	}
+	for call := range 3 {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		client := NewClient(common("operator"), g.members[0].pool, func() []Endpoint { return endpoints })
+		if _, err := client.Propose(ctx, publish(int64(call+2))); err != nil {
+			t.Errorf("call %d: Propose() = %v, want it accepted within %v", call, err, callTimeout)
+		}
+		cancel()
+	}
+}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -308,8 +308,9 @@
 	for _, m := range g.members {
 		endpoints = append(endpoints, Endpoint{ID: m.id, Address: m.address})
 	}
+	observed := observer.replica
 	client := NewClient(common("operator"), observer.pool, func() []Endpoint { return endpoints },
-		WithLeader(func() figbank.ProcessID { return figbank.ProcessID(observer.replica.Status().GetLeader()) }))
+		WithLeader(func() figbank.ProcessID { return figbank.ProcessID(observed.Status().GetLeader()) }))
 	if _, err := client.Propose(context.Background(), publish(2)); err != nil {
 		t.Fatalf("Propose() = %v", err)
 	}
