Control: a read that the log does not answer ends within the operator's second

What callers saw: reads without an answer, in place of a 503 that sends them to another process. Cause: a read had no bound of its own; the proposal goes on for 5 s, and the operator leaves after one (callerGone in the lines of idle-narrow, each after 0.98 to 0.99 s).

--- a/control/control.go
+++ b/control/control.go
@@ -18,8 +18,9 @@
 	"go.uber.org/zap"
 )
 
-// leaveTimeout bounds the time to put a leave into the log. Upstreams wait a second for an answer.
-const leaveTimeout = 900 * time.Millisecond
+// answerTimeout bounds the time in the log for calls whose callers wait a second for an answer: leaves of
+// upstreams and reads of operators.
+const answerTimeout = 900 * time.Millisecond
 
 type (
 	// Control carries out requests of operators and upstreams. It is safe for
@@ -89,7 +90,7 @@
 	if !registry.IsLeave(record.GetState()) || c.leaves.recorded(record) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	return c.propose(ctx, &schema.Command{Action: &schema.Command_Leave{Leave: &schema.Leave{Upstream: record}}})
 }
@@ -115,8 +116,11 @@
 }
 
 // Document returns the source text of the rules in force, or nil if there are none yet. The read is
-// a command in the log, so the result reflects all rules that were accepted before the call.
+// a command in the log, so the result reflects all rules that were accepted before the call. Document
+// returns an error if the log does not answer within answerTimeout: another process may reach it.
 func (c *Control) Document(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
 	result, err := c.proposer.Propose(ctx, &schema.Command{Action: &schema.Command_ReadTraffic{ReadTraffic: &schema.ReadTraffic{}}})
 	if err != nil {
 		return nil, err
