Reads of the configuration need no entry in the log

What callers saw: a read of what was acknowledged fails where nothing is wrong with a majority but its disks. Beside it the leader sent the whole document to the replica that answers, which has it (55 kB in 5 s on the narrow link of idle-narrow). Class: a request that changes nothing depends on all that a change needs.

Change: the leader answers a read once a quorum has answered a broadcast sent after the read came (thesis, 6.4); it must have committed an entry of its term. The reader says which rules it holds and is told that they are in force, or gets those that are.

All replicas of a log need this version for reads: a leader with it does not count answers without a round.

--- a/app/platformreplica.go
+++ b/app/platformreplica.go
@@ -225,7 +225,10 @@
 func serveControl(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, proposer figbank.Proposer,
 	view *feed.View, r logReplica, fleet *configuration.FleetHolder, leaves *control.Leaves,
 ) error {
-	c := control.New(common, proposer, view, control.WithLeaves(leaves))
+	c := control.New(common, proposer, view, control.WithLeaves(leaves), control.WithHeld(func() (int64, []byte) {
+		document := r.Document()
+		return document.Number, document.Packed
+	}))
 	ctx, cancel := context.WithCancel(context.Background())
 	go c.CountGateways(ctx, r.IsLeader, fleet.Current)
 	lifecycle.Append(fx.StopHook(cancel))
--- a/control/control.go
+++ b/control/control.go
@@ -30,6 +30,8 @@
 		proposer figbank.Proposer
 		view     *feed.View
 		leaves   *Leaves
+		// held returns the number and the compressed text of the newest traffic rules that this process has.
+		held func() (number int64, packed []byte)
 	}
 
 	// Option changes a Control under construction.
@@ -41,9 +43,16 @@
 	return func(c *Control) { c.leaves = leaves }
 }
 
+// WithHeld sets what returns the number and the compressed text of the newest traffic rules that this process
+// has. The log then need not send them for a read.
+func WithHeld(held func() (number int64, packed []byte)) Option {
+	return func(c *Control) { c.held = held }
+}
+
 // New returns a Control that proposes its commands through proposer.
 func New(common figbank.Common, proposer figbank.Proposer, view *feed.View, options ...Option) *Control {
 	c := &Control{common: common.Named("control"), proposer: proposer, view: view, leaves: NewLeaves(view)}
+	c.held = func() (int64, []byte) { return 0, nil }
 	for _, option := range options {
 		option(c)
 	}
@@ -115,20 +124,24 @@
 	}}})
 }
 
-// Document returns the source text of the rules in force, or nil if there are none yet. The read is
-// a command in the log, so the result reflects all rules that were accepted before the call. Document
+// Document returns the source text of the rules in force, or nil if there are none yet. The leader of the
+// log confirms the read, so the result reflects all rules that were accepted before the call. Document
 // returns an error if the log does not answer within answerTimeout: another process may reach it.
 func (c *Control) Document(ctx context.Context) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	result, err := c.proposer.Propose(ctx, &schema.Command{Action: &schema.Command_ReadTraffic{ReadTraffic: &schema.ReadTraffic{}}})
+	number, packed := c.held()
+	result, err := c.proposer.Propose(ctx, &schema.Command{Action: &schema.Command_ReadTraffic{ReadTraffic: &schema.ReadTraffic{HeldNumber: number}}})
 	if err != nil {
 		return nil, err
 	}
-	if len(result.GetPackedDocument()) == 0 {
+	if !result.GetUnchanged() {
+		packed = result.GetPackedDocument()
+	}
+	if len(packed) == 0 {
 		return nil, nil
 	}
-	return traffic.Unpack(result.GetPackedDocument())
+	return traffic.Unpack(packed)
 }
 
 // Evacuate takes a failure domain out of service, or puts it back if withdraw is set. It returns a
--- a/control/read_test.go
+++ b/control/read_test.go
@@ -8,8 +8,11 @@
 
 	"figbank"
 	"figbank/clock"
+	"figbank/configuration"
 	"figbank/fake"
+	"figbank/feed"
 	"figbank/schema"
+	"figbank/traffic"
 )
 
 // lostLog is a log that no command reaches.
@@ -34,3 +37,28 @@
 		t.Errorf("Document() = %v, want NotAcceptedError", err)
 	}
 }
+
+// unchangedLog answers each read that what the reader holds is in force.
+type unchangedLog struct{}
+
+func (unchangedLog) Propose(context.Context, *schema.Command) (*schema.Result, error) {
+	return &schema.Result{Unchanged: true}, nil
+}
+
+// A read must not be answered with rules that this process gets only while it asks the log.
+func TestReadReturnsWhatWasHeldWhenItBegan(t *testing.T) {
+	documents := []string{"first", "second"}
+	held := func() (int64, []byte) {
+		packed, err := traffic.Pack([]byte(documents[0]))
+		if err != nil {
+			t.Fatal(err)
+		}
+		documents = documents[1:]
+		return 1, packed
+	}
+	c := New(testCommon(), unchangedLog{}, feed.NewView(testCommon(), time.Minute, configuration.NewFleetHolder(testCommon().Recorder)), WithHeld(held))
+	got, err := c.Document(context.Background())
+	if err != nil || string(got) != "first" {
+		t.Errorf("Document() = %q, %v, want the rules held at the start", got, err)
+	}
+}
--- a/ledger/fleet.go
+++ b/ledger/fleet.go
@@ -126,11 +126,20 @@
 	return versions
 }
 
-// readTraffic returns the compressed traffic document that is in force at this log index.
-func (s *State) readTraffic() *schema.Result {
+// ReadTraffic returns the compressed traffic document that is in force at this log index, unless the reader
+// holds it.
+func (s *State) ReadTraffic(read *schema.ReadTraffic) *schema.Result {
+	if held := read.GetHeldNumber(); held > 0 && held == s.fleet.GetTrafficNumber() {
+		return &schema.Result{CommitIndex: s.applied, Unchanged: true}
+	}
 	return &schema.Result{CommitIndex: s.applied, PackedDocument: s.document}
 }
 
+// Document returns the compressed traffic document that is in force, or nil before the first rules.
+func (s *State) Document() []byte {
+	return s.document
+}
+
 // nextFleet returns a copy of the fleet, with the index of the current entry. Changes
 // are made to the copy, since callers of Fleet may still read the original.
 func (s *State) nextFleet() *schema.Fleet {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -166,7 +166,7 @@
 	case *schema.Command_CountGateways:
 		return s.countGateways(action.CountGateways)
 	case *schema.Command_ReadTraffic:
-		return s.readTraffic()
+		return s.ReadTraffic(action.ReadTraffic)
 	case *schema.Command_Leave:
 		return s.leave(action.Leave)
 	}
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -82,6 +82,8 @@
 		progress         map[figbank.ProcessID]*progress
 		electionDeadline time.Time
 		heartbeatDue     time.Time
+		// round is the number of the last broadcast of this node as a leader.
+		round uint64
 		// voteRequestDue is when a candidate asks again for votes that it has not got.
 		voteRequestDue    time.Time
 		lastLeaderContact time.Time
@@ -103,6 +105,8 @@
 		lastContact time.Time
 		// since is the time of the first message to it.
 		since time.Time
+		// confirmedRound is the last broadcast that it has answered.
+		confirmedRound uint64
 	}
 )
 
--- a/raft/replication.go
+++ b/raft/replication.go
@@ -25,6 +25,7 @@
 
 func (n *Node) broadcastAppend() {
 	n.heartbeatDue = n.now.Add(n.timing.HeartbeatInterval)
+	n.round++
 	n.eachPeer(n.sendAppend)
 }
 
@@ -47,21 +48,21 @@
 	n.send(peer, &schema.RaftMessage{
 		Kind: schema.RaftKind_RAFT_KIND_APPEND, Term: n.term,
 		LogIndex: p.nextIndex - 1, LogTerm: before, Entries: entries, Commit: n.commitIndex,
-		Silences: n.silences(),
+		Silences: n.silences(), Round: n.round,
 	})
 	p.nextIndex += uint64(len(entries))
 }
 
 func (n *Node) sendSnapshot(peer figbank.ProcessID, p *progress) {
 	snapshot := n.log.snapshot
-	n.send(peer, &schema.RaftMessage{Kind: schema.RaftKind_RAFT_KIND_SNAPSHOT, Term: n.term, Snapshot: snapshot})
+	n.send(peer, &schema.RaftMessage{Kind: schema.RaftKind_RAFT_KIND_SNAPSHOT, Term: n.term, Snapshot: snapshot, Round: n.round})
 	p.nextIndex = snapshot.GetIndex() + 1
 }
 
 func (n *Node) handleAppend(m *schema.RaftMessage) {
 	from := figbank.ProcessID(m.GetFrom())
 	if m.GetTerm() < n.term {
-		n.answerAppend(from, false, 0)
+		n.answerAppend(m, false, 0)
 		return
 	}
 	n.followLeader(from)
@@ -69,18 +70,18 @@
 	if m.GetLogIndex() < n.commitIndex {
 		// All entries up to the commit index are in the log of every later leader, so
 		// they match.
-		n.answerAppend(from, true, n.commitIndex)
+		n.answerAppend(m, true, n.commitIndex)
 		return
 	}
 	term, found := n.log.termAt(m.GetLogIndex())
 	if !found || term != m.GetLogTerm() {
-		n.answerAppend(from, false, n.resumeHint(m.GetLogIndex()))
+		n.answerAppend(m, false, n.resumeHint(m.GetLogIndex()))
 		return
 	}
 	n.acceptEntries(m.GetEntries())
 	matched := m.GetLogIndex() + uint64(len(m.GetEntries()))
 	n.commitIndex = max(n.commitIndex, min(m.GetCommit(), matched))
-	n.answerAppend(from, true, matched)
+	n.answerAppend(m, true, matched)
 }
 
 func (n *Node) followLeader(leader figbank.ProcessID) {
@@ -127,8 +128,10 @@
 	return index
 }
 
-func (n *Node) answerAppend(to figbank.ProcessID, granted bool, match uint64) {
-	n.send(to, &schema.RaftMessage{Kind: schema.RaftKind_RAFT_KIND_APPEND_ANSWER, Term: n.term, Granted: granted, Match: match})
+func (n *Node) answerAppend(m *schema.RaftMessage, granted bool, match uint64) {
+	n.send(figbank.ProcessID(m.GetFrom()), &schema.RaftMessage{
+		Kind: schema.RaftKind_RAFT_KIND_APPEND_ANSWER, Term: n.term, Granted: granted, Match: match, Round: m.GetRound(),
+	})
 }
 
 func (n *Node) handleAppendAnswer(m *schema.RaftMessage) {
@@ -141,6 +144,7 @@
 		return
 	}
 	p.lastContact = n.now
+	p.confirmedRound = max(p.confirmedRound, m.GetRound())
 	if !m.GetGranted() {
 		p.nextIndex = max(p.matchIndex, min(m.GetMatch(), n.log.last())) + 1
 		n.sendAppend(peer)
@@ -157,7 +161,7 @@
 func (n *Node) handleSnapshot(m *schema.RaftMessage) {
 	from := figbank.ProcessID(m.GetFrom())
 	if m.GetTerm() < n.term {
-		n.answerAppend(from, false, 0)
+		n.answerAppend(m, false, 0)
 		return
 	}
 	n.followLeader(from)
@@ -178,7 +182,7 @@
 		n.ready.Snapshot = snapshot
 		n.ready.Entries = nil
 	}
-	n.answerAppend(from, true, n.commitIndex)
+	n.answerAppend(m, true, n.commitIndex)
 }
 
 // advanceCommit commits all entries up to quorumIndex, if the entry at that index is of the current
--- a/replica/ready.go
+++ b/replica/ready.go
@@ -112,6 +112,7 @@
 }
 
 func (r *Replica) publishStatus() {
+	r.publishDocument()
 	r.members.Store(r.node.Membership())
 	last := r.status.Load()
 	next := &schema.ReplicaStatus{
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -69,6 +69,8 @@
 		inbox     chan input
 		// pending holds the proposals in the log that are not applied yet, by their index.
 		pending map[uint64]proposal
+		// reads holds the reads that wait until a quorum confirms that this replica leads.
+		reads []pendingRead
 		// sinceSnapshot counts entries applied since the last snapshot.
 		sinceSnapshot int
 
@@ -81,9 +83,11 @@
 		onLeaves        func([]*schema.Instance)
 		onFailure       func(error)
 
-		status  atomic.Pointer[schema.ReplicaStatus]
-		members atomic.Pointer[schema.Membership]
-		delays  delayMeter
+		status atomic.Pointer[schema.ReplicaStatus]
+		// document is the newest traffic document that this replica has applied.
+		document atomic.Pointer[Document]
+		members  atomic.Pointer[schema.Membership]
+		delays   delayMeter
 
 		leaderWatch leaderWatch
 		// leaderless is for how many seconds this replica has known no leader.
@@ -254,11 +258,17 @@
 			r.onFailure(err)
 			return
 		}
-		r.releasePending()
+		r.answerWaiting()
 		r.publishStatus()
 	}
 }
 
+// answerWaiting answers what waits for a state that this replica has reached by now.
+func (r *Replica) answerWaiting() {
+	r.answerReads()
+	r.releasePending()
+}
+
 // releasePending answers all pending proposals once this replica no longer leads.
 // The next leader may still commit them, so the answer is that the outcome is
 // unknown, and the proposers repeat their commands.
@@ -295,6 +305,10 @@
 		r.node.Step(now, in.message)
 		return
 	}
+	if read := in.proposal.command.GetReadTraffic(); read != nil {
+		r.beginRead(now, read, in.proposal.answer)
+		return
+	}
 	in.proposal.command.TimeUnixNano = now.UnixNano()
 	data, err := proto.Marshal(in.proposal.command)
 	if err != nil {
--- a/replica/simulation_test.go
+++ b/replica/simulation_test.go
@@ -193,7 +193,7 @@
 		h.replica, h.rewriteLog = nil, true
 		return
 	}
-	h.replica.releasePending()
+	h.replica.answerWaiting()
 	m.checkState(h)
 }
 
--- a/replica/supervisor.go
+++ b/replica/supervisor.go
@@ -120,6 +120,16 @@
 	return figbank.ProcessID(r.Status().GetLeader())
 }
 
+// Document returns the newest traffic document that this replica has applied. Its number is 0 if there is
+// none.
+func (s *Supervisor) Document() Document {
+	r := s.current.Load()
+	if r == nil {
+		return Document{}
+	}
+	return r.Document()
+}
+
 // IsLeader reports whether this replica leads the log.
 func (s *Supervisor) IsLeader() bool {
 	r := s.current.Load()
