Soak: hosts of the log are lost for good, and each host answers a read at the end

The soak wiped at most one replica, at its own address, read at random addresses with up to 1.5 s, and was content with one answer. At the end of every run each control address must answer a read within a second.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -61,6 +61,8 @@
 		engine *standin.Engine
 		// faultyUpstreams is the number of upstreams of the service that is faulty in a scenario.
 		faultyUpstreams int
+		// successors is the number of replicas that take the place of lost ones in a scenario.
+		successors int
 
 		processes []*process
 		// proxies holds the proxies in front of each process.
@@ -108,7 +110,7 @@
 		base: firstPort + rand.IntN(portRange), //nolint:gosec // spreads runs, no secret
 	}
 	if options.Scenario != nil {
-		c.faultyUpstreams = options.Scenario.faultyUpstreams
+		c.faultyUpstreams, c.successors = options.Scenario.faultyUpstreams, options.Scenario.successors
 	}
 	if options.sized() {
 		c.engine = &standin.Engine{ReadPerSecond: readPerSecond, Usual: usualPrompt, Events: sizedEvents}
@@ -153,9 +155,7 @@
 		return err
 	}
 	for n := range c.size.processes() {
-		p, err := newProcess(c.spec(n), func(p *process, err error) {
-			c.record.addViolation("OwnEnd", "%s exited without being asked to: %v", p.id, err)
-		})
+		p, err := c.addProcess(c.spec(n))
 		if err != nil {
 			return err
 		}
@@ -167,15 +167,21 @@
 			return err
 		}
 	}
-	return nil
+	return c.addSuccessors(c.successors)
+}
+
+func (c *cluster) addProcess(spec processSpec) (*process, error) {
+	return newProcess(spec, func(p *process, err error) {
+		c.record.addViolation("OwnEnd", "%s exited without being asked to: %v", p.id, err)
+	})
 }
 
-// addProxies starts the proxies in front of the nth process. Only replicas have a control port
-// and a proxy for it.
+// addProxies starts the proxies in front of the nth process. Only replicas, and the successors behind all
+// other processes, have a control port and a proxy for it.
 func (c *cluster) addProxies(n int) error {
 	var proxies []*Proxy
 	for _, port := range []int{portProcess, portControl} {
-		if port == portControl && n >= c.size.Replicas {
+		if port == portControl && n >= c.size.Replicas && n < c.size.processes() {
 			continue
 		}
 		proxy, err := StartProxy(c.proxyAddress(n, port), c.listenAddress(n, port))
@@ -206,13 +212,18 @@
 	id := fmt.Sprintf("%s-%d", role, index)
 	return processSpec{
 		id: id, role: role, failureDomain: domainOf(index), binary: c.binary, folder: c.folder,
-		settings: c.settings(id, domainOf(index), n, node),
+		settings: c.settings(id, domainOf(index), n, node, true),
 	}
 }
 
 // settings returns the content of the settings file of the nth process. The parameter node
-// holds the lines that depend on the role of the process.
-func (c *cluster) settings(id, failureDomain string, n int, node string) string {
+// holds the lines that depend on the role of the process. bootstrap is set for the processes with which the
+// deployment starts.
+func (c *cluster) settings(id, failureDomain string, n int, node string, bootstrap bool) string {
+	firstStart := "no"
+	if bootstrap {
+		firstStart = "yes"
+	}
 	return fmt.Sprintf(`[Process]
 Id = %s
 Region = region-%s
@@ -223,7 +234,7 @@
 LogFormat = Json
 [Node]
 Seeds = %s
-Bootstrap = yes
+Bootstrap = %s
 Regions = za=region-za, zb=region-zb, zc=region-zc
 ListenMetrics = %s
 MemoryLimit = %d
@@ -243,7 +254,7 @@
 OriginDelay = 100ms
 StallTime = 1s
 `, id, failureDomain, failureDomain, c.listenAddress(n, portProcess), c.proxyAddress(n, portProcess), filepath.Join(c.folder, id),
-		strings.Join(c.control, ", "), c.listenAddress(n, portMetrics), maxGatewayBytes/megabyte, node, retryRatio, retrySlack, retryWindow)
+		strings.Join(c.control, ", "), firstStart, c.listenAddress(n, portMetrics), maxGatewayBytes/megabyte, node, retryRatio, retrySlack, retryWindow)
 }
 
 // close ends everything that start and newCluster have started.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -92,6 +92,8 @@
 		i.answerWithoutEnd(fault)
 	case KillGateways:
 		i.killGateways(fault)
+	case ReplaceReplica:
+		i.replaceReplica(fault)
 	case LeaveUpstream, RefuseForTime:
 		i.giveNotice(fault)
 	case CorruptUpstream, CrashUpstream:
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -14,6 +14,9 @@
 	TearLog FaultKind = "Tear"
 	// WipeReplica kills a replica and deletes its data.
 	WipeReplica FaultKind = "Wipe"
+	// ReplaceReplica kills a replica for good and starts a successor. Successors count as targets after the
+	// replicas of the start.
+	ReplaceReplica FaultKind = "Replace"
 	// StopProcess asks a process to exit and starts it again.
 	StopProcess FaultKind = "Stop"
 	// PauseProcess suspends a process with SIGSTOP and resumes it.
--- a/soak/scenario.go
+++ b/soak/scenario.go
@@ -27,6 +27,8 @@
 	// pressing is the number of callers of the faulty service at the first gateway, faultyUpstreams the
 	// number of its upstreams.
 	pressing, faultyUpstreams int
+	// successors is the number of replicas that take the place of lost ones.
+	successors int
 	// check checks at the end what only this scenario promises, unless it is nil.
 	check func(*run)
 }
@@ -36,6 +38,7 @@
 		faults: answersWithoutEnd, callers: otherCallers, pressing: pressingFaulty, faultyUpstreams: faultyUpstreams, check: (*run).checkOthers,
 	},
 	"garbled-streams":        {faults: garbledStreams, callers: garbledCallers, check: (*run).checkResumed},
+	"hosts-lost":             {faults: hostsLost, callers: callersPerGateway, successors: successors},
 	"restarts-while-refused": {faults: restartsWhileRefused, callers: callersPerGateway},
 	"slow-engines":           {faults: slowEngines, callers: pressingCallers, sized: true},
 }
--- a/soak/scenario_test.go
+++ b/soak/scenario_test.go
@@ -53,6 +53,12 @@
 	testScenario(t, "answers-without-end", 8*time.Second)
 }
 
+// The next host of the log was lost while leaders changed and the one before it was not replaced yet. No read
+// was answered any more.
+func TestLostHostsLeaveAMajority(t *testing.T) {
+	testScenario(t, "hosts-lost", 12*time.Second)
+}
+
 func TestFindScenario(t *testing.T) {
 	if got, err := FindScenario(""); got != nil || err != nil {
 		t.Errorf("FindScenario of no name = %v, %v, want nil, nil", got, err)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -276,6 +276,7 @@
 	if number < o.acknowledged || number > o.sent {
 		r.record.addViolation("Lost", "configuration %d is in force, but %d was acknowledged and %d was sent", number, o.acknowledged, o.sent)
 	}
+	r.checkReadBack(ctx)
 	client := &http.Client{Timeout: callTimeout}
 	defer client.CloseIdleConnections()
 	marker := func(ctx context.Context) error {
