Replica client: a result that arrives as the call ends is returned

Found in the read-through: where the result of an attempt and the end of the call were ready at the same moment, the result could be dropped and the call answered as of unknown outcome.

--- a/replica/race.go
+++ b/replica/race.go
@@ -59,15 +59,12 @@
 		pause := r.startNext()
 		select {
 		case a := <-r.ended:
-			r.note(a)
-			if a.answer.GetResult() != nil {
-				r.client.leader.Store(a.replica.ID)
+			if r.note(a); a.answer.GetResult() != nil {
 				return a.answer.GetResult(), false
 			}
 		case <-r.client.common.Clock.After(pause):
 		case <-r.ctx.Done():
-			r.awaitLast()
-			return nil, r.unknown
+			return r.awaitLast(), r.unknown
 		}
 	}
 }
@@ -111,19 +108,25 @@
 	r.unknown = r.unknown || a.maybeAccepted
 	r.tried.note(a.replica, a.took, a.answer, a.err)
 	r.client.updateLeader(a.answer)
+	if a.answer.GetResult() != nil {
+		r.client.leader.Store(a.replica.ID)
+	}
 }
 
-// awaitLast notes the attempts that end with the context. Of one that goes on, it is unknown whether the
-// command was accepted.
-func (r *race) awaitLast() {
+// awaitLast notes the attempts that end with the context, and returns the result of one that ended with
+// success at the same moment, or nil. Of one that goes on, it is unknown whether the command was accepted.
+func (r *race) awaitLast() *schema.Result {
 	timeout := r.client.common.Clock.After(lastAnswers)
 	for len(r.running) > 0 {
 		select {
 		case a := <-r.ended:
-			r.note(a)
+			if r.note(a); a.answer.GetResult() != nil {
+				return a.answer.GetResult()
+			}
 		case <-timeout:
 			r.unknown = true
-			return
+			return nil
 		}
 	}
+	return nil
 }
