Raft: a repeated vote request costs no sync

Cause: since candidates ask again each heartbeat interval, a voter wrote and synced its vote for each request, though it was the same. On a slow disk the syncs keep it from answering. Change: the hard state is saved when the vote changes. TestRepeatedVoteRequestCostsNoSync: two of three requests cost a sync before.

--- a/raft/election.go
+++ b/raft/election.go
@@ -104,8 +104,10 @@
 	canVote := n.votedFor == "" || n.votedFor == from
 	granted := m.GetTerm() == n.term && canVote && n.upToDate(m)
 	if granted {
-		n.votedFor = from
-		n.saveHardState()
+		if n.votedFor != from {
+			n.votedFor = from
+			n.saveHardState()
+		}
 		n.resetElectionTimer()
 	}
 	n.send(from, &schema.RaftMessage{Kind: schema.RaftKind_RAFT_KIND_VOTE_ANSWER, Term: n.term, Granted: granted})
--- a/raft/election_test.go
+++ b/raft/election_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"figbank"
+	"figbank/schema"
 )
 
 // The first requests for votes are lost. If a candidate asks only once in an election timeout, a few lost
@@ -39,3 +40,21 @@
 		}
 	}
 }
+
+// A candidate that gets no answer asks again and again. If each request costs the voter a sync, a slow disk
+// keeps it from answering at all.
+func TestRepeatedVoteRequestCostsNoSync(t *testing.T) {
+	c := newCluster(3, 1, t.Fatalf)
+	voter := c.hosts["r0"].node
+	request := &schema.RaftMessage{Kind: schema.RaftKind_RAFT_KIND_VOTE, From: "r1", To: "r0", Term: 1}
+	for i, wantSync := range []bool{true, false, false} {
+		voter.Step(c.now, request)
+		ready := voter.Ready()
+		if got := ready.HardState != nil; got != wantSync {
+			t.Errorf("request %d: sync %v, want %v", i, got, wantSync)
+		}
+		if len(ready.Messages) != 1 || !ready.Messages[0].GetGranted() {
+			t.Errorf("request %d: answers %v, want one that grants the vote", i, ready.Messages)
+		}
+	}
+}
