Replica client: one proposal at a time asks several replicas

Class: retries that grow with the load. Change: only one proposal of a client may have attempts at several replicas; the others go from one to the next as they did before.

TestOnlyOneProposalAsksSeveralReplicasAtATime.

--- a/replica/client.go
+++ b/replica/client.go
@@ -37,6 +37,8 @@
 		observed func() figbank.ProcessID
 		leader   atomic.Value
 		failures failureLog
+		// hedging is the number of proposals that may ask several replicas at the moment.
+		hedging atomic.Int32
 	}
 
 	// ClientOption configures a Client under construction.
--- a/replica/race.go
+++ b/replica/race.go
@@ -14,6 +14,9 @@
 	// maxHedgedCommand limits the commands that are sent to several replicas at a time, in bytes. Others would
 	// fill narrow links.
 	maxHedgedCommand = 16 << 10
+	// maxHedging is how many proposals of a client may ask several replicas at a time. Otherwise slow replicas
+	// would get several times as many, and become slower.
+	maxHedging = 1
 	// lastAnswers is how long a race waits for attempts that end with its context.
 	lastAnswers = 50 * time.Millisecond
 )
@@ -31,6 +34,8 @@
 		running, asked map[figbank.Address]bool
 		ended          chan attempt
 		tried          attempts
+		// hedging is set while this is one of the client's proposals that may ask several replicas.
+		hedging bool
 		// unknown is set if a replica may have accepted the command.
 		unknown bool
 	}
@@ -55,6 +60,7 @@
 // run returns the command's result, or nil once the context has ended. unknown reports whether the command
 // may have been accepted all the same.
 func (r *race) run() (result *schema.Result, unknown bool) {
+	defer r.stopHedging()
 	for {
 		pause := r.startNext()
 		select {
@@ -76,7 +82,7 @@
 		if r.running[replica.Address] || r.asked[replica.Address] {
 			continue
 		}
-		if len(r.running) > 0 && proto.Size(r.command) > maxHedgedCommand {
+		if len(r.running) > 0 && !r.mayHedge() {
 			return hedgeDelay
 		}
 		r.running[replica.Address], r.asked[replica.Address] = true, true
@@ -88,6 +94,28 @@
 	return retryDelay
 }
 
+// mayHedge reports whether another replica may be asked beside those that have not answered.
+func (r *race) mayHedge() bool {
+	if r.hedging {
+		return true
+	}
+	if proto.Size(r.command) > maxHedgedCommand {
+		return false
+	}
+	if r.client.hedging.Add(1) > maxHedging {
+		r.client.hedging.Add(-1)
+		return false
+	}
+	r.hedging = true
+	return true
+}
+
+func (r *race) stopHedging() {
+	if r.hedging {
+		r.client.hedging.Add(-1)
+	}
+}
+
 func (r *race) attempt(replica Endpoint) {
 	clock := r.client.common.Clock
 	began := clock.Now()
--- a/replica/race_test.go
+++ b/replica/race_test.go
@@ -9,6 +9,23 @@
 	"figbank"
 )
 
+// Replicas are slow, since they have too much to do. If each proposal asks several of them then, they have
+// several times as much.
+func TestOnlyOneProposalAsksSeveralReplicasAtATime(t *testing.T) {
+	client := NewClient(common("gateway"), nil, func() []Endpoint { return nil })
+	first, second := newRace(t.Context(), client, publish(1)), newRace(t.Context(), client, publish(2))
+	if !first.mayHedge() || !first.mayHedge() {
+		t.Error("the first proposal may not ask a second and a third replica, want it to")
+	}
+	if second.mayHedge() {
+		t.Error("a second proposal may ask several replicas, want only one")
+	}
+	first.stopHedging()
+	if !second.mayHedge() {
+		t.Error("the second proposal may not ask several replicas after the first has ended, want it to")
+	}
+}
+
 // Hosts of the log were lost, and their addresses are still among those to try. An operator waits a second
 // for an answer. Each attempt at such an address may take two, so every call was spent on the first one.
 func TestLostHostsDoNotUseUpACall(t *testing.T) {
