--- a/replica/race_test.go
+++ b/replica/race_test.go
@@ -14,8 +14,10 @@
 func TestOnlyOneProposalAsksSeveralReplicasAtATime(t *testing.T) {
 	client := NewClient(common("gateway"), nil, func() []Endpoint { return nil })
 	first, second := newRace(t.Context(), client, publish(1)), newRace(t.Context(), client, publish(2))
-	if !first.mayHedge() || !first.mayHedge() {
-		t.Error("the first proposal may not ask a second and a third replica, want it to")
+	for _, replica := range []string{"second", "third"} {
+		if !first.mayHedge() {
+			t.Errorf("the first proposal may not ask a %s replica, want it to", replica)
+		}
 	}
 	if second.mayHedge() {
 		t.Error("a second proposal may ask several replicas, want only one")
