Soak: domains that can't reach each other, and hosts of the log replaced in turn, while rules in force are checked

Cause: the soak's proxies stand in front of a process and did not know who dials, so that two failure domains could not be cut from each other; rules in force were not checked once a host of the log had been replaced, since the replicas of the start were counted; a planned replacement was not in it, and neither were seeds that follow the hosts.

The users' record is not reproduced by them. What hosts-replaced does write is the record's pattern: each 8 s a replica's last line is Follower, in the term before, leader empty, as it is no voter any more.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -61,8 +62,8 @@
 		engine *standin.Engine
 		// faultyUpstreams is the number of upstreams of the service that is faulty in a scenario.
 		faultyUpstreams int
-		// successors is the number of replicas that take the place of lost ones in a scenario.
-		successors int
+		// replaced lists the replicas whose place successors take in a scenario.
+		replaced []int
 
 		processes []*process
 		// outages tells when faults disturbed which process, by its index.
@@ -76,6 +77,8 @@
 		operator *standin.Operator
 
 		mu sync.Mutex
+		// hosts holds the indexes of the replicas that the operators count on now.
+		hosts []int
 		// upstreams holds the upstreams of the agents first, then those without an agent.
 		upstreams []*upstream
 		// faulty holds the upstreams of the faulty service.
@@ -112,12 +115,13 @@
 		base: firstPort + rand.IntN(portRange), //nolint:gosec // spreads runs, no secret
 	}
 	if options.Scenario != nil {
-		c.faultyUpstreams, c.successors = options.Scenario.faultyUpstreams, options.Scenario.successors
+		c.faultyUpstreams, c.replaced = options.Scenario.faultyUpstreams, options.Scenario.replaced
 	}
 	if options.sized() {
 		c.engine = &standin.Engine{ReadPerSecond: readPerSecond, Usual: usualPrompt, Events: sizedEvents}
 	}
 	for i := range options.Size.Replicas {
+		c.hosts = append(c.hosts, i)
 		c.control = append(c.control, c.proxyAddress(i, portControl))
 	}
 	c.operator = &standin.Operator{Control: c.control}
@@ -164,12 +168,12 @@
 		if err := c.addProxies(n); err != nil {
 			return err
 		}
-		c.processes = append(c.processes, p)
+		c.keep(p)
 		if err := p.start(); err != nil {
 			return err
 		}
 	}
-	return c.addSuccessors(c.successors)
+	return c.addSuccessors(c.replaced)
 }
 
 func (c *cluster) addProcess(spec processSpec) (*process, error) {
@@ -190,12 +194,56 @@
 		if err != nil {
 			return err
 		}
+		proxy.NameDialers(c.dialerOf)
 		proxies = append(proxies, proxy)
 	}
 	c.proxies = append(c.proxies, proxies)
 	return nil
 }
 
+// exchangeHost records that one replica takes the place of another. The settings of all processes name it as a
+// seed a while later.
+func (c *cluster) exchangeHost(old, next int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := c.seedLine()
+	hosts := slices.Clone(c.hosts)
+	hosts[slices.Index(hosts, old)] = next
+	c.hosts = hosts
+	after, processes := c.seedLine(), c.processes
+	go func() {
+		wall.sleep(seedLag)
+		for _, p := range processes {
+			if err := p.replaceSetting(before, after); err != nil {
+				c.record.addViolation("Soak", "the seeds of %s: %v", p.id, err)
+			}
+		}
+	}()
+}
+
+// seedLine is the setting that names the seeds.
+func (c *cluster) seedLine() string {
+	var seeds []string
+	for _, n := range c.hosts {
+		seeds = append(seeds, c.proxyAddress(n, portControl))
+	}
+	return "Seeds = " + strings.Join(seeds, ", ")
+}
+
+// currentHosts lists the replicas that the operators count on now.
+func (c *cluster) currentHosts() []int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hosts
+}
+
+// keep adds a process.
+func (c *cluster) keep(p *process) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.processes = append(c.processes, p)
+}
+
 func domainOf(n int) string { return "z" + string(rune('a'+n%domainCount)) }
 
 // spec describes the nth process. Replicas come first, then gateways, then agents.
@@ -231,7 +279,7 @@
 DataFolder = %s
 LogFormat = Json
 [Node]
-Seeds = %s
+%s
 %s
 Regions = za=region-za, zb=region-zb, zc=region-zc
 ListenMetrics = %s
@@ -252,7 +300,7 @@
 OriginDelay = 100ms
 StallTime = 1s
 `, id, failureDomain, failureDomain, c.listenAddress(n, portProcess), c.proxyAddress(n, portProcess), filepath.Join(c.folder, id),
-		strings.Join(c.control, ", "), bootstrapLine(bootstrap), c.listenAddress(n, portMetrics), maxGatewayBytes/megabyte, node, retryRatio, retrySlack, retryWindow)
+		c.seedLine(), bootstrapLine(bootstrap), c.listenAddress(n, portMetrics), maxGatewayBytes/megabyte, node, retryRatio, retrySlack, retryWindow)
 }
 
 // bootstrapLine is the setting that tells a replica whether the whole deployment starts for the first time.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -79,7 +79,7 @@
 		i.disturbServices(fault)
 	case KillGateways:
 		i.killGateways(fault)
-	case ReplaceReplica:
+	case ReplaceReplica, RetireReplica:
 		i.replaceReplica(fault)
 	case LoseLeader:
 		i.loseLeader(ctx, fault)
@@ -87,6 +87,8 @@
 		i.fillDisk(fault)
 	case GarbleAnnouncements:
 		i.garbleAnnouncements(ctx, fault)
+	case CutDomains:
+		i.cutDomains(fault)
 	case LeaveUpstream, RefuseForTime:
 		i.giveNotice(fault)
 	case CorruptUpstream, CrashUpstream:
--- a/soak/losses.go
+++ b/soak/losses.go
@@ -13,8 +13,10 @@
 const (
 	// scenarioReplicas is the number of replicas with which the scenario starts.
 	scenarioReplicas = 3
-	// successors is how many replicas can take the place of lost ones in a run.
-	successors = 3
+	// seedLag is how long after a change of the log's hosts the settings name the new seeds.
+	seedLag = 3 * time.Second
+	// replacedAfter is how long a successor runs before the replica stops whose place it takes.
+	replacedAfter = 2 * time.Second
 	// firstLoss is when the first host of the log is lost. Its successor starts after successorDelay, and the
 	// next host may be lost after nextLossDelay more, as operators are promised.
 	firstLoss      = time.Second
@@ -26,17 +28,21 @@
 	operatorPatience = time.Second
 )
 
-var linkFailures = []time.Duration{200 * time.Millisecond, 2 * time.Second, 3500 * time.Millisecond}
+var (
+	linkFailures = []time.Duration{200 * time.Millisecond, 2 * time.Second, 3500 * time.Millisecond}
+	// lostInTurn and replacedInTurn list the replicas whose place the successors take, one after the other.
+	// The third loss is that of the first successor.
+	lostInTurn     = []int{0, 1, scenarioReplicas}
+	replacedInTurn = []int{0, 1, 2}
+)
 
 // hostsLost loses hosts of the log for good, one after the other, each as soon as operators are promised that
 // it may be. A link to the replica that stays, the last of the first three, fails between the losses, so that
 // leaders change.
 func hostsLost(length time.Duration) []Fault {
 	var plan []Fault
-	// The third loss is that of the first successor.
-	lost := []int{0, 1, scenarioReplicas}
-	for k, at := 0, firstLoss; k < len(lost) && at < length; k++ {
-		plan = append(plan, Fault{At: at, Duration: successorDelay, Kind: ReplaceReplica, Target: lost[k], RandomBits: uint64(k)})
+	for k, at := 0, firstLoss; k < len(lostInTurn) && at < length; k++ {
+		plan = append(plan, Fault{At: at, Duration: successorDelay, Kind: ReplaceReplica, Target: lostInTurn[k], RandomBits: uint64(k)})
 		for _, after := range linkFailures {
 			plan = append(plan, Fault{At: at + after, Duration: linkFailure, Kind: Silence, Target: scenarioReplicas - 1, RandomBits: 1})
 		}
@@ -45,19 +51,34 @@
 	return plan
 }
 
-// replicaAt returns the nth replica: those of the start come first, then the successors.
-func (c *cluster) replicaAt(n int) *process {
+// hostsReplaced starts a successor of each replica in turn and then asks that replica to stop, while changes are
+// published. Processes of all kinds are disturbed in between.
+func hostsReplaced(length time.Duration) []Fault {
+	plan := changes(length)
+	between := []FaultKind{PauseProcess, StopProcess, KillProcess}
+	for k, at := 0, firstLoss; k < len(replacedInTurn) && at < length; k, at = k+1, at+seriesGap {
+		plan = append(plan,
+			Fault{At: at, Duration: replacedAfter, Kind: RetireReplica, Target: replacedInTurn[k], RandomBits: uint64(k)},
+			Fault{At: at + replacedAfter + nextLossDelay/2, Duration: fullTime, Kind: between[k%len(between)], Target: scenarioReplicas + k},
+		)
+	}
+	return sorted(plan)
+}
+
+// replicaAt returns the index, among the processes, of the nth replica: those of the start come first, then the
+// successors.
+func (c *cluster) replicaAt(n int) int {
 	if n < c.size.Replicas {
-		return c.processes[n]
+		return n
 	}
-	return c.processes[c.size.processes()+n-c.size.Replicas]
+	return c.size.processes() + n - c.size.Replicas
 }
 
-// addSuccessors prepares the successors of lost replicas. They do not run yet.
-func (c *cluster) addSuccessors(count int) error {
-	for k := range count {
+// addSuccessors prepares the successors of replicas. They do not run yet.
+func (c *cluster) addSuccessors(replaced []int) error {
+	for k := range replaced {
 		n := c.size.processes() + k
-		id, domain := fmt.Sprintf("successor-%d", k), domainOf(controlOf(k))
+		id, domain := fmt.Sprintf("successor-%d", k), domainOf(controlOf(replaced, k))
 		node := "ListenControl = " + c.listenAddress(n, portControl)
 		p, err := c.addProcess(processSpec{
 			id: id, role: roleReplica, failureDomain: domain, binary: c.binary, folder: c.folder,
@@ -66,7 +87,7 @@
 		if err != nil {
 			return err
 		}
-		c.processes = append(c.processes, p)
+		c.keep(p)
 		if err := c.addProxies(n); err != nil {
 			return err
 		}
@@ -74,24 +95,49 @@
 	return nil
 }
 
-// controlOf returns the index of the control address at which the nth successor serves.
-func controlOf(n int) int { return n % (successors - 1) }
+// controlOf returns the index of the control address at which the nth successor serves: that of the replica whose
+// place it takes.
+func controlOf(replaced []int, n int) int {
+	for replaced[n] >= scenarioReplicas {
+		n = replaced[n] - scenarioReplicas
+	}
+	return replaced[n]
+}
 
-// replaceReplica ends a replica for good and starts a successor with an empty disk at another address of the
-// log. Operators and upstreams reach it at the control address of the one that is lost.
+// replaceReplica puts a successor with an empty disk, at another address of the log, in the place of a replica. The
+// replica is lost for good before, or asked to stop afterwards. Operators and upstreams reach the successor at the
+// control address of that replica.
 func (i *injector) replaceReplica(fault Fault) {
 	n := int(fault.RandomBits) //nolint:gosec // a small index
-	lost, next := i.cluster.replicaAt(fault.Target), i.cluster.replicaAt(i.cluster.size.Replicas+n)
-	i.record.mark(lost.id, fault.Duration, "lost for good, %s takes its place", next.id)
-	i.cluster.outages.begin(fault.Target)
-	lost.kill()
+	old, next := i.cluster.replicaAt(fault.Target), i.cluster.replicaAt(i.cluster.size.Replicas+n)
+	i.record.mark(i.cluster.processes[old].id, fault.Duration, "%s, %s takes its place", fault.Kind, i.cluster.processes[next].id)
+	control := i.cluster.proxies[controlOf(i.cluster.replaced, n)][1]
+	start := func() {
+		defer i.cluster.outages.begin(next)()
+		if err := i.cluster.processes[next].start(); err != nil {
+			i.record.addViolation("Soak", "%s cannot be started: %v", i.cluster.processes[next].id, err)
+		}
+	}
+	if fault.Kind == RetireReplica {
+		start()
+		wall.sleep(fault.Duration)
+		i.cluster.exchangeHost(old, next)
+		i.cluster.outages.begin(old)
+		i.disturbReplicas()
+		control.SetTarget(i.cluster.listenAddress(next, portControl))
+		if err := i.cluster.processes[old].stop(); err != nil {
+			i.record.addViolation("Stop", "%v", err)
+		}
+		i.disturbReplicas()
+		return
+	}
+	i.cluster.outages.begin(old)
+	i.cluster.processes[old].kill()
 	wall.sleep(fault.Duration)
-	control := i.cluster.proxies[controlOf(n)][1]
-	control.SetTarget(i.cluster.listenAddress(i.cluster.size.processes()+n, portControl))
+	control.SetTarget(i.cluster.listenAddress(next, portControl))
 	control.Reset()
-	if err := next.start(); err != nil {
-		i.record.addViolation("Soak", "%s cannot be started: %v", next.id, err)
-	}
+	i.cluster.exchangeHost(old, next)
+	start()
 }
 
 // checkReadBack records a violation for each control address that does not answer a read of the configuration
--- a/soak/outages.go
+++ b/soak/outages.go
@@ -66,7 +66,7 @@
 // majorityRan reports whether more than half of the replicas ran, and were reached, from one time to another.
 func (c *cluster) majorityRan(from, to time.Time) bool {
 	running := 0
-	for replica := range c.size.Replicas {
+	for _, replica := range c.currentHosts() {
 		if !c.outages.halted(replica, from, to) {
 			running++
 		}
@@ -76,7 +76,7 @@
 
 // stable reports whether no fault disturbed a replica from one time to another.
 func (c *cluster) stable(from, to time.Time) bool {
-	for replica := range c.size.Replicas {
+	for _, replica := range c.currentHosts() {
 		if c.outages.disturbed(replica, from, to) {
 			return false
 		}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -16,6 +16,8 @@
 	// ReplaceReplica kills a replica for good and starts a successor. Successors count as targets after the
 	// replicas of the start.
 	ReplaceReplica FaultKind = "Replace"
+	// RetireReplica starts a successor of a replica and then asks the replica to stop for good.
+	RetireReplica FaultKind = "Retire"
 	// StopProcess asks a process to exit and starts it again.
 	StopProcess FaultKind = "Stop"
 	// PauseProcess suspends a process with SIGSTOP and resumes it.
@@ -32,6 +34,8 @@
 	Silence FaultKind = "Silence"
 	// Refuse closes new connections to a process at once.
 	Refuse FaultKind = "Refuse"
+	// CutDomains cuts two failure domains from each other, one of them that of the log's leader.
+	CutDomains FaultKind = "CutDomains"
 	// CorruptUpstream makes an upstream misbehave in one of the ways in upstreamFaults.
 	CorruptUpstream FaultKind = "Spoil"
 	// CrashUpstream kills an upstream and starts its next incarnation.
--- a/soak/process.go
+++ b/soak/process.go
@@ -105,10 +105,22 @@
 	return []string{"platform", p.role, "--settings", p.settingsFile()}
 }
 
-// endBootstrap makes the next start one of a deployment that has run before.
+// endBootstrap makes the next start one of a deployment that has run before. The caller holds p.mu.
 func (p *process) endBootstrap() error {
-	settings := strings.Replace(p.settings, bootstrapLine(true), bootstrapLine(false), 1)
-	return figbank.WrapError("soak", "Settings", os.WriteFile(p.settingsFile(), []byte(settings), 0o600))
+	p.settings = strings.Replace(p.settings, bootstrapLine(true), bootstrapLine(false), 1)
+	return p.writeSettings()
+}
+
+// replaceSetting replaces a line of the settings. A running process reads them again.
+func (p *process) replaceSetting(old, next string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.settings = strings.Replace(p.settings, old, next, 1)
+	return p.writeSettings()
+}
+
+func (p *process) writeSettings() error {
+	return figbank.WrapError("soak", "Settings", os.WriteFile(p.settingsFile(), []byte(p.settings), 0o600))
 }
 
 // setFull sets whether the disk of the process takes no more bytes.
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -42,19 +43,27 @@
 		mu         sync.Mutex
 		target     string
 		impairment Impairment
+		// dialerOf returns the process that dials, cuts what the proxy does besides to the connections of some.
+		dialerOf func(client net.Conn) int
+		cuts     map[int]Impairment
 		// changed is closed and replaced when the impairment changes.
 		changed chan struct{}
-		conns   map[net.Conn]struct{}
+		// conns holds both ends of each connection, with the process that dialed.
+		conns map[net.Conn]int
 	}
 )
 
+// unknownDialer is the dialer of a connection that none of the processes has opened.
+const unknownDialer = -1
+
 // StartProxy listens on an address and forwards connections to target.
 func StartProxy(address, target string) (*Proxy, error) {
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, figbank.WrapError("soak", "Proxy", err)
 	}
-	p := &Proxy{listener: listener, target: target, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	p := &Proxy{listener: listener, target: target, changed: make(chan struct{}), conns: map[net.Conn]int{}}
+	p.dialerOf = func(net.Conn) int { return unknownDialer }
 	go p.accept()
 	return p, nil
 }
@@ -78,12 +87,39 @@
 	p.changed = make(chan struct{})
 }
 
+// NameDialers makes the proxy ask dialerOf which process a new connection comes from.
+func (p *Proxy) NameDialers(dialerOf func(client net.Conn) int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialerOf = dialerOf
+}
+
+// SetCuts changes what the proxy does besides to the connections of single processes, existing and new ones.
+func (p *Proxy) SetCuts(cuts map[int]Impairment) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cuts = cuts
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 // Reset closes all connections with a TCP reset.
 func (p *Proxy) Reset() {
+	p.resetThose(func(int) bool { return true })
+}
+
+// ResetFrom closes the connections of some processes with a TCP reset.
+func (p *Proxy) ResetFrom(dialers []int) {
+	p.resetThose(func(dialer int) bool { return slices.Contains(dialers, dialer) })
+}
+
+func (p *Proxy) resetThose(isMeant func(dialer int) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for conn := range p.conns {
-		reset(conn)
+	for conn, dialer := range p.conns {
+		if isMeant(dialer) {
+			reset(conn)
+		}
 	}
 }
 
@@ -116,9 +152,11 @@
 func (p *Proxy) serve(client net.Conn) {
 	defer client.Close()
 	p.mu.Lock()
-	target, refuse := p.target, p.impairment.Refuse
+	target, dialerOf := p.target, p.dialerOf
 	p.mu.Unlock()
-	if refuse {
+	dialer := dialerOf(client)
+	if p.refuses(dialer) {
+		reset(client)
 		return
 	}
 	server, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(context.Background(), "tcp", target)
@@ -126,19 +164,25 @@
 		return
 	}
 	defer server.Close()
-	p.track(client, server)
+	p.track(dialer, client, server)
 	defer p.untrack(client, server)
 	var group sync.WaitGroup
-	group.Go(func() { p.forward(client, server, true) })
-	group.Go(func() { p.forward(server, client, false) })
+	group.Go(func() { p.forward(client, server, dialer, true) })
+	group.Go(func() { p.forward(server, client, dialer, false) })
 	group.Wait()
 }
 
-func (p *Proxy) track(conns ...net.Conn) {
+func (p *Proxy) refuses(dialer int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.impairment.Refuse || p.cuts[dialer].Refuse
+}
+
+func (p *Proxy) track(dialer int, conns ...net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, conn := range conns {
-		p.conns[conn] = struct{}{}
+		p.conns[conn] = dialer
 	}
 }
 
@@ -152,11 +196,11 @@
 
 // forward copies data from one connection to the other. At the end of the stream, it closes the
 // write side of the connection to. It passes a reset on.
-func (p *Proxy) forward(from, to net.Conn, inbound bool) {
+func (p *Proxy) forward(from, to net.Conn, dialer int, inbound bool) {
 	buffer := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(buffer)
-		p.awaitRelease(inbound)
+		p.awaitRelease(dialer, inbound)
 		if n > 0 && p.losesWithSender() && hasEnded(from) {
 			reset(to)
 			return
@@ -209,13 +253,18 @@
 	return ended || err != nil
 }
 
+// holds reports whether data in this direction is held back.
+func (i Impairment) holds(inbound bool) bool {
+	return inbound && i.HoldInbound || !inbound && i.HoldOutbound
+}
+
 // awaitRelease waits while data in this direction is held back, and then for the delay.
-func (p *Proxy) awaitRelease(inbound bool) {
+func (p *Proxy) awaitRelease(dialer int, inbound bool) {
 	for {
 		p.mu.Lock()
-		impairment, changed := p.impairment, p.changed
+		impairment, cut, changed := p.impairment, p.cuts[dialer], p.changed
 		p.mu.Unlock()
-		if held := inbound && impairment.HoldInbound || !inbound && impairment.HoldOutbound; !held {
+		if !impairment.holds(inbound) && !cut.holds(inbound) {
 			wall.sleep(impairment.Delay + time.Duration(rand.Int64N(int64(impairment.Jitter)+1))) //nolint:gosec // spreads delays, no secret
 			return
 		}
--- a/soak/scenario.go
+++ b/soak/scenario.go
@@ -27,8 +27,8 @@
 	// pressing is the number of callers of the faulty service at the first gateway, faultyUpstreams the
 	// number of its upstreams.
 	pressing, faultyUpstreams int
-	// successors is the number of replicas that take the place of lost ones.
-	successors int
+	// replaced lists the replicas whose place successors take.
+	replaced []int
 	// check checks at the end what only this scenario promises, unless it is nil.
 	check func(*run)
 }
@@ -37,9 +37,11 @@
 	"answers-without-end": {
 		faults: answersWithoutEnd, callers: otherCallers, pressing: pressingFaulty, faultyUpstreams: faultyUpstreams, check: (*run).checkOthers,
 	},
+	"domains-cut":            {faults: domainsCut, callers: callersPerGateway},
 	"full-disks":             {faults: fullDisks, callers: callersPerGateway},
 	"garbled-streams":        {faults: garbledStreams, callers: garbledCallers, check: (*run).checkResumed},
-	"hosts-lost":             {faults: hostsLost, callers: callersPerGateway, successors: successors},
+	"hosts-lost":             {faults: hostsLost, callers: callersPerGateway, replaced: lostInTurn},
+	"hosts-replaced":         {faults: hostsReplaced, callers: callersPerGateway, replaced: replacedInTurn},
 	"leaders-lost":           {faults: leadersLost, callers: callersPerGateway},
 	"restarts-in-series":     {faults: restartsInSeries, callers: callersPerGateway},
 	"restarts-while-refused": {faults: restartsWhileRefused, callers: callersPerGateway},
--- a/soak/scenario_test.go
+++ b/soak/scenario_test.go
@@ -65,6 +65,16 @@
 	testScenario(t, "hosts-lost", 12*time.Second)
 }
 
+// Hosts of the log are replaced one after the other while rules change and gateways restart.
+func TestReplacedHostsKeepRulesInForce(t *testing.T) {
+	testScenario(t, "hosts-replaced", 20*time.Second)
+}
+
+// Two failure domains can't reach each other, and the third reaches both.
+func TestCutDomainsKeepRulesInForce(t *testing.T) {
+	testScenario(t, "domains-cut", 14*time.Second)
+}
+
 func TestFindScenario(t *testing.T) {
 	if got, err := FindScenario(""); got != nil || err != nil {
 		t.Errorf("FindScenario of no name = %v, %v, want nil, nil", got, err)
--- a/soak/series.go
+++ b/soak/series.go
@@ -12,6 +12,8 @@
 	publishGap = 700 * time.Millisecond
 	// fullTime is for how long a disk is full.
 	fullTime = 2 * time.Second
+	// cutTime is how long two failure domains are cut from each other.
+	cutTime = 5500 * time.Millisecond
 	// leaderLoss is how long the leader of the log is gone. It is more than gateways may take to go by a change.
 	leaderLoss = applyTime + unstableTime + 1500*time.Millisecond
 	// cycleGap is the time in which leadersLost does the same at each replica.
@@ -47,6 +49,20 @@
 	return sorted(plan)
 }
 
+// domainsCut cuts two failure domains from each other while the third reaches both, again and again. As each cut ends,
+// or shortly before, a replica is killed, and a gateway afterwards.
+func domainsCut(length time.Duration) []Fault {
+	plan := changes(length)
+	for k, at := 0, time.Second; at < length; k, at = k+1, at+seriesGap {
+		plan = append(plan,
+			Fault{At: at, Duration: cutTime, Kind: CutDomains, Target: k, RandomBits: uint64(k)},
+			Fault{At: at + cutTime - time.Duration(k%2)*fullTime/2, Duration: fullTime, Kind: KillProcess, Target: (k + k/domainCount) % scenarioReplicas},
+			Fault{At: at + cutTime + fullTime/2, Duration: fullTime, Kind: StopProcess, Target: scenarioReplicas + k%scenarioReplicas},
+		)
+	}
+	return sorted(plan)
+}
+
 // restartsInSeries disturbs one process after the other, replicas and gateways in turn, while disks are full and
 // the leader is lost after acks.
 func restartsInSeries(length time.Duration) []Fault {
