Servers go on accepting after errors that pass

Cause: the server of sessions between processes ended its loop at the first error of accept, and net/http ends at all but a few. Linux reports errors of the network there (ENETDOWN, EHOSTUNREACH, EPROTO), and a process may have no descriptor left for a moment. It then went on with the sessions it had, and new ones were never accepted while the kernel completed their handshakes: a replica that nobody can reach, beside a log that runs. Class: a loop for the life of a process that ends on an error that passes.

Change: listener.Lasting accepts until it is closed, with pauses of 5 to 500 ms; sessions, callers, control, readiness, metrics and operators use it. The callers' server had a loop of its own that did so.

Before: TestServerAcceptsAfterAnErrorThatPasses failed (no answer within 5 s, 2 of 2 calls). After: it passes, as do the tests of transport, listener and httpserver.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -11,6 +11,7 @@
 	"figbank/exchange"
 	"figbank/gateway"
 	"figbank/grants"
+	"figbank/listener"
 	"figbank/operators"
 	"figbank/raft"
 	"figbank/relay"
@@ -187,13 +188,13 @@
 }
 
 // serveOperators serves the operators' API.
-func serveOperators(lifecycle fx.Lifecycle, s *schema.GatewaySettings, api *operators.API) error {
-	listener, err := listen(s.GetGateway().GetListenOperators())
+func serveOperators(lifecycle fx.Lifecycle, common figbank.Common, s *schema.GatewaySettings, api *operators.API) error {
+	accepting, err := listen(s.GetGateway().GetListenOperators())
 	if err != nil {
 		return err
 	}
 	server := newHTTPServer(api.Handler())
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(listener.NewLasting(common, accepting)) }()
 	lifecycle.Append(fx.StopHook(server.Close))
 	return nil
 }
@@ -201,13 +202,13 @@
 // serveCallers serves callers. It is invoked last, so that fx stops it first: running
 // requests can still use all other parts during the graceful shutdown.
 func serveCallers(lifecycle fx.Lifecycle, common figbank.Common, s *schema.GatewaySettings, callers *callerGateway) error {
-	listener, err := listen(s.GetGateway().GetListenCallers())
+	accepting, err := listen(s.GetGateway().GetListenCallers())
 	if err != nil {
 		return err
 	}
 	server := newHTTPServer(callers.Handler())
-	go func() { _ = server.Serve(listener) }()
-	common.Log.Info("gateway: serving", zap.String("callers", listener.Addr().String()),
+	go func() { _ = server.Serve(listener.NewLasting(common, accepting)) }()
+	common.Log.Info("gateway: serving", zap.String("callers", accepting.Addr().String()),
 		zap.String("operators", s.GetGateway().GetListenOperators()))
 	lifecycle.Append(fx.StopHook(func(ctx context.Context) error {
 		common.Log.Info("gateway: shutting down")
--- a/app/platform.go
+++ b/app/platform.go
@@ -12,6 +12,7 @@
 	"figbank/clock"
 	"figbank/configuration"
 	"figbank/feed"
+	"figbank/listener"
 	"figbank/schema"
 	"figbank/settings"
 	"figbank/transport"
@@ -80,24 +81,24 @@
 	return seeds
 }
 
-func servePlatformMetrics(lifecycle fx.Lifecycle, s *schema.PlatformSettings, m metrics) error {
+func servePlatformMetrics(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, m metrics) error {
 	if s.GetNode().GetListenMetrics() == "" {
 		return nil
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", m.handler)
-	return serveHTTP(lifecycle, s.GetNode().GetListenMetrics(), mux)
+	return serveHTTP(lifecycle, common, s.GetNode().GetListenMetrics(), mux)
 }
 
 // serveHTTP starts an HTTP server on address and returns. When the process stops, the server is
 // closed and running requests are aborted.
-func serveHTTP(lifecycle fx.Lifecycle, address string, handler http.Handler) error {
-	listener, err := listen(address)
+func serveHTTP(lifecycle fx.Lifecycle, common figbank.Common, address string, handler http.Handler) error {
+	accepting, err := listen(address)
 	if err != nil {
 		return err
 	}
 	server := newHTTPServer(handler)
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(listener.NewLasting(common, accepting)) }()
 	lifecycle.Append(fx.StopHook(server.Close))
 	return nil
 }
--- a/app/platformgateway.go
+++ b/app/platformgateway.go
@@ -106,9 +106,9 @@
 	return nil
 }
 
-func serveReadiness(lifecycle fx.Lifecycle, s *schema.PlatformSettings, d *dispatch.Dispatcher, stopping *stopState) error {
+func serveReadiness(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, d *dispatch.Dispatcher, stopping *stopState) error {
 	ready := func() bool { return d.Table() != nil && !stopping.begun.Load() }
-	return serveHTTP(lifecycle, s.GetNode().GetListenReadiness(), platform.ReadinessHandler(ready))
+	return serveHTTP(lifecycle, common, s.GetNode().GetListenReadiness(), platform.ReadinessHandler(ready))
 }
 
 // servePlatformCallers serves callers. It is invoked last, so that fx stops it first:
--- a/app/platformreplica.go
+++ b/app/platformreplica.go
@@ -254,5 +254,5 @@
 	lifecycle.Append(fx.StopHook(cancel))
 	api := platform.NewControlServer(common, c)
 	common.Log.Info("replica: started", zap.String("control", s.GetNode().GetListenControl()))
-	return serveHTTP(lifecycle, s.GetNode().GetListenControl(), api.Handler())
+	return serveHTTP(lifecycle, common, s.GetNode().GetListenControl(), api.Handler())
 }
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -15,11 +14,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"figbank"
+	"figbank/listener"
 )
 
-// acceptRetryDelay is the delay after a connection could not be accepted.
-const acceptRetryDelay = 50 * time.Millisecond
-
 type (
 	// Limits bound what a caller may send and how long it may take. 0 means no limit.
 	Limits struct {
@@ -65,19 +62,15 @@
 
 // Serve accepts connections until Shutdown closes the listener. It goes on after other failures,
 // such as having no descriptor left.
-func (s *Server) Serve(listener net.Listener) {
+func (s *Server) Serve(accepting net.Listener) {
+	lasting := listener.NewLasting(s.common, accepting)
 	s.mu.Lock()
-	s.listener = listener
+	s.listener = lasting
 	s.mu.Unlock()
 	for {
-		accepted, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
+		accepted, err := lasting.Accept()
 		if err != nil {
-			s.common.Log.Warn("accepting a caller failed, will retry", figbank.ErrorField(err))
-			<-s.common.Clock.After(acceptRetryDelay)
-			continue
+			return
 		}
 		s.hand(accepted)
 	}
--- a/transport/server.go
+++ b/transport/server.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 
 	"figbank"
+	"figbank/listener"
 	"figbank/schema"
 
 	"github.com/hashicorp/yamux"
@@ -33,14 +33,15 @@
 	}
 )
 
-// NewServer serves the streams of sessions accepted on listener, until Close.
-func NewServer(common figbank.Common, listener net.Listener, handlers Handlers, opts ...Option) *Server {
+// NewServer serves the streams of accepted sessions, until Close.
+func NewServer(common figbank.Common, accepting net.Listener, handlers Handlers, opts ...Option) *Server {
 	var o options
 	for _, opt := range opts {
 		opt(&o)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	server := &Server{common: common.Named("transport"), handlers: handlers, listener: listener, meter: o.meter, cancel: cancel}
+	common = common.Named("transport")
+	server := &Server{common: common, handlers: handlers, listener: listener.NewLasting(common, accepting), meter: o.meter, cancel: cancel}
 	server.group.Go(func() { server.accept(ctx) })
 	return server
 }
@@ -56,9 +57,6 @@
 	for {
 		conn, err := s.listener.Accept()
 		if err != nil {
-			if !errors.Is(err, net.ErrClosed) {
-				s.common.Log.Error("listener failed", figbank.ErrorField(err))
-			}
 			return
 		}
 		s.group.Go(func() { s.serveConn(ctx, conn) })
