--- a/control/control.go
+++ b/control/control.go
@@ -122,7 +122,15 @@
 	result, err := c.propose(ctx, &schema.Command{Action: &schema.Command_PublishTraffic{PublishTraffic: &schema.PublishTraffic{
 		Number: rules.GetNumber(), PackedTraffic: packedRules, PackedDocument: packedDocument,
 	}}})
-	return figbank.RulesInForce{Number: result.GetTrafficNumber(), CommitIndex: figbank.CommitIndex(result.GetCommitIndex())}, err
+	if err != nil {
+		return figbank.RulesInForce{}, err
+	}
+	inForce := figbank.RulesInForce{Number: result.GetTrafficNumber(), CommitIndex: figbank.CommitIndex(result.GetCommitIndex())}
+	if inForce.Number != rules.GetNumber() || result.GetOtherContent() {
+		c.common.Log.Warn("publication has no effect", zap.Int64("number", rules.GetNumber()), zap.Int64("inForce", inForce.Number),
+			zap.Uint64("commit", uint64(inForce.CommitIndex)), zap.Bool("otherContent", result.GetOtherContent()))
+	}
+	return inForce, nil
 }
 
 // Document returns the source text of the rules in force, or nil if there are none yet. The leader of the
--- a/dispatch/build.go
+++ b/dispatch/build.go
@@ -55,6 +55,9 @@
 		Fleet: fleet, Traffic: rules, Upstreams: d.view.Upstreams(), Named: d.named, Gateways: gateways,
 		SettledAt: d.gatewayCount.settledAt(), Now: now,
 	}))
+	if previous == nil || previous.Traffic != rules {
+		d.common.Log.Info("rules changed", zap.Int64("rules", rules.Number()), zap.Uint64("commit", fleet.GetCommitIndex()))
+	}
 	if previous == nil || previous.Index != figbank.CommitIndex(fleet.GetCommitIndex()) {
 		d.common.Log.Info("fleet state applied", zap.Uint64("commit", fleet.GetCommitIndex()), zap.Int64("rules", rules.Number()),
 			zap.Strings("evacuated", fleet.GetEvacuated()))
--- a/feed/lag.go
+++ b/feed/lag.go
@@ -19,6 +19,8 @@
 	lagPatience = time.Second
 	// lagInterval is the time between two log lines on a lag that lasts.
 	lagInterval = 2 * time.Second
+	// aheadPatience is how long a process may know more than any of its feeds tells: one that knew it may be lost.
+	aheadPatience = 3 * time.Second
 )
 
 type (
@@ -30,8 +32,9 @@
 
 	// lag says how far a process is behind the log.
 	lag struct {
-		// entries is by how much the fleet state of this process is too old.
-		entries uint64
+		// entries is by how much the fleet state of this process is too old, ahead by how much it is newer than what
+		// any feed tells.
+		entries, ahead uint64
 		// behind lists the replicas that know too little of the log.
 		behind []string
 		// leaderless is the shortest time for which a replica has known no leader, 0 if one knows a leader.
@@ -54,8 +57,8 @@
 		positions map[figbank.Address]*schema.LogPosition
 		// told holds the highest indexes by time. The first ones are older than lagPatience.
 		told []indexes
-		// late, partial and idle watch each kind of lag.
-		late, partial, idle condition.Watch
+		// late, ahead, partial and idle watch each kind of lag.
+		late, ahead, partial, idle condition.Watch
 	}
 )
 
@@ -63,7 +66,9 @@
 // all of them should know by now.
 func lagOf(index uint64, due indexes, positions []position) lag {
 	l := lag{entries: due.fleet - min(due.fleet, index)}
+	var newest uint64
 	for i, p := range positions {
+		newest = max(newest, p.known.GetFleet())
 		if p.known.GetFleet() < due.fleet || p.known.GetCommit() < due.commit {
 			l.behind = append(l.behind, string(p.replica))
 		}
@@ -71,6 +76,9 @@
 			l.leaderless = leaderless
 		}
 	}
+	if len(positions) > 0 {
+		l.ahead = index - min(index, newest)
+	}
 	return l
 }
 
@@ -87,6 +95,7 @@
 	return &lagMeter{
 		common: common, entries: common.Scope.Gauge("entries_behind"), leaderless: common.Scope.Gauge("leaderless_seconds"),
 		positions: map[figbank.Address]*schema.LogPosition{}, late: watch, partial: watch, idle: watch,
+		ahead: condition.Watch{Patience: aheadPatience, Interval: lagInterval},
 	}
 }
 
@@ -146,6 +155,9 @@
 	if lasted, report := m.late.Observe(now, l.entries > 0); report {
 		m.common.Log.Warn("fleet state is old", zap.Duration("for", lasted), zap.Uint64("commit", index), zap.Uint64("entries", l.entries), zap.Strings("feeds", describe(positions)))
 	}
+	if lasted, report := m.ahead.Observe(now, l.ahead > 0); report {
+		m.common.Log.Warn("fleet state is ahead of all feeds", zap.Duration("for", lasted), zap.Uint64("commit", index), zap.Uint64("entries", l.ahead), zap.Strings("feeds", describe(positions)))
+	}
 	if lasted, report := m.partial.Observe(now, len(l.behind) > 0); report {
 		m.common.Log.Warn("replicas are behind", zap.Duration("for", lasted), zap.Strings("behind", l.behind), zap.Strings("feeds", describe(positions)))
 	}
--- a/feed/lag_test.go
+++ b/feed/lag_test.go
@@ -53,6 +53,12 @@
 		{name: "nobody leads", index: 5, want: "no replica knows a leader", told: []told{
 			{replica: "a", commit: 5, fleet: 5, leaderlessSeconds: 2}, {at: time.Second, replica: "b", commit: 5, fleet: 5, leaderlessSeconds: 3},
 		}},
+		{name: "this process knows more than the log that goes on", index: 9, want: "fleet state is ahead of all feeds", told: []told{
+			{replica: "a", commit: 7, fleet: 7, leader: "a"}, {at: 3 * time.Second, replica: "b", commit: 8, fleet: 8, leader: "a"},
+		}},
+		{name: "the feed that knew most is lost for a moment", index: 9, told: []told{
+			{replica: "a", commit: 7, fleet: 7, leader: "a"}, {at: 2900 * time.Millisecond, replica: "b", commit: 9, fleet: 9, leader: "a"},
+		}},
 		{name: "one replica knows no leader", index: 5, told: []told{
 			{replica: "a", commit: 5, fleet: 5, leader: "a"}, {at: time.Second, replica: "b", commit: 5, fleet: 5, leaderlessSeconds: 3},
 		}},
--- a/ledger/fleet.go
+++ b/ledger/fleet.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"strings"
@@ -21,7 +22,10 @@
 // be sent repeatedly.
 func (s *State) publishTraffic(offer *schema.PublishTraffic) *schema.Result {
 	if offer.GetNumber() <= s.fleet.GetTrafficNumber() {
-		return &schema.Result{CommitIndex: s.fleet.GetCommitIndex(), TrafficNumber: s.fleet.GetTrafficNumber()}
+		return &schema.Result{
+			CommitIndex: s.fleet.GetCommitIndex(), TrafficNumber: s.fleet.GetTrafficNumber(),
+			OtherContent: offer.GetNumber() == s.fleet.GetTrafficNumber() && !bytes.Equal(offer.GetPackedDocument(), s.document),
+		}
 	}
 	next := s.nextFleet()
 	next.TrafficNumber = offer.GetNumber()
--- a/ledger/fleet_test.go
+++ b/ledger/fleet_test.go
@@ -61,6 +61,34 @@
 	}
 }
 
+// An ack for rules that are not in force could not be told from another one.
+func TestOffersWithoutEffectAreTold(t *testing.T) {
+	scenarios := []struct {
+		name     string
+		number   int64
+		document string
+		want     bool
+	}{
+		{name: "sent again", number: 9, document: "first"},
+		{name: "the same number with other content", number: 9, document: "second", want: true},
+		{name: "an older number", number: 5, document: "second"},
+		{name: "a newer number", number: 11, document: "second"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			m := newMachine(t)
+			m.publishTraffic(9, "first")
+			result := m.publishTraffic(s.number, s.document)
+			if got := result.GetOtherContent(); got != s.want {
+				t.Errorf("OtherContent = %t, want %t", got, s.want)
+			}
+			if got, want := result.GetTrafficNumber(), max(s.number, 9); got != want {
+				t.Errorf("TrafficNumber = %d, want %d", got, want)
+			}
+		})
+	}
+}
+
 func TestEvacuationsAndVersions(t *testing.T) {
 	m := newMachine(t)
 	m.evacuate("b", false)
--- a/raft/election.go
+++ b/raft/election.go
@@ -5,13 +5,13 @@
 	"figbank/schema"
 )
 
-func (n *Node) becomeFollower(term uint64, leader figbank.ProcessID) {
+func (n *Node) becomeFollower(term uint64, leader figbank.ProcessID, cause Cause) {
 	if term > n.term {
 		n.term = term
 		n.votedFor = ""
 		n.saveHardState()
 	}
-	n.role = Follower
+	n.role, n.cause = Follower, cause
 	n.leader = leader
 	n.progress = nil
 	n.resetElectionTimer()
@@ -20,7 +20,7 @@
 // startPreVote asks the other voters whether this replica could win an election.
 // It leaves the term as it is, so that a working leader is not forced to step down.
 func (n *Node) startPreVote() {
-	n.role = PreCandidate
+	n.role, n.cause = PreCandidate, LeaderSilent
 	n.leader = ""
 	n.resetElectionTimer()
 	n.votes = map[figbank.ProcessID]bool{n.id: true}
@@ -32,7 +32,7 @@
 }
 
 func (n *Node) startElection() {
-	n.role = Candidate
+	n.role, n.cause = Candidate, PreVoteWon
 	n.term++
 	n.votedFor = n.id
 	n.saveHardState()
@@ -86,7 +86,7 @@
 func (n *Node) handlePreVoteAnswer(m *schema.RaftMessage) {
 	if !m.GetGranted() {
 		if m.GetTerm() > n.term {
-			n.becomeFollower(m.GetTerm(), "")
+			n.becomeFollower(m.GetTerm(), "", NewerTerm)
 		}
 		return
 	}
@@ -124,7 +124,7 @@
 }
 
 func (n *Node) becomeLeader() {
-	n.role = Leader
+	n.role, n.cause = Leader, Elected
 	n.leader = n.id
 	n.progress = map[figbank.ProcessID]*progress{}
 	// A leader may only commit entries of earlier terms together with one of its own
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -96,7 +96,7 @@
 	case len(members.GetOutgoing()) > 0:
 		n.appendMembership(&schema.Membership{Voters: members.GetVoters(), Learners: members.GetLearners()})
 	case !containsVoter(members.GetVoters(), n.id):
-		n.becomeFollower(n.term, "")
+		n.becomeFollower(n.term, "", Removed)
 	}
 }
 
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -77,6 +77,7 @@
 		persistedIndex uint64
 
 		role             Role
+		cause            Cause
 		leader           figbank.ProcessID
 		votes            map[figbank.ProcessID]bool
 		progress         map[figbank.ProcessID]*progress
@@ -220,7 +221,7 @@
 		n.startPreVote()
 		return
 	}
-	n.leader = ""
+	n.leader, n.cause = "", LeaderSilent
 	n.resetElectionTimer()
 }
 
@@ -247,7 +248,7 @@
 	default:
 	}
 	if m.GetTerm() > n.term {
-		n.becomeFollower(m.GetTerm(), "")
+		n.becomeFollower(m.GetTerm(), "", NewerTerm)
 	}
 	n.stepInTerm(m)
 }
--- a/raft/replication.go
+++ b/raft/replication.go
@@ -11,7 +11,7 @@
 
 func (n *Node) tickLeader() {
 	if !n.heardFromQuorum() {
-		n.becomeFollower(n.term, "")
+		n.becomeFollower(n.term, "", QuorumLost)
 		return
 	}
 	if n.now.Before(n.heartbeatDue) {
@@ -87,7 +87,7 @@
 }
 
 func (n *Node) followLeader(leader figbank.ProcessID) {
-	n.becomeFollower(n.term, leader)
+	n.becomeFollower(n.term, leader, LeaderHeard)
 	n.lastLeaderContact = n.now
 }
 
--- a/replica/ready.go
+++ b/replica/ready.go
@@ -80,6 +80,9 @@
 		r.onConfiguration(after)
 	}
 	if after := r.state.Fleet(); after != fleetBefore {
+		if after.GetTrafficNumber() != fleetBefore.GetTrafficNumber() {
+			r.common.Log.Info("rules changed", zap.Int64("rules", after.GetTrafficNumber()), zap.Uint64("commit", entry.GetIndex()), zap.Uint64("term", entry.GetTerm()))
+		}
 		r.common.Recorder.Record(&schema.Event{Part: "replica", Name: "Committed", CommitIndex: entry.GetIndex()})
 		r.onFleet(after)
 	}
@@ -126,7 +129,8 @@
 		LeaderlessMilliseconds: r.leaderWatch.Held(r.common.Clock.Now()).Milliseconds(),
 	}
 	if last.GetRole() != next.GetRole() || last.GetTerm() != next.GetTerm() || last.GetLeader() != next.GetLeader() {
-		r.common.Log.Info("role changed", zap.String("role", next.GetRole()), zap.Uint64("term", next.GetTerm()), zap.String("leader", next.GetLeader()))
+		r.common.Log.Info("role changed", zap.String("role", next.GetRole()), zap.Uint64("term", next.GetTerm()), zap.String("leader", next.GetLeader()),
+			zap.Stringer("cause", r.node.Cause()), zap.Bool("voter", r.node.IsVoter()), zap.Uint64("commit", next.GetCommit()))
 		r.common.Recorder.Record(&schema.Event{Part: "replica", Name: "Role", Detail: next.GetRole() + " in term " + r.node.Term().String()})
 	}
 	r.status.Store(next)
