A leader that stops or is replaced hands the lead over

What callers saw: the record's lines, calls of upstreams and operators answered 503 after 0.9 s while a host of the log is replaced or restarted: nobody leads until an election timeout has passed. Cause: a leader that stopped, or was no voter any more, said nothing to the others.

Change: it asks the voter that has most of the log to stand for election at once (raft/handover.go); voters need not wait for its silence then. A replica that is asked to stop does so after it has waited for a successor (replica/handover.go).

The oracles of raft hand the lead over at random too.

--- a/app/platformreplica.go
+++ b/app/platformreplica.go
@@ -170,7 +170,8 @@
 
 // announceReplica announces this process's replica id to the other processes. When the process
 // stops, its stop hook announces that the replica is leaving. The hook then waits up to 3 s, so
-// that a spare replica can replace this one as a voter while this one still runs.
+// that a spare replica can replace this one as a voter while this one still runs. A replica that still leads
+// then hands the lead over.
 func announceReplica(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, r logReplica,
 	view *feed.View, subscriber *feed.Subscriber,
 ) {
@@ -186,10 +187,11 @@
 		common.Log.Info("replica: stopping", zap.String("id", r.id))
 		for range leavePolls {
 			if !r.NeedsSuccessor(knownReplicas(view, figbank.ProcessID(r.id), true, s)) {
-				return
+				break
 			}
 			<-common.Clock.After(leavePollInterval)
 		}
+		r.HandOver()
 	}))
 }
 
--- a/raft/cause.go
+++ b/raft/cause.go
@@ -14,6 +14,8 @@
 	LeaderSilent
 	// PreVoteWon means that it asks for votes, since an election could succeed.
 	PreVoteWon
+	// AskedToLead means that it asks for votes, since the leader has asked it to take over.
+	AskedToLead
 	// Elected means that a quorum has voted for it.
 	Elected
 	// QuorumLost means that it led and has not heard from a quorum within the election timeout.
@@ -24,7 +26,7 @@
 
 // String returns the name of the cause.
 func (c Cause) String() string {
-	return [...]string{"Started", "NewerTerm", "LeaderHeard", "LeaderSilent", "PreVoteWon", "Elected", "QuorumLost", "Removed"}[c]
+	return [...]string{"Started", "NewerTerm", "LeaderHeard", "LeaderSilent", "PreVoteWon", "AskedToLead", "Elected", "QuorumLost", "Removed"}[c]
 }
 
 // Cause returns why this node has changed its role, term or leader last.
--- a/raft/election.go
+++ b/raft/election.go
@@ -25,14 +25,17 @@
 	n.resetElectionTimer()
 	n.votes = map[figbank.ProcessID]bool{n.id: true}
 	if n.hasQuorum(n.hasVoteFrom) {
-		n.startElection()
+		n.startElection(PreVoteWon)
 		return
 	}
 	n.requestVotes(schema.RaftKind_RAFT_KIND_PRE_VOTE, n.term+1)
 }
 
-func (n *Node) startElection() {
-	n.role, n.cause = Candidate, PreVoteWon
+// startElection asks the other voters for their votes in the next term. cause is PreVoteWon or AskedToLead.
+func (n *Node) startElection(cause Cause) {
+	n.role, n.cause = Candidate, cause
+	n.handedOver = cause == AskedToLead
+	n.leader = ""
 	n.term++
 	n.votedFor = n.id
 	n.saveHardState()
@@ -52,7 +55,10 @@
 	lastTerm, _ := n.log.termAt(last)
 	n.eachVoter(func(peer figbank.ProcessID) {
 		if !n.votes[peer] {
-			n.send(peer, &schema.RaftMessage{Kind: kind, Term: term, LogIndex: last, LogTerm: lastTerm})
+			n.send(peer, &schema.RaftMessage{
+				Kind: kind, Term: term, LogIndex: last, LogTerm: lastTerm,
+				HandedOver: n.handedOver && kind == schema.RaftKind_RAFT_KIND_VOTE,
+			})
 		}
 	})
 }
@@ -95,7 +101,7 @@
 	}
 	n.votes[figbank.ProcessID(m.GetFrom())] = true
 	if n.hasQuorum(n.hasVoteFrom) {
-		n.startElection()
+		n.startElection(PreVoteWon)
 	}
 }
 
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -96,6 +96,7 @@
 	case len(members.GetOutgoing()) > 0:
 		n.appendMembership(&schema.Membership{Voters: members.GetVoters(), Learners: members.GetLearners()})
 	case !containsVoter(members.GetVoters(), n.id):
+		n.askToCampaign()
 		n.becomeFollower(n.term, "", Removed)
 	}
 }
--- a/raft/membership_test.go
+++ b/raft/membership_test.go
@@ -124,6 +124,13 @@
 					_ = c.propose(leader, fmt.Sprint(proposed))
 				}
 			},
+			"hand over": func(t *rapid.T) {
+				id := pick(t)
+				if h := c.hosts[id]; !h.down {
+					h.node.HandOver(c.now)
+					c.processReady(id)
+				}
+			},
 			"cut":   func(t *rapid.T) { c.isolate(pick(t), rapid.Bool().Draw(t, "cut")) },
 			"crash": func(t *rapid.T) { c.hosts[pick(t)].down = true },
 			"restart": func(t *rapid.T) {
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -86,7 +86,9 @@
 		// round is the number of the last broadcast of this node as a leader.
 		round uint64
 		// voteRequestDue is when a candidate asks again for votes that it has not got.
-		voteRequestDue    time.Time
+		voteRequestDue time.Time
+		// handedOver is set while this node is a candidate on behalf of the leader before.
+		handedOver        bool
 		lastLeaderContact time.Time
 		// heard holds when each other replica was last known to be alive.
 		heard map[figbank.ProcessID]time.Time
@@ -242,7 +244,7 @@
 		n.handlePreVoteAnswer(m)
 		return
 	case schema.RaftKind_RAFT_KIND_VOTE:
-		if n.hasActiveLeader() {
+		if n.hasActiveLeader() && !m.GetHandedOver() {
 			return
 		}
 	default:
@@ -266,6 +268,8 @@
 		n.handleAppendAnswer(m)
 	case schema.RaftKind_RAFT_KIND_SNAPSHOT:
 		n.handleSnapshot(m)
+	case schema.RaftKind_RAFT_KIND_CAMPAIGN:
+		n.handleCampaign(m)
 	default:
 	}
 }
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -119,6 +119,13 @@
 					_ = c.propose(id, fmt.Sprint(proposed))
 				}
 			},
+			"hand over": func(t *rapid.T) {
+				id := pick(t)
+				if h := c.hosts[id]; !h.down {
+					h.node.HandOver(c.now)
+					c.processReady(id)
+				}
+			},
 			"lose": func(t *rapid.T) {
 				if len(c.inFlight) > 0 {
 					at := rapid.IntRange(0, len(c.inFlight)-1).Draw(t, "at")
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -19,6 +19,7 @@
 	"figbank/wal"
 
 	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -102,10 +103,11 @@
 		stopped chan struct{}
 	}
 
-	// input is either a message from another replica or a proposal.
+	// input is a message from another replica, a proposal, or the order to hand the lead over.
 	input struct {
 		message  *schema.RaftMessage
 		proposal proposal
+		handOver bool
 	}
 
 	proposal struct {
@@ -311,6 +313,11 @@
 }
 
 func (r *Replica) handleInput(now time.Time, in input) {
+	if in.handOver {
+		asked := r.node.HandOver(now)
+		r.common.Log.Info("handing the lead over", zap.Bool("asked", asked))
+		return
+	}
 	if in.message != nil {
 		if address := in.message.GetFromAddress(); address != "" {
 			r.addresses[figbank.ProcessID(in.message.GetFrom())] = figbank.Address(address)
