A log has a name, and processes of two deployments don't mix their logs

What callers saw, by real processes: a replica of another deployment that learns of the replicas (a wrong seed, an address that is used again, processes that an earlier run has left) takes their log over if its term is higher, or is made a learner of it; what was acknowledged comes back older, and gateways ignore the log that goes on until its index is above theirs. It came up when a soak was started in the folder of another one that still ran: terms rose from 7 to 15 in 16 s.

Cause: a message counted by the id that it is addressed to and by its term; a fleet state by its index; a command by the address to which it was sent. Nothing said of which log they were. Class: numbers that are compared across two histories.

Change: the first entry of a log names it at random; messages between replicas, commands, feeds and subscriptions carry the name, and are refused where another one is known. A replica stores it beside its identity. Logs of older versions have no name, and are treated as before.

Whether the users' runs, several at a time on one machine, ever know each other is not known.

--- a/app/platformreplica.go
+++ b/app/platformreplica.go
@@ -215,7 +215,7 @@
 			add(string(seed), seed)
 		}
 		return endpoints
-	}, replica.WithLeader(r.Leader))
+	}, replica.WithLeader(r.Leader), replica.WithLog(func() string { return view.Fleet().GetLog() }))
 }
 
 func expireLeases(lifecycle fx.Lifecycle, view *feed.View) {
--- a/feed/runningfeed.go
+++ b/feed/runningfeed.go
@@ -123,6 +123,10 @@
 		if err := stream.Receive(update); err != nil {
 			break
 		}
+		if s.view.isForeign(update.GetLog()) {
+			s.common.Log.Warn("left a replica of another log", zap.String("replica", string(f.address)), zap.String("its", update.GetLog()))
+			break
+		}
 		if !admitted {
 			// The replica goes on once it hears that this process still waits for it.
 			admitted = true
@@ -177,7 +181,8 @@
 
 // newRefresh describes this process and what it knows.
 func (s *Subscriber) newRefresh() *schema.Subscribe {
-	return &schema.Subscribe{Member: s.self.Load(), CommitIndex: s.view.Fleet().GetCommitIndex(), Engine: s.engine.Load()}
+	fleet := s.view.Fleet()
+	return &schema.Subscribe{Member: s.self.Load(), CommitIndex: fleet.GetCommitIndex(), Engine: s.engine.Load(), Log: fleet.GetLog()}
 }
 
 // markConnected records that a feed has received an update. It returns false and records nothing if
--- a/feed/server.go
+++ b/feed/server.go
@@ -56,6 +56,10 @@
 	if opening.GetMember().GetId() == "" {
 		return
 	}
+	if v.isForeign(opening.GetLog()) {
+		v.common.Log.Warn("refused a subscriber of another log", zap.String("subscriber", opening.GetMember().GetId()), zap.String("its", opening.GetLog()))
+		return
+	}
 	signal(received)
 	s := &subscription{view: v, stream: stream, member: opening.GetMember(), commitIndex: opening.GetCommitIndex(), near: v.isNear(opening.GetMember())}
 	v.mergeEngine(opening.GetEngine())
@@ -144,7 +148,7 @@
 	}
 	s.sentAt = now
 	if update.GetFleet() != nil || now.Sub(s.positionAt) >= keepAliveInterval {
-		update.Position = s.view.logPosition()
+		update.Position, update.Log = s.view.logPosition(), s.view.Fleet().GetLog()
 		s.positionAt = now
 	}
 	return s.stream.Send(update)
--- a/feed/view.go
+++ b/feed/view.go
@@ -103,6 +103,12 @@
 	v.watchers = append(v.watchers, watcher)
 }
 
+// isForeign reports whether a name is that of another log than the one that this process's fleet state is from.
+func (v *View) isForeign(log string) bool {
+	own := v.fleet.Current().GetLog()
+	return own != "" && log != "" && own != log
+}
+
 // Fleet returns the newest fleet state that this process knows.
 func (v *View) Fleet() *schema.Fleet {
 	return v.fleet.Current()
@@ -221,7 +227,7 @@
 	members := v.members.applyUpdate(from, update).merge(v.members.dropStale(now))
 	renewed := v.registry.Revision() != before
 	v.mu.Unlock()
-	if fleet := update.GetFleet(); fleet != nil && v.fleet.Offer(fleet) {
+	if fleet := update.GetFleet(); fleet != nil && !v.isForeign(fleet.GetLog()) && v.fleet.Offer(fleet) {
 		v.common.Log.Info("fleet state received", zap.String("replica", string(from)), zap.Uint64("commit", fleet.GetCommitIndex()),
 			zap.Int64("rules", fleet.GetTrafficNumber()))
 	}
--- a/ledger/fleet.go
+++ b/ledger/fleet.go
@@ -17,6 +17,16 @@
 // to recognize commands that are proposed again.
 const maxOrders = 64
 
+// found names the log, unless it has a name.
+func (s *State) found(request *schema.Found) *schema.Result {
+	if s.fleet.GetLog() == "" {
+		next := s.nextFleet()
+		next.Log = request.GetLog()
+		s.fleet = next
+	}
+	return &schema.Result{CommitIndex: s.fleet.GetCommitIndex()}
+}
+
 // publishTraffic puts traffic rules in force if their number is higher than that of the rules in
 // force. Otherwise it changes nothing. It accepts the command all the same, since the command may
 // be sent repeatedly.
@@ -156,5 +166,6 @@
 		Gateways:      s.fleet.GetGateways(),
 
 		EvacuationOrders: slices.Clone(s.fleet.GetEvacuationOrders()),
+		Log:              s.fleet.GetLog(),
 	}
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -169,6 +169,8 @@
 		return s.ReadTraffic(action.ReadTraffic)
 	case *schema.Command_Leave:
 		return s.leave(action.Leave)
+	case *schema.Command_Found:
+		return s.found(action.Found)
 	}
 	return refuse(schema.Refusal_REFUSAL_INVALID, "command of unknown kind")
 }
--- a/raft/election.go
+++ b/raft/election.go
@@ -135,7 +135,11 @@
 	n.progress = map[figbank.ProcessID]*progress{}
 	// A leader may only commit entries of earlier terms together with one of its own
 	// term, so it appends an empty entry at once.
-	n.appendEntry(&schema.Entry{Index: n.log.last() + 1, Term: n.term})
+	first := &schema.Entry{Index: n.log.last() + 1, Term: n.term}
+	if n.log.last() == 0 {
+		first.Data = n.founding
+	}
+	n.appendEntry(first)
 	n.broadcastAppend()
 }
 
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -87,6 +87,8 @@
 		round uint64
 		// voteRequestDue is when a candidate asks again for votes that it has not got.
 		voteRequestDue time.Time
+		// founding is the data of the first entry of a new log.
+		founding []byte
 		// handedOver is set while this node is a candidate on behalf of the leader before.
 		handedOver        bool
 		lastLeaderContact time.Time
@@ -135,6 +137,9 @@
 	return n
 }
 
+// SetFounding sets the data of the first entry, which counts if this node becomes the first leader of a new log.
+func (n *Node) SetFounding(data []byte) { n.founding = data }
+
 // Role returns the current role.
 func (n *Node) Role() Role { return n.role }
 
--- a/replica/client.go
+++ b/replica/client.go
@@ -35,6 +35,8 @@
 		replicas func() []Endpoint
 		// observed returns the leader that this process knows from the log itself, or "".
 		observed func() figbank.ProcessID
+		// log returns the name of the log that is meant, or "".
+		log      func() string
 		leader   atomic.Value
 		failures failureLog
 		// hedging is the number of proposals that may ask several replicas at the moment.
@@ -60,12 +62,17 @@
 	return func(c *Client) { c.observed = observed }
 }
 
+// WithLog tells the client the name of the log that its commands are for. Replicas of other logs refuse them.
+func WithLog(log func() string) ClientOption {
+	return func(c *Client) { c.log = log }
+}
+
 // NewClient returns a client of the replicas that the function replicas lists. The
 // list may change between calls.
 func NewClient(common figbank.Common, pool *transport.Pool, replicas func() []Endpoint, options ...ClientOption) *Client {
 	c := &Client{
 		common: common.Named("replica"), pool: pool, replicas: replicas,
-		observed: func() figbank.ProcessID { return "" },
+		observed: func() figbank.ProcessID { return "" }, log: func() string { return "" },
 	}
 	c.leader.Store(figbank.ProcessID(""))
 	for _, option := range options {
@@ -81,6 +88,7 @@
 func (c *Client) Propose(ctx context.Context, command *schema.Command) (*schema.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
+	command.ForLog = c.log()
 	r := newRace(ctx, c, command)
 	result, unknown := r.run()
 	if result != nil {
--- a/replica/ready.go
+++ b/replica/ready.go
@@ -23,6 +23,7 @@
 			return err
 		}
 		for _, message := range ready.Messages {
+			message.Log = r.logName()
 			r.deliver(ctx, message)
 		}
 		for _, entry := range ready.Committed {
@@ -59,6 +60,7 @@
 	r.sinceSnapshot = 0
 	r.common.Log.Info("installed snapshot from leader", zap.Uint64("index", ready.Snapshot.GetIndex()))
 	r.onConfiguration(state.Configuration())
+	r.storeLogName()
 	r.onFleet(state.Fleet())
 	r.reportLeaves()
 	return nil
@@ -84,6 +86,7 @@
 			r.common.Log.Info("rules changed", zap.Int64("rules", after.GetTrafficNumber()), zap.Uint64("commit", entry.GetIndex()), zap.Uint64("term", entry.GetTerm()))
 		}
 		r.common.Recorder.Record(&schema.Event{Part: "replica", Name: "Committed", CommitIndex: entry.GetIndex()})
+		r.storeLogName()
 		r.onFleet(after)
 	}
 	r.reportLeaves()
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -59,6 +59,7 @@
 		settings Settings
 		node     *raft.Node
 		log      *wal.Log
+		disk     figbank.Disk
 		state    *ledger.State
 		pool     *transport.Pool
 		random   *rand.Rand
@@ -82,7 +83,11 @@
 		knownReplicas func() []voters.Replica
 		nextReview    time.Time
 		// failedLearners holds when a learner was dropped that had never answered.
-		failedLearners  map[figbank.ProcessID]time.Time
+		failedLearners map[figbank.ProcessID]time.Time
+		// storedName is the name of the log that is on the disk.
+		storedName string
+		// strangers holds the replicas of other logs that have sent a message.
+		strangers       map[string]bool
 		onConfiguration func(*schema.Configuration)
 		onFleet         func(*schema.Fleet)
 		onLeaves        func([]*schema.Instance)
@@ -145,7 +150,7 @@
 		return nil, err
 	}
 	r := &Replica{
-		common: common, settings: settings, log: log, state: state,
+		common: common, settings: settings, log: log, disk: disk, state: state,
 		random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // randomizes election timeouts, no secret
 		pool:            pool,
 		senders:         map[figbank.ProcessID]*sender{},
@@ -153,6 +158,7 @@
 		inbox:           make(chan input, inboxLength),
 		pending:         map[uint64]proposal{},
 		failedLearners:  map[figbank.ProcessID]time.Time{},
+		strangers:       map[string]bool{},
 		onConfiguration: func(*schema.Configuration) {},
 		onFleet:         func(*schema.Fleet) {},
 		onLeaves:        func([]*schema.Instance) {},
@@ -161,11 +167,16 @@
 		leaderWatch:     condition.Watch{Patience: leaderlessPatience, Interval: leaderlessInterval},
 		leaderless:      common.Scope.Gauge("leaderless_seconds"),
 	}
+	if err := r.readLogName(); err != nil {
+		_ = log.Close()
+		return nil, err
+	}
 	r.deliver = r.send
 	for _, option := range options {
 		option(r)
 	}
 	r.node = raft.NewNode(common.Process, initialMembership(settings), settings.Timing, r.random, stored, common.Clock.Now())
+	r.node.SetFounding(newFounding(common.Clock.Now()))
 	r.publishStatus()
 	return r, nil
 }
@@ -319,12 +330,21 @@
 		return
 	}
 	if in.message != nil {
+		if r.isForeign(in.message.GetLog()) {
+			r.noteStranger(in.message)
+			return
+		}
 		if address := in.message.GetFromAddress(); address != "" {
 			r.addresses[figbank.ProcessID(in.message.GetFrom())] = figbank.Address(address)
 		}
 		r.node.Step(now, in.message)
 		return
 	}
+	if r.isForeign(in.proposal.command.GetForLog()) {
+		in.proposal.answer <- &schema.ProposeAnswer{NotLeader: true}
+		return
+	}
+	in.proposal.command.ForLog = ""
 	if read := in.proposal.command.GetReadTraffic(); read != nil {
 		r.beginRead(now, read, in.proposal.answer)
 		return
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -64,6 +64,8 @@
 		faultyUpstreams int
 		// replaced lists the replicas whose place successors take in a scenario.
 		replaced []int
+		// stranger is set if the last process is a replica of another deployment.
+		stranger bool
 
 		processes []*process
 		// outages tells when faults disturbed which process, by its index.
@@ -116,6 +118,7 @@
 	}
 	if options.Scenario != nil {
 		c.faultyUpstreams, c.replaced = options.Scenario.faultyUpstreams, options.Scenario.replaced
+		c.stranger = options.Scenario.stranger
 	}
 	if options.sized() {
 		c.engine = &standin.Engine{ReadPerSecond: readPerSecond, Usual: usualPrompt, Events: sizedEvents}
@@ -173,6 +176,9 @@
 			return err
 		}
 	}
+	if c.stranger {
+		return c.addStranger()
+	}
 	return c.addSuccessors(c.replaced)
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -89,6 +89,8 @@
 		i.garbleAnnouncements(ctx, fault)
 	case CutDomains:
 		i.cutDomains(fault)
+	case MeetStranger:
+		i.meetStranger(fault)
 	case LeaveUpstream, RefuseForTime:
 		i.giveNotice(fault)
 	case CorruptUpstream, CrashUpstream:
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -18,6 +18,8 @@
 	ReplaceReplica FaultKind = "Replace"
 	// RetireReplica starts a successor of a replica and then asks the replica to stop for good.
 	RetireReplica FaultKind = "Retire"
+	// MeetStranger makes a replica of another deployment's log, which runs already, learn of the replicas.
+	MeetStranger FaultKind = "MeetStranger"
 	// StopProcess asks a process to exit and starts it again.
 	StopProcess FaultKind = "Stop"
 	// PauseProcess suspends a process with SIGSTOP and resumes it.
--- a/soak/scenario.go
+++ b/soak/scenario.go
@@ -29,6 +29,8 @@
 	pressing, faultyUpstreams int
 	// replaced lists the replicas whose place successors take.
 	replaced []int
+	// stranger is set if a replica with a log of its own is started besides.
+	stranger bool
 	// check checks at the end what only this scenario promises, unless it is nil.
 	check func(*run)
 }
@@ -45,6 +47,7 @@
 	"leaders-lost":           {faults: leadersLost, callers: callersPerGateway},
 	"restarts-in-series":     {faults: restartsInSeries, callers: callersPerGateway},
 	"restarts-while-refused": {faults: restartsWhileRefused, callers: callersPerGateway},
+	"strangers":              {faults: strangersMet, callers: callersPerGateway, stranger: true},
 	"slow-engines":           {faults: slowEngines, callers: pressingCallers, sized: true},
 }
 
--- a/soak/scenario_test.go
+++ b/soak/scenario_test.go
@@ -75,6 +75,12 @@
 	testScenario(t, "domains-cut", 14*time.Second)
 }
 
+// A replica that leads a log of its own, in a higher term, learned of the replicas by a wrong seed and took their
+// log over.
+func TestStrangersLeaveTheLogAlone(t *testing.T) {
+	testScenario(t, "strangers", 16*time.Second)
+}
+
 func TestFindScenario(t *testing.T) {
 	if got, err := FindScenario(""); got != nil || err != nil {
 		t.Errorf("FindScenario of no name = %v, %v, want nil, nil", got, err)
