--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -49,7 +49,7 @@
 			}
 			common := figbank.Common{Log: zap.NewNop(), Clock: clock.System{}}
 			lasting := NewLasting(common, &failingListener{Listener: raw, errs: s.errs})
-			defer lasting.Close()
+			defer func() { _ = lasting.Close() }()
 			got := make(chan error, 1)
 			go func() {
 				_, err := lasting.Accept()
--- a/soak/dialer_test.go
+++ b/soak/dialer_test.go
@@ -14,7 +14,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
+	defer func() { _ = listener.Close() }()
 	dialed, err := net.Dial("tcp", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
