--- a/soak/losses.go
+++ b/soak/losses.go
@@ -52,7 +52,7 @@
 }
 
 // hostsReplaced starts a successor of each replica in turn and then asks that replica to stop, while changes are
-// published. Processes of all kinds are disturbed in between.
+// published. Gateways are disturbed in between.
 func hostsReplaced(length time.Duration) []Fault {
 	plan := changes(length)
 	between := []FaultKind{PauseProcess, StopProcess, KillProcess}
@@ -109,35 +109,41 @@
 // control address of that replica.
 func (i *injector) replaceReplica(fault Fault) {
 	n := int(fault.RandomBits) //nolint:gosec // a small index
-	old, next := i.cluster.replicaAt(fault.Target), i.cluster.replicaAt(i.cluster.size.Replicas+n)
-	i.record.mark(i.cluster.processes[old].id, fault.Duration, "%s, %s takes its place", fault.Kind, i.cluster.processes[next].id)
-	control := i.cluster.proxies[controlOf(i.cluster.replaced, n)][1]
-	start := func() {
-		defer i.cluster.outages.begin(next)()
-		if err := i.cluster.processes[next].start(); err != nil {
-			i.record.addViolation("Soak", "%s cannot be started: %v", i.cluster.processes[next].id, err)
-		}
-	}
+	c := i.cluster
+	old, next := c.replicaAt(fault.Target), c.replicaAt(c.size.Replicas+n)
+	control := c.proxies[controlOf(c.replaced, n)][1]
+	i.record.mark(c.processes[old].id, fault.Duration, "%s, %s takes its place", fault.Kind, c.processes[next].id)
 	if fault.Kind == RetireReplica {
-		start()
+		i.startSuccessor(next)
 		wall.sleep(fault.Duration)
-		i.cluster.exchangeHost(old, next)
-		i.cluster.outages.begin(old)
-		i.disturbReplicas()
-		control.SetTarget(i.cluster.listenAddress(next, portControl))
-		if err := i.cluster.processes[old].stop(); err != nil {
+		i.handPlaceOver(old, next, control)
+		if err := c.processes[old].stop(); err != nil {
 			i.record.addViolation("Stop", "%v", err)
 		}
 		i.disturbReplicas()
 		return
 	}
-	i.cluster.outages.begin(old)
-	i.cluster.processes[old].kill()
+	c.outages.begin(old)
+	c.processes[old].kill()
 	wall.sleep(fault.Duration)
-	control.SetTarget(i.cluster.listenAddress(next, portControl))
+	i.handPlaceOver(old, next, control)
 	control.Reset()
+	i.startSuccessor(next)
+}
+
+// handPlaceOver makes operators count on a replica in the place of another, which is gone or about to stop.
+func (i *injector) handPlaceOver(old, next int, control *Proxy) {
 	i.cluster.exchangeHost(old, next)
-	start()
+	i.cluster.outages.begin(old)
+	i.disturbReplicas()
+	control.SetTarget(i.cluster.listenAddress(next, portControl))
+}
+
+func (i *injector) startSuccessor(next int) {
+	defer i.cluster.outages.begin(next)()
+	if err := i.cluster.processes[next].start(); err != nil {
+		i.record.addViolation("Soak", "%s cannot be started: %v", i.cluster.processes[next].id, err)
+	}
 }
 
 // checkReadBack records a violation for each control address that does not answer a read of the configuration
