--- a/replica/founding_test.go
+++ b/replica/founding_test.go
@@ -7,6 +7,8 @@
 
 	"figbank"
 	"figbank/schema"
+
+	"google.golang.org/protobuf/proto"
 )
 
 // A replica of another deployment's log, with a higher term, took over a log that it learned of by a wrong seed, and
@@ -33,8 +35,9 @@
 					time.Sleep(time.Millisecond)
 				}
 				before = max(before, r.supervisor.Position().GetTerm())
-				s.message.From, s.message.To, s.message.Term, s.message.Log = "stranger", string(r.id), 99, "another log"
-				r.supervisor.current.Load().receive(context.Background(), s.message)
+				message := proto.CloneOf(s.message)
+				message.From, message.To, message.Term, message.Log = "stranger", string(r.id), 99, "another log"
+				r.supervisor.current.Load().receive(context.Background(), message)
 			}
 			if err := nameVersion(client, int64(i)+2, testTimeout); err != nil {
 				t.Errorf("Propose() afterwards = %v", err)
