Soak: proxies look for the process that dials only where domains are cut

Cause: for each connection between processes, and for each call of operators, a proxy read the machine's table of sockets and the open files of all processes, in the process that also holds callers and stand-ins.

Change: only domains-cut asks, and not for control ports. A dial that is reset before it returns counts as refused in TestProxyCutsSingleProcesses, which is what it wants.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -64,6 +64,9 @@
 		faultyUpstreams int
 		// replaced lists the replicas whose place successors take in a scenario.
 		replaced []int
+		// cutsDomains is set if domains are cut from each other, so that proxies must know who dials. To find out
+		// takes time for each connection.
+		cutsDomains bool
 		// stranger is set if the last process is a replica of another deployment.
 		stranger bool
 
@@ -118,7 +121,7 @@
 	}
 	if options.Scenario != nil {
 		c.faultyUpstreams, c.replaced = options.Scenario.faultyUpstreams, options.Scenario.replaced
-		c.stranger = options.Scenario.stranger
+		c.stranger, c.cutsDomains = options.Scenario.stranger, options.Scenario.cutsDomains
 	}
 	if options.sized() {
 		c.engine = &standin.Engine{ReadPerSecond: readPerSecond, Usual: usualPrompt, Events: sizedEvents}
@@ -200,7 +203,9 @@
 		if err != nil {
 			return err
 		}
-		proxy.NameDialers(c.dialerOf)
+		if c.cutsDomains && port == portProcess {
+			proxy.NameDialers(c.dialerOf)
+		}
 		proxies = append(proxies, proxy)
 	}
 	c.proxies = append(c.proxies, proxies)
--- a/soak/scenario.go
+++ b/soak/scenario.go
@@ -29,6 +29,8 @@
 	pressing, faultyUpstreams int
 	// replaced lists the replicas whose place successors take.
 	replaced []int
+	// cutsDomains is set if failure domains are cut from each other.
+	cutsDomains bool
 	// stranger is set if a replica with a log of its own is started besides.
 	stranger bool
 	// check checks at the end what only this scenario promises, unless it is nil.
@@ -39,7 +41,7 @@
 	"answers-without-end": {
 		faults: answersWithoutEnd, callers: otherCallers, pressing: pressingFaulty, faultyUpstreams: faultyUpstreams, check: (*run).checkOthers,
 	},
-	"domains-cut":            {faults: domainsCut, callers: callersPerGateway},
+	"domains-cut":            {faults: domainsCut, callers: callersPerGateway, cutsDomains: true},
 	"full-disks":             {faults: fullDisks, callers: callersPerGateway},
 	"garbled-streams":        {faults: garbledStreams, callers: garbledCallers, check: (*run).checkResumed},
 	"hosts-lost":             {faults: hostsLost, callers: callersPerGateway, replaced: lostInTurn},
