--- a/replica/read_test.go
+++ b/replica/read_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"figbank/schema"
 )
@@ -22,6 +23,12 @@
 	}}}); err != nil {
 		t.Fatal(err)
 	}
+	// The slowest replica has stored the rules too.
+	for _, m := range g.members {
+		for m.replica.Document().Number != 7 && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+	}
 	for _, m := range g.members {
 		m.disk.FailSyncs()
 	}
