Replica: the order to hand the lead over waits no longer than the hand-over itself

Cause: a replica whose disk hangs reads its queue no more; once the queue was full, the stop of the process would have waited for it without a bound. Change: the same 500 ms bound the order, too. TestStoppingLeaderHandsTheLeadOver passes; the full queue itself is not tested.

--- a/replica/handover.go
+++ b/replica/handover.go
@@ -23,6 +23,9 @@
 	case r.inbox <- input{handOver: true}:
 	case <-r.stopped:
 		return
+	case <-s.common.Clock.After(handOverTime):
+		// It stands still, and leads no longer than the others hear from it.
+		return
 	}
 	for began := s.common.Clock.Now(); s.IsLeader() && s.common.Clock.Now().Sub(began) < handOverTime; {
 		<-s.common.Clock.After(handOverPollInterval)
