--- a/app/platformgateway.go
+++ b/app/platformgateway.go
@@ -10,6 +10,7 @@
 	"figbank/httpserver"
 	"figbank/loadshare"
 	"figbank/memory"
+	"figbank/metering"
 	"figbank/platform"
 	"figbank/reservation"
 	"figbank/retry"
@@ -40,7 +41,7 @@
 		platformOptions(s, schema.MemberRole_MEMBER_ROLE_GATEWAY),
 		fx.Supply(file),
 		fx.Provide(newStopState),
-		fx.Provide(newRequestMemory, newGatewayPool, newDispatcher),
+		fx.Provide(newRequestMemory, newGatewayPool, newUsageCounter, newDispatcher),
 		fx.Invoke(watchSettings, reportRequestMemory, shareLoad, serveReadiness, servePlatformCallers),
 		fx.Options(options...),
 	)
@@ -60,9 +61,14 @@
 }
 
 func newDispatcher(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings,
-	pool *upstream.Pool, view *feed.View, budget *memory.Budget, _ *feed.Subscriber,
+	pool *upstream.Pool, view *feed.View, budget *memory.Budget, usage *metering.Counter, _ *feed.Subscriber,
 ) *dispatch.Dispatcher {
+	var began func(figbank.Workspace)
+	if usage != nil {
+		began = usage.Begin
+	}
 	dispatcher := dispatch.New(common, dispatch.Settings{
+		Began: began,
 		Location: dispatch.Location{
 			Region:        figbank.Region(s.GetProcess().GetRegion()),
 			FailureDomain: figbank.FailureDomain(s.GetProcess().GetFailureDomain()),
@@ -82,7 +88,7 @@
 // has in flight at each upstream, and which requests crash upstreams. It also lets gateways
 // reserve places at upstreams with each other.
 func shareLoad(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, d *dispatch.Dispatcher,
-	view *feed.View, pool *transport.Pool, recorder *timeline.Recorder, meter *transport.Meter,
+	view *feed.View, pool *transport.Pool, recorder *timeline.Recorder, meter *transport.Meter, usage *metering.Counter,
 ) error {
 	listener, err := listen(s.GetProcess().GetListenProcesses())
 	if err != nil {
@@ -92,11 +98,15 @@
 	share := loadshare.New(common, d, view, pool, self)
 	keeper := reservation.NewKeeper(common.Clock, d.Table)
 	d.UseReserver(reservation.NewClient(common, pool, view, keeper, self))
-	server := transport.NewServer(common, listener, transport.Handlers{
+	handlers := transport.Handlers{
 		schema.StreamKind_STREAM_KIND_LOAD:    share.Serve,
 		schema.StreamKind_STREAM_KIND_RESERVE: keeper.Serve,
 		schema.StreamKind_STREAM_KIND_INSPECT: recorder.Serve,
-	}, transport.WithMeter(meter))
+	}
+	if usage != nil {
+		handlers[schema.StreamKind_STREAM_KIND_USAGE] = usage.Serve
+	}
+	server := transport.NewServer(common, listener, handlers, transport.WithMeter(meter))
 	ctx, cancel := context.WithCancel(context.Background())
 	go share.Run(ctx)
 	lifecycle.Append(fx.StopHook(func() {
--- a/app/platformreplica.go
+++ b/app/platformreplica.go
@@ -43,8 +43,8 @@
 	return fx.New(
 		platformOptions(s, schema.MemberRole_MEMBER_ROLE_REPLICA),
 		fx.Supply(file),
-		fx.Provide(openDataFolder, control.NewLeaves, newLogReplica, newPlatformProposer),
-		fx.Invoke(watchSettings, expireLeases, serveReplica, serveControl, announceReplica, logReplicaWork),
+		fx.Provide(openDataFolder, control.NewLeaves, newDutyRecords, newLogReplica, newPlatformProposer),
+		fx.Invoke(watchSettings, expireLeases, serveReplica, serveControl, announceReplica, logReplicaWork, reportUsage),
 		fx.Options(options...),
 	)
 }
@@ -65,7 +65,7 @@
 // newLogReplica starts the replica under the identity stored on the disk. See
 // loadOrCreateIdentity for an empty disk.
 func newLogReplica(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, folder figbank.Disk,
-	pool *transport.Pool, fleet *configuration.FleetHolder, view *feed.View, leaves *control.Leaves,
+	pool *transport.Pool, fleet *configuration.FleetHolder, view *feed.View, leaves *control.Leaves, duties *dutyRecords,
 ) (logReplica, error) {
 	identity, err := awaitIdentity(common, folder, s)
 	if err != nil {
@@ -81,6 +81,7 @@
 		return replica.NewReplica(common, settings, folder, pool,
 			replica.WithFleet(func(f *schema.Fleet) { fleet.Offer(f) }),
 			replica.WithLeaves(leaves.Add),
+			replica.WithDuties(duties.publish),
 			replica.WithReplicas(func() []voters.Replica { return knownReplicas(view, common.Process, leaving.Load(), s) }),
 			replica.WithFailure(failed),
 		)
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -158,6 +158,9 @@
 	}
 	if r.firstByteTime == 0 {
 		r.firstByteTime = r.common.Clock.Now().Sub(r.request.ReceivedAt)
+		if r.settings.Began != nil && r.request.Workspace != nil {
+			r.settings.Began(r.request.Workspace.Name)
+		}
 	}
 }
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -31,6 +31,8 @@
 		Retries retry.Allowance
 		// Memory bounds what all requests together hold. nil means no bound.
 		Memory *memory.Budget
+		// Began is called once for each request of a workspace whose answer begins. It may be nil.
+		Began func(workspace figbank.Workspace)
 	}
 
 	// Dispatcher sends requests to upstreams. It is safe for concurrent use.
--- a/figbank.go
+++ b/figbank.go
@@ -169,6 +169,13 @@
 		// UnknownOutcomeError if it may have been accepted.
 		Propose(ctx context.Context, command *schema.Command) (*schema.Result, error)
 	}
+
+	// UsageReceiver receives reports of usage.
+	UsageReceiver interface {
+		// Report sends the usage of a window with the fencing token of the duty. It returns a FailedAnswerError if the
+		// receiver has answered that it does not accept the report now. After any other error it may have accepted it.
+		Report(ctx context.Context, token uint64, usage *schema.WindowUsage) error
+	}
 )
 
 // String returns the term as a decimal number.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -1,6 +1,6 @@
 // Package ledger is the state machine of the replicated log. Its state holds the
 // declarations in force, idempotency claims, rollout grants, traffic rules, evacuations,
-// named versions, the gateway count and the leaves of upstreams. It is deterministic: the same entries lead to the
+// named versions, the gateway count, the leaves of upstreams, the holders of duties and the usage to report. It is deterministic: the same entries lead to the
 // same state on every replica.
 package ledger
 
@@ -34,6 +34,12 @@
 		// TakeLeaves has not returned.
 		leaves    []*schema.LeaveRecord
 		newLeaves []*schema.Instance
+		// duties holds who carries out each duty, by subject. dutiesChanged is set if one has changed since
+		// TakeDuties was called.
+		duties        []*schema.DutyRecord
+		dutiesChanged bool
+		// usage holds the latest windows whose usage is fixed, by window.
+		usage []*schema.WindowUsage
 	}
 
 	claimKey struct {
@@ -80,6 +86,8 @@
 			s.newLeaves = append(s.newLeaves, record.GetUpstream())
 		}
 	}
+	s.duties, s.usage = stored.GetDuties(), stored.GetUsage()
+	s.dutiesChanged = len(s.duties) > 0
 	for _, record := range stored.GetClaims() {
 		s.putClaim(record)
 	}
@@ -97,6 +105,8 @@
 		TimeUnixNano:  s.now.UnixNano(),
 		Configuration: s.configuration,
 		Fleet:         &schema.FleetRecord{Fleet: s.fleet, PackedDocument: s.document, Orders: s.orders, Leaves: s.leaves},
+		Duties:        s.duties,
+		Usage:         s.usage,
 	}
 	for _, key := range s.claimOrder {
 		stored.Claims = append(stored.Claims, s.claims[key])
@@ -171,6 +181,10 @@
 		return s.leave(action.Leave)
 	case *schema.Command_Found:
 		return s.found(action.Found)
+	case *schema.Command_HoldDuty:
+		return s.holdDuty(action.HoldDuty)
+	case *schema.Command_FixUsage:
+		return s.fixUsage(action.FixUsage)
 	}
 	return refuse(schema.Refusal_REFUSAL_INVALID, "command of unknown kind")
 }
--- a/replica/options.go
+++ b/replica/options.go
@@ -37,6 +37,12 @@
 	return func(r *Replica) { r.onLeaves = callback }
 }
 
+// WithDuties calls callback with who holds the duties at the start and after each change. callback must not
+// block.
+func WithDuties(callback func([]*schema.DutyRecord)) Option {
+	return func(r *Replica) { r.onDuties = callback }
+}
+
 // WithFailure calls callback with the error that makes the replica stop by itself, in
 // most cases a failure of its disk. callback must not call Close, which would wait for
 // callback to return.
--- a/replica/ready.go
+++ b/replica/ready.go
@@ -63,6 +63,7 @@
 	r.storeLogName()
 	r.onFleet(state.Fleet())
 	r.reportLeaves()
+	r.reportDuties()
 	return nil
 }
 
@@ -73,6 +74,13 @@
 	}
 }
 
+// reportDuties reports who holds the duties if that has changed since the last call.
+func (r *Replica) reportDuties() {
+	if duties, changed := r.state.TakeDuties(); changed {
+		r.onDuties(duties)
+	}
+}
+
 func (r *Replica) apply(entry *schema.Entry) {
 	configurationBefore, fleetBefore := r.state.Configuration(), r.state.Fleet()
 	result := r.state.Apply(entry)
@@ -90,6 +98,7 @@
 		r.onFleet(after)
 	}
 	r.reportLeaves()
+	r.reportDuties()
 	p, found := r.pending[entry.GetIndex()]
 	if !found {
 		return
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -91,6 +91,7 @@
 		onConfiguration func(*schema.Configuration)
 		onFleet         func(*schema.Fleet)
 		onLeaves        func([]*schema.Instance)
+		onDuties        func([]*schema.DutyRecord)
 		onFailure       func(error)
 
 		status atomic.Pointer[schema.ReplicaStatus]
@@ -162,6 +163,7 @@
 		onConfiguration: func(*schema.Configuration) {},
 		onFleet:         func(*schema.Fleet) {},
 		onLeaves:        func([]*schema.Instance) {},
+		onDuties:        func([]*schema.DutyRecord) {},
 		onFailure:       func(error) {},
 		stopped:         make(chan struct{}),
 		leaderWatch:     condition.Watch{Patience: leaderlessPatience, Interval: leaderlessInterval},
@@ -204,6 +206,7 @@
 	r.onConfiguration(r.state.Configuration())
 	r.onFleet(r.state.Fleet())
 	r.reportLeaves()
+	r.reportDuties()
 	r.group.Go(func() { r.run(ctx) })
 }
 
