--- a/app/duties.go
+++ b/app/duties.go
@@ -69,6 +69,7 @@
 	holder := duty.NewHolder(common, clock.System{}, proposer, terms, metering.Subject, r.IsLeader)
 	records.follow(holder.Observe)
 	reporter := metering.NewReporter(common, metering.Settings{
+		CallTime: terms.CallTime(),
 		Due:      duties.GetUsageDue().AsDuration(),
 		Gateways: func() []*schema.Member { return gatewaysOf(view) },
 	}, clock.System{}, metering.NewWallTime(common.Clock, clock.System{}, duties.GetUsageWindow().AsDuration()), holder, proposer,
--- a/duty/lease.go
+++ b/duty/lease.go
@@ -64,6 +64,12 @@
 	}
 )
 
+// CallTime returns how long one call of a holder may take, so that a holder that renews its lease in time may always begin
+// one.
+func (t Terms) CallTime() time.Duration {
+	return t.Length * 2 / 5
+}
+
 // NewLease returns the lease of a process that has seen no record at the time now.
 func NewLease(terms Terms, subject, self string, now time.Duration) *Lease {
 	return &Lease{terms: terms, self: self, subject: subject, seen: &schema.DutyRecord{Subject: subject}, seenAt: now}
--- a/metering/reporter.go
+++ b/metering/reporter.go
@@ -23,9 +23,8 @@
 	// askInterval is how often gateways are asked. What a lost gateway has counted since is lost with it.
 	askInterval = 500 * time.Millisecond
 	askTimeout  = 900 * time.Millisecond
-	// callTimeout bounds one call to the receiver, fixTimeout one to the log.
-	callTimeout = 1200 * time.Millisecond
-	fixTimeout  = time.Second
+	// fixTimeout bounds one call to the log.
+	fixTimeout = time.Second
 	// firstRetry and lastRetry bound the pause before a failed call is repeated.
 	firstRetry = 200 * time.Millisecond
 	lastRetry  = time.Second
@@ -46,6 +45,8 @@
 	Settings struct {
 		// Due is the time after the end of a window by which its usage must be reported.
 		Due time.Duration
+		// CallTime bounds one call to the receiver.
+		CallTime time.Duration
 		// Gateways returns the gateways that run now.
 		Gateways func() []*schema.Member
 	}
@@ -188,11 +189,11 @@
 
 // send reports a window.
 func (r *Reporter) send(ctx context.Context, window Window, progress *Progress) {
-	token, may := r.duty.Token(callTimeout)
+	token, may := r.duty.Token(r.settings.CallTime)
 	if !may || token != r.token {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, r.settings.CallTime)
 	defer cancel()
 	progress.Tries++
 	err := r.receiver.Report(ctx, token, progress.Fixed)
