--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -58,6 +58,8 @@
 		origin *standin.Origin
 		// engine describes the engines if prompts have different lengths, otherwise nil.
 		engine *standin.Engine
+		// receiver receives the reports of usage.
+		receiver *standin.UsageReceiver
 		// faultyUpstreams is the number of upstreams of the service that is faulty in a scenario.
 		faultyUpstreams int
 		// replaced lists the replicas whose place successors take in a scenario.
@@ -113,8 +115,14 @@
 	if err != nil {
 		return nil, err
 	}
+	receiver, err := standin.StartUsageReceiver(usageLease)
+	if err != nil {
+		origin.Close()
+		return nil, err
+	}
 	c := &cluster{
-		size: options.Size, folder: options.Folder, binary: options.Binary, record: r, origin: origin,
+		receiver: receiver,
+		size:     options.Size, folder: options.Folder, binary: options.Binary, record: r, origin: origin,
 		base: firstPort + rand.IntN(portRange), //nolint:gosec // spreads runs, no secret
 	}
 	if options.Scenario != nil {
@@ -272,8 +280,9 @@
 OneCopy = yes
 OriginDelay = 100ms
 StallTime = 1s
-`, id, failureDomain, failureDomain, c.listenAddress(n, portProcess), c.proxyAddress(n, portProcess), filepath.Join(c.folder, id),
-		c.seedLine(), bootstrapLine(bootstrap), c.listenAddress(n, portMetrics), maxGatewayBytes/megabyte, node, retryRatio, retrySlack, retryWindow)
+%s`, id, failureDomain, failureDomain, c.listenAddress(n, portProcess), c.proxyAddress(n, portProcess), filepath.Join(c.folder, id),
+		c.seedLine(), bootstrapLine(bootstrap), c.listenAddress(n, portMetrics), maxGatewayBytes/megabyte, node, retryRatio, retrySlack, retryWindow,
+		usageSection(c.receiver))
 }
 
 // bootstrapLine is the setting that tells a replica whether the whole deployment starts for the first time.
@@ -303,6 +312,7 @@
 	for _, u := range c.faulty {
 		u.Kill()
 	}
+	c.receiver.Close()
 	c.origin.Close()
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -181,6 +181,7 @@
 	r.callers.checkRuns(r.cluster.runCounts())
 	r.checkRetries()
 	r.checkNotices()
+	r.checkUsage()
 	r.checkSizes()
 	if r.Scenario != nil && r.Scenario.check != nil {
 		r.Scenario.check(r)
