--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -8,6 +8,7 @@
 
 	"figbank"
 	"figbank/crashers"
+	"figbank/eventstream"
 	"figbank/memory"
 
 	"go.uber.org/zap"
@@ -115,7 +116,7 @@
 		// The upstream was not asked.
 	case provedNotRun && notRun.Reason == figbank.ReasonUpstreamBusy:
 		target.Load.recordBusy(now)
-	case errors.As(err, new(streamError)):
+	case errors.As(err, new(eventstream.Error)):
 		// Who sends wrong bytes has not crashed.
 		target.Load.recordGarbage(now)
 	case errors.As(err, new(memory.FullError)):
--- a/dispatch/badstream_test.go
+++ b/dispatch/badstream_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"figbank"
+	"figbank/eventstream"
 	"figbank/schema"
 	"figbank/traffic"
 
@@ -64,7 +65,7 @@
 	got := serveStream(t, &streamScript{answers: []streamAnswer{broken, bad}}, "", true)
 	want := map[string]any{
 		"request": "r", "attempt": int64(2), "reason": "NoEventBehind", "resumed": true, "after": "1", "framed": false,
-		"lastEvent": "2", "events": int64(1), "bytes": `"` + strings.Repeat("no event ", 20)[:maxQuoted] + `"`,
+		"lastEvent": "2", "events": int64(1), "bytes": `"` + strings.Repeat("no event ", 20)[:eventstream.MaxQuoted] + `"`,
 	}
 	lines := 0
 	for _, entry := range got.log {
--- a/dispatch/brokenstream_test.go
+++ b/dispatch/brokenstream_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"figbank"
+	"figbank/eventstream"
 	"figbank/schema"
 	"figbank/traffic"
 )
@@ -115,10 +116,10 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
-			order := newEventOrder(s.last)
+			order := eventstream.NewOrder(s.last)
 			got := 0
 			for _, id := range s.ids {
-				if order.check(id) != nil {
+				if order.Check(id) != nil {
 					break
 				}
 				got++
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"figbank"
+	"figbank/eventstream"
 	"figbank/registry"
 	"figbank/schema"
 	"figbank/traffic"
@@ -31,12 +32,12 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
-			reader := newEventReader(strings.NewReader(s.stream))
+			reader := eventstream.NewReader(strings.NewReader(s.stream))
 			events, lastID := 0, ""
 			var err error
 			for {
 				var id string
-				if _, id, err = reader.next(); err != nil {
+				if _, id, err = reader.Next(); err != nil {
 					break
 				}
 				events++
@@ -298,11 +299,11 @@
 func TestEndlessEventIsRefused(t *testing.T) {
 	for _, text := range []string{"a", "data: a\n"} {
 		source := &endlessReader{text: text}
-		_, _, err := newEventReader(source).next()
+		_, _, err := eventstream.NewReader(source).Next()
 		if !errors.As(err, new(figbank.ProtocolError)) {
 			t.Errorf("next() of %q without end = %v, want ProtocolError", text, err)
 		}
-		if want := maxEvent + 2*eventBuffer; source.read > want {
+		if want := eventstream.MaxEvent + 2*eventstream.BufferSize; source.read > want {
 			t.Errorf("next() of %q without end read %d bytes, want at most %d", text, source.read, want)
 		}
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -8,6 +8,7 @@
 
 	"figbank"
 	"figbank/crashers"
+	"figbank/eventstream"
 	"figbank/feed"
 	"figbank/memory"
 	"figbank/retry"
@@ -128,7 +129,7 @@
 	defer cancel()
 	d.budgets.For(request.Service).Deposit(d.common.Clock.Now())
 	r := &run{
-		Dispatcher: d, request: request, response: response, tried: map[figbank.UpstreamID]bool{}, lastEvent: request.LastEvent, order: newEventOrder(request.LastEvent),
+		Dispatcher: d, request: request, response: response, tried: map[figbank.UpstreamID]bool{}, lastEvent: request.LastEvent, order: eventstream.NewOrder(request.LastEvent),
 		log:      d.common.Log.With(zap.String("request", string(request.ID))),
 		identity: identityOf(request),
 	}
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"figbank"
+	"figbank/eventstream"
 	"figbank/memory"
 )
 
@@ -69,19 +70,19 @@
 	if r.request.Route.Streamed() {
 		return r.forwardNumbered(answer)
 	}
-	events := newEventReader(answer.Body)
-	events.held = r.settings.Memory.Reserve(memory.Event, answerShare)
-	defer events.held.Release()
+	events := eventstream.NewReader(answer.Body)
+	events.Held = r.settings.Memory.Reserve(memory.Event, answerShare)
+	defer events.Held.Release()
 	for {
-		event, id, err := events.next()
+		event, id, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			return r.endEvents(answer)
 		}
 		if err != nil {
 			return err
 		}
-		if err := r.order.check(id); err != nil {
-			return quoteBytes(faultOrder, err, event)
+		if err := r.order.Check(id); err != nil {
+			return eventstream.Quote(eventstream.FaultOrder, err, event)
 		}
 		r.recordEvent()
 		r.startEvents(answer)
--- a/dispatch/numberedevents.go
+++ b/dispatch/numberedevents.go
@@ -6,35 +6,36 @@
 	"strconv"
 
 	"figbank"
+	"figbank/eventstream"
 	"figbank/memory"
 )
 
 // forwardNumbered forwards the events of a stream whose events have numbers as soon as each has arrived
 // completely.
 func (r *run) forwardNumbered(answer *Answer) error {
-	r.format.versionField, r.format.version = answer.VersionField, answer.Version
-	events := newNumberedReader(answer.Body, &r.format)
-	events.held = r.settings.Memory.Reserve(memory.Event, answerShare)
-	defer events.held.Release()
-	events.skipMark()
+	r.format.VersionField, r.format.Version = answer.VersionField, answer.Version
+	events := eventstream.NewNumberedReader(answer.Body, &r.format)
+	events.Held = r.settings.Memory.Reserve(memory.Event, answerShare)
+	defer events.Held.Release()
+	events.SkipMark()
 	given := false
 	defer func() {
 		if given {
-			r.lastEvent = strconv.FormatInt(r.order.last, 10)
+			r.lastEvent = strconv.FormatInt(r.order.Last(), 10)
 		}
 	}()
 	for {
-		event, number, err := events.next()
+		event, number, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			return r.endEvents(answer)
 		}
 		if err != nil {
 			return err
 		}
-		if err := r.order.checkNumber(number); err != nil {
-			return quoteBytes(faultOrder, err, event)
+		if err := r.order.CheckNumber(number); err != nil {
+			return eventstream.Quote(eventstream.FaultOrder, err, event)
 		}
-		events.accept()
+		events.Accept()
 		r.recordEvent()
 		r.startEvents(answer)
 		if err := r.response.Write(event); err != nil {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -7,11 +7,12 @@
 	"strconv"
 	"time"
 
-	"go.uber.org/zap"
-
 	"figbank"
 	"figbank/crashers"
+	"figbank/eventstream"
 	"figbank/retry"
+
+	"go.uber.org/zap"
 )
 
 const (
@@ -36,9 +37,9 @@
 		// lastEvent is the id of the last event that the caller has received.
 		lastEvent string
 		// order checks the ids of the events that the caller receives.
-		order eventOrder
+		order eventstream.Order
 		// format tells which events the stream may have, if they must have numbers.
-		format eventFormat
+		format eventstream.Format
 		// failedAnswer is a complete error answer of an upstream. It goes to the caller
 		// when no later attempt succeeds.
 		failedAnswer *bufferedAnswer
--- a/dispatch/eventformat.go
+++ b/eventstream/format.go
@@ -1,4 +1,4 @@
-package dispatch
+package eventstream
 
 import (
 	"bytes"
@@ -19,14 +19,14 @@
 	// fieldSet is a set of fields.
 	fieldSet uint8
 
-	// eventFormat tells which events a stream of numbered events may have: all their lines are known
+	// Format tells which events a stream of numbered events may have: all their lines are known
 	// fields, one is a number, at least one holds data. The zero value is that of a stream that has not begun.
-	eventFormat struct {
-		// versionField is the name of the field that states the version of the weights, as the first
+	Format struct {
+		// VersionField is the name of the field that states the version of the weights, as the first
 		// one of an event, empty if there is none.
-		versionField string
-		// version is the version that the answer has stated last, 0 if none.
-		version int64
+		VersionField string
+		// Version is the version that the answer has stated last, 0 if none.
+		Version int64
 		// first are the fields of the stream's first event, 0 before it. Later ones have no others.
 		first fieldSet
 	}
@@ -40,15 +40,15 @@
 )
 
 // add adds a line, without its end, to the event. It returns a fault if the event can't have this line.
-func (f *eventFormat) add(event *numberedEvent, line []byte) streamFault {
+func (f *Format) add(event *numberedEvent, line []byte) Fault {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	field := f.field(name)
 	switch {
 	case field == 0, f.first != 0 && field&^(f.first|fieldVersion) != 0:
-		return faultField
+		return FaultField
 	case !isText(line):
-		return faultText
+		return FaultText
 	}
 	valid := true
 	switch field {
@@ -57,44 +57,44 @@
 		valid = valid && event.fields&fieldID == 0
 	case fieldVersion:
 		event.version, valid = parseNumber(value)
-		valid = valid && event.fields == 0 && event.version >= f.version
+		valid = valid && event.fields == 0 && event.version >= f.Version
 	case fieldRetry:
 		_, valid = parseNumber(value)
 	}
 	event.fields |= field
 	switch {
 	case valid:
-		return noFault
+		return NoFault
 	case field == fieldID:
-		return faultNumber
+		return FaultNumber
 	case field == fieldVersion:
-		return faultVersion
+		return FaultVersion
 	}
-	return faultGrammar
+	return FaultGrammar
 }
 
 // check returns a fault if the event, whose lines have all been added, lacks something.
-func (f *eventFormat) check(event *numberedEvent) streamFault {
+func (f *Format) check(event *numberedEvent) Fault {
 	switch {
 	case event.fields&fieldID == 0:
-		return faultNumber
+		return FaultNumber
 	case event.fields&fieldData == 0:
-		return faultData
+		return FaultData
 	}
-	return noFault
+	return NoFault
 }
 
 // accept records an event that is passed on.
-func (f *eventFormat) accept(event *numberedEvent) {
+func (f *Format) accept(event *numberedEvent) {
 	if f.first == 0 {
 		f.first = event.fields
 	}
-	f.version = max(f.version, event.version)
+	f.Version = max(f.Version, event.version)
 }
 
 // mayFollow reports whether the bytes that have arrived after an event can be the beginning of
 // another, or lines without a meaning.
-func (f *eventFormat) mayFollow(arrived []byte) bool {
+func (f *Format) mayFollow(arrived []byte) bool {
 	var next numberedEvent
 	for len(arrived) > 0 {
 		line, rest, complete := bytes.Cut(arrived, []byte("\n"))
@@ -104,12 +104,12 @@
 		line = bytes.TrimSuffix(line, []byte("\r"))
 		switch {
 		case len(line) == 0 && next.fields != 0:
-			return f.check(&next) == noFault
+			return f.check(&next) == NoFault
 		case isFiller(line) && next.fields == 0:
 			if !isText(line) {
 				return false
 			}
-		case f.add(&next, line) != noFault:
+		case f.add(&next, line) != NoFault:
 			return false
 		}
 		arrived = rest
@@ -118,7 +118,7 @@
 }
 
 // mayBegin reports whether a line of an event can begin with these bytes.
-func (f *eventFormat) mayBegin(start []byte) bool {
+func (f *Format) mayBegin(start []byte) bool {
 	start = bytes.TrimSuffix(start, []byte("\r"))
 	name, _, complete := bytes.Cut(start, []byte(":"))
 	if bytes.ContainsAny(start, "\x00\r") {
@@ -127,7 +127,7 @@
 	if complete {
 		return len(name) == 0 || f.field(name) != 0
 	}
-	for _, known := range [...]string{"id", "data", "event", "retry", f.versionField} {
+	for _, known := range [...]string{"id", "data", "event", "retry", f.VersionField} {
 		if len(start) <= len(known) && known[:len(start)] == string(start) {
 			return true
 		}
@@ -136,7 +136,7 @@
 }
 
 // field returns the field of that name, 0 if there is none.
-func (f *eventFormat) field(name []byte) fieldSet {
+func (f *Format) field(name []byte) fieldSet {
 	switch string(name) {
 	case "id":
 		return fieldID
@@ -148,7 +148,7 @@
 		return fieldRetry
 	case "":
 		return 0
-	case f.versionField:
+	case f.VersionField:
 		return fieldVersion
 	}
 	return 0
--- a/dispatch/numberedreader.go
+++ b/eventstream/numberedreader.go
@@ -1,4 +1,4 @@
-package dispatch
+package eventstream
 
 import (
 	"bufio"
@@ -14,11 +14,11 @@
 // progress of a stream.
 const maxFiller = 4 << 10
 
-// numberedReader splits a stream of numbered events into events that its format allows. It leaves out
+// NumberedReader splits a stream of numbered events into events that its format allows. It leaves out
 // empty lines and comments between them.
-type numberedReader struct {
+type NumberedReader struct {
 	reader *bufio.Reader
-	format *eventFormat
+	format *Format
 	// event holds the bytes of the event, line the start of its last line, filler the number of bytes
 	// that were left out before it.
 	event  []byte
@@ -26,16 +26,16 @@
 	filler int
 	// stated is what the lines of the event state.
 	stated numberedEvent
-	// held is the memory for event.
-	held *memory.Reservation
+	// Held is the memory for event.
+	Held *memory.Reservation
 }
 
-func newNumberedReader(body io.Reader, format *eventFormat) *numberedReader {
-	return &numberedReader{reader: bufio.NewReaderSize(&stickyReader{source: body}, eventBuffer), format: format}
+func NewNumberedReader(body io.Reader, format *Format) *NumberedReader {
+	return &NumberedReader{reader: bufio.NewReaderSize(&stickyReader{source: body}, BufferSize), format: format}
 }
 
-// skipMark removes a byte order mark, which may stand at the very start of a stream.
-func (r *numberedReader) skipMark() {
+// SkipMark removes a byte order mark, which may stand at the very start of a stream.
+func (r *NumberedReader) SkipMark() {
 	mark := []byte("\uFEFF")
 	if start, err := r.reader.Peek(1); err != nil || start[0] != mark[0] {
 		return
@@ -45,11 +45,11 @@
 	}
 }
 
-// next returns the bytes of the next event, valid until the next call, and its number. It returns
+// Next returns the bytes of the next event, valid until the next call, and its number. It returns
 // io.EOF when the stream ends after an event or is empty, IncompleteAnswerError when it ends inside an
-// event or cannot be read, memory.FullError when there is no memory for it, and streamError when the bytes are no event, or have arrived with
+// event or cannot be read, memory.FullError when there is no memory for it, and Error when the bytes are no event, or have arrived with
 // bytes that are none.
-func (r *numberedReader) next() (event []byte, number int64, err error) {
+func (r *NumberedReader) Next() (event []byte, number int64, err error) {
 	r.event, r.line, r.filler, r.stated = r.event[:0], 0, 0, numberedEvent{}
 	for {
 		if err := r.readLine(); err != nil {
@@ -65,22 +65,22 @@
 		case len(line) == 0:
 			return r.event, r.stated.number, r.complete()
 		}
-		if fault := r.format.add(&r.stated, line); fault != noFault {
-			return nil, 0, newStreamError(fault, "bytes in the stream are no event", r.event[r.line:])
+		if fault := r.format.add(&r.stated, line); fault != NoFault {
+			return nil, 0, NewError(fault, "bytes in the stream are no event", r.event[r.line:])
 		}
 		r.line = len(r.event)
 	}
 }
 
-// accept records that the last event is passed on.
-func (r *numberedReader) accept() {
+// Accept records that the last event is passed on.
+func (r *NumberedReader) Accept() {
 	r.format.accept(&r.stated)
 }
 
 // readLine appends the next line, with its end, to the event.
-func (r *numberedReader) readLine() error {
+func (r *NumberedReader) readLine() error {
 	if start := r.start(); len(start) > 0 && !r.format.mayBegin(start) {
-		return newStreamError(faultField, "bytes in the stream are no event", start)
+		return NewError(FaultField, "bytes in the stream are no event", start)
 	}
 	for {
 		line, err := r.reader.ReadSlice('\n')
@@ -103,11 +103,11 @@
 }
 
 // checkSize returns an error if there are too many bytes without an event, or no memory for them.
-func (r *numberedReader) checkSize() error {
+func (r *NumberedReader) checkSize() error {
 	switch {
-	case len(r.event) > maxEvent:
-		return newStreamError(faultLength, "event is too long", r.event)
-	case !r.held.Fit(figbank.Bytes(cap(r.event))):
+	case len(r.event) > MaxEvent:
+		return NewError(FaultLength, "event is too long", r.event)
+	case !r.Held.Fit(figbank.Bytes(cap(r.event))):
 		return memory.FullError{}
 	case r.line == 0 && len(r.event) > 0 && isFiller(r.event) && r.filler+len(r.event) > maxFiller:
 		return r.tooMuchFiller()
@@ -117,7 +117,7 @@
 
 // start waits for the next line and returns what has arrived of it if its end has not. Bytes that begin
 // no line need no more.
-func (r *numberedReader) start() []byte {
+func (r *NumberedReader) start() []byte {
 	if r.reader.Buffered() == 0 {
 		if _, err := r.reader.Peek(1); err != nil {
 			return nil
@@ -131,9 +131,9 @@
 }
 
 // skipFiller leaves a line between two events out.
-func (r *numberedReader) skipFiller(line []byte) error {
+func (r *NumberedReader) skipFiller(line []byte) error {
 	if !isText(line) {
-		return newStreamError(faultText, "bytes in the stream are no event", r.event)
+		return NewError(FaultText, "bytes in the stream are no event", r.event)
 	}
 	r.filler += len(r.event)
 	if r.filler > maxFiller {
@@ -143,25 +143,25 @@
 	return nil
 }
 
-func (r *numberedReader) tooMuchFiller() error {
-	return newStreamError(faultFiller, "too many bytes between two events", r.event)
+func (r *NumberedReader) tooMuchFiller() error {
+	return NewError(FaultFiller, "too many bytes between two events", r.event)
 }
 
 // complete checks a whole event and what has arrived behind it.
-func (r *numberedReader) complete() error {
-	if fault := r.format.check(&r.stated); fault != noFault {
-		return newStreamError(fault, "bytes in the stream are no event", r.event)
+func (r *NumberedReader) complete() error {
+	if fault := r.format.check(&r.stated); fault != NoFault {
+		return NewError(fault, "bytes in the stream are no event", r.event)
 	}
 	arrived, _ := r.reader.Peek(r.reader.Buffered())
 	if !r.follows(arrived) {
-		return newStreamError(faultFollower, "bytes behind an event are no event", arrived)
+		return NewError(FaultFollower, "bytes behind an event are no event", arrived)
 	}
 	return nil
 }
 
 // follows reports whether the bytes can follow the event. Behind the first event of a stream too, they
 // may only be fields that it has.
-func (r *numberedReader) follows(arrived []byte) bool {
+func (r *NumberedReader) follows(arrived []byte) bool {
 	if len(arrived) == 0 {
 		return true
 	}
--- a/dispatch/eventorder.go
+++ b/eventstream/order.go
@@ -1,4 +1,4 @@
-package dispatch
+package eventstream
 
 import (
 	"bytes"
@@ -10,9 +10,9 @@
 // firstEventID is the highest id with which a numbered stream begins.
 const firstEventID = 1
 
-// eventOrder checks the ids of a stream's events, over all upstreams that send parts of it. The zero
+// Order checks the ids of a stream's events, over all upstreams that send parts of it. The zero
 // value is the order of a stream that has not begun.
-type eventOrder struct {
+type Order struct {
 	last int64
 	// known is set once last is.
 	known bool
@@ -22,25 +22,25 @@
 	consecutive bool
 }
 
-// newEventOrder returns the order of a stream that the caller already has up to the event with an
+// NewOrder returns the order of a stream that the caller already has up to the event with an
 // id, or from its beginning if that is empty.
-func newEventOrder(lastEvent string) eventOrder {
+func NewOrder(lastEvent string) Order {
 	last, err := strconv.ParseInt(lastEvent, 10, 64)
-	return eventOrder{last: last, known: err == nil, consecutive: true}
+	return Order{last: last, known: err == nil, consecutive: true}
 }
 
-// check returns a ProtocolError if an event with this id can't come next: if it or a later one has
+// Check returns a ProtocolError if an event with this id can't come next: if it or a later one has
 // come before, or if one is missing. It accepts events without a number.
-func (o *eventOrder) check(id string) error {
+func (o *Order) Check(id string) error {
 	number, err := strconv.ParseInt(id, 10, 64)
 	if err != nil {
 		return nil //nolint:nilerr // ids need not be numbers
 	}
-	return o.checkNumber(number)
+	return o.CheckNumber(number)
 }
 
-// checkNumber is check for an event with a number.
-func (o *eventOrder) checkNumber(number int64) error {
+// CheckNumber is Check for an event with a number.
+func (o *Order) CheckNumber(number int64) error {
 	switch {
 	case !o.known:
 		o.known, o.consecutive = true, true
@@ -61,6 +61,11 @@
 	return nil
 }
 
+// Last returns the id of the last event that was checked.
+func (o *Order) Last() int64 {
+	return o.last
+}
+
 // wellFormed reports whether bytes between two empty lines are an event, each line of it a field or a
 // comment (HTML Living Standard, section 9.2.5), with at least one field that the standard names. The
 // head or the text of an error that an upstream writes into its stream is no event.
--- a/dispatch/events.go
+++ b/eventstream/reader.go
@@ -1,4 +1,6 @@
-package dispatch
+// Package eventstream splits a stream of server-sent events into complete events, and checks that they are events, and
+// come in order, over all upstreams that send parts of it.
+package eventstream
 
 import (
 	"bufio"
@@ -11,39 +13,39 @@
 )
 
 const (
-	// maxEvent is the largest size of an event in bytes.
-	maxEvent = 256 << 10
-	// eventBuffer is the size of the read buffer in bytes. It holds a few typical events.
-	eventBuffer = 4 << 10
+	// MaxEvent is the largest size of an event in bytes.
+	MaxEvent = 256 << 10
+	// BufferSize is the size of the read buffer in bytes. It holds a few typical events.
+	BufferSize = 4 << 10
 )
 
-// eventReader splits a stream of server-sent events (HTML Living Standard, section 9.2)
+// Reader splits a stream of server-sent events (HTML Living Standard, section 9.2)
 // into complete events, each of which ends with an empty line.
-type eventReader struct {
+type Reader struct {
 	reader *bufio.Reader
 	event  bytes.Buffer
-	// held is the memory for event.
-	held *memory.Reservation
+	// Held is the memory for event.
+	Held *memory.Reservation
 }
 
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(body, eventBuffer)}
+func NewReader(body io.Reader) *Reader {
+	return &Reader{reader: bufio.NewReaderSize(body, BufferSize)}
 }
 
-// next returns the bytes of the next complete event, and its id if it has one. The
+// Next returns the bytes of the next complete event, and its id if it has one. The
 // bytes are valid until the next call. It returns io.EOF when the stream ends after a
 // complete event or is empty, IncompleteAnswerError when it ends inside an event or cannot
 // be read, ProtocolError when an event is too long or is none, and memory.FullError when there is no
 // memory for it.
-func (r *eventReader) next() (event []byte, id string, err error) {
+func (r *Reader) Next() (event []byte, id string, err error) {
 	r.event.Reset()
 	for {
 		line, err := r.reader.ReadSlice('\n')
 		r.event.Write(line)
 		switch {
-		case r.event.Len() > maxEvent:
-			return nil, "", newStreamError(faultLength, "event is too long", r.event.Bytes())
-		case !r.held.Fit(figbank.Bytes(r.event.Cap())):
+		case r.event.Len() > MaxEvent:
+			return nil, "", NewError(FaultLength, "event is too long", r.event.Bytes())
+		case !r.Held.Fit(figbank.Bytes(r.event.Cap())):
 			return nil, "", memory.FullError{}
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
@@ -58,7 +60,7 @@
 			continue
 		}
 		if !wellFormed(r.event.Bytes()) {
-			return nil, "", newStreamError(faultGrammar, "bytes in the stream are no event", r.event.Bytes())
+			return nil, "", NewError(FaultGrammar, "bytes in the stream are no event", r.event.Bytes())
 		}
 		return r.event.Bytes(), eventID(r.event.Bytes()), nil
 	}
--- a/dispatch/stickyreader.go
+++ b/eventstream/stickyreader.go
@@ -1,4 +1,4 @@
-package dispatch
+package eventstream
 
 import "io"
 
