Dispatch: what is known of an upstream is a package of its own

Moves only: load/ has counts, health, lateness, drift, rates and notices of upstreams; dispatch keeps tables and how a request runs.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -9,6 +9,7 @@
 	"figbank"
 	"figbank/crashers"
 	"figbank/eventstream"
+	"figbank/load"
 	"figbank/memory"
 
 	"go.uber.org/zap"
@@ -26,8 +27,8 @@
 // attempt sends the request to one upstream and forwards the answer. A nil error means
 // that the whole answer was written to the response.
 func (r *run) attempt(ctx context.Context, target *Target) error {
-	target.Load.begin()
-	defer target.Load.end()
+	target.Load.Begin()
+	defer target.Load.End()
 	defer r.endPlace()
 	now := r.common.Clock.Now()
 	ctx, stop := r.cancelWhenOld(ctx, target)
@@ -36,9 +37,9 @@
 		Address: target.Address, Upstream: target.ID, Version: target.Version,
 		TimeLeft: r.request.Deadline.Sub(now), LastEvent: r.lastEvent,
 		RecordLimit: func(limit figbank.RequestsPerSecond) {
-			r.recordLimit(target, LimitNotice{Named: true, PerSecond: limit})
+			r.recordLimit(target, load.LimitNotice{Named: true, PerSecond: limit})
 		},
-		RecordNotice: func(notice UpstreamNotice) { r.recordNotice(target, notice) },
+		RecordNotice: func(notice load.Notice) { r.recordNotice(target, notice) },
 		MaySend:      r.maySend(target),
 	})
 	if err != nil {
@@ -47,14 +48,14 @@
 	}
 	defer answer.Body.Close()
 	r.upstream, r.framed = target.ID, !answer.Unframed
-	target.Load.recordReport(r.common.Clock.Now(), answer.Load)
+	target.Load.RecordReport(r.common.Clock.Now(), answer.Load)
 	if !answer.NamesLimit && answer.Status < http.StatusMultipleChoices {
-		r.recordLimit(target, LimitNotice{})
+		r.recordLimit(target, load.LimitNotice{})
 	}
 	err = r.deliver(answer)
 	if err == nil {
 		now = r.common.Clock.Now()
-		target.Load.recordSuccess(now)
+		target.Load.RecordSuccess(now)
 		r.crashers.RecordAnswer(now, r.identity.Fingerprint)
 		if answer.Status < http.StatusMultipleChoices && (r.events > 0 || !answer.Events) {
 			r.crashers.RecordBegun(now, r.identity.Parts)
@@ -66,9 +67,9 @@
 }
 
 // recordLimit stores what the upstream says of its limit now.
-func (r *run) recordLimit(target *Target, notice LimitNotice) {
+func (r *run) recordLimit(target *Target, notice load.LimitNotice) {
 	notice.At = r.common.Clock.Now()
-	if target.Load.named.record(notice) {
+	if target.Load.RecordLimit(notice) {
 		r.log.Info("limit of the upstream changed", zap.String("upstream", string(target.ID)), zap.Bool("named", notice.Named),
 			zap.Float64("perSecond", float64(notice.PerSecond)))
 	}
@@ -108,28 +109,28 @@
 	provedNotRun := errors.As(err, &notRun)
 	if took := now.Sub(r.sentAt); !r.hasBegun && took > r.predicted && !provedNotRun {
 		// The answer would have begun even later, so the time so far is a lower bound.
-		target.Load.late.record(now, took, r.predicted)
+		target.Load.Late.Record(now, took, r.predicted)
 	}
 	switch {
 	case ctx.Err() != nil, errors.As(err, new(figbank.CallerGoneError)):
 	case provedNotRun && notRun.Reason == figbank.ReasonUpstreamLeaving:
 		// The upstream was not asked.
 	case provedNotRun && notRun.Reason == figbank.ReasonUpstreamBusy:
-		target.Load.recordBusy(now)
+		target.Load.RecordBusy(now)
 	case errors.As(err, new(eventstream.Error)):
 		// Who sends wrong bytes has not crashed.
-		target.Load.recordGarbage(now)
+		target.Load.RecordGarbage(now)
 	case errors.As(err, new(memory.FullError)):
 		// The request is not to blame.
-		target.Load.recordFailure(now, false)
+		target.Load.RecordFailure(now, false)
 	case errors.As(err, new(figbank.FailedAnswerError)):
 		r.crashers.RecordAnswer(now, r.identity.Fingerprint)
-		target.Load.recordFailure(now, false)
+		target.Load.RecordFailure(now, false)
 	default:
 		if !provedNotRun {
 			r.crashers.RecordCrash(now, r.suspected(), crashers.IncarnationOf(string(target.ID), target.BornUnixMilli), r.sentAt)
 		}
-		target.Load.recordFailure(now, true)
+		target.Load.RecordFailure(now, true)
 	}
 }
 
@@ -154,8 +155,8 @@
 		if r.place != nil {
 			r.place.Begun()
 		}
-		r.load.late.record(now, now.Sub(r.sentAt), r.predicted)
-		r.drift(r.request.Service).record(now, now.Sub(r.sentAt), r.predicted)
+		r.load.Late.Record(now, now.Sub(r.sentAt), r.predicted)
+		r.drift(r.request.Service).Record(now, now.Sub(r.sentAt), r.predicted)
 	}
 	if r.firstByteTime == 0 {
 		r.firstByteTime = r.common.Clock.Now().Sub(r.request.ReceivedAt)
--- a/dispatch/build.go
+++ b/dispatch/build.go
@@ -4,11 +4,11 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"figbank"
 	"figbank/schema"
 	"figbank/traffic"
+
+	"go.uber.org/zap"
 )
 
 // follow builds a table at once and a new one after each change of the view, until ctx
@@ -45,15 +45,15 @@
 			listed++
 		}
 	}
-	gateways := d.gatewayCount.update(now, listed, int(fleet.GetGateways()))
+	gateways := d.gatewayCount.Update(now, listed, int(fleet.GetGateways()))
 	if previous == nil || gateways != previous.gateways {
 		d.common.Log.Info("gateways sharing the upstreams", zap.Int("gateways", gateways), zap.Int("listed", listed),
 			zap.Int64("recorded", fleet.GetGateways()))
 	}
-	d.budgets.SetGateways(now, gateways, d.gatewayCount.settledAt())
+	d.budgets.SetGateways(now, gateways, d.gatewayCount.SettledAt())
 	d.table.Store(NewTable(previous, d.settings.Location, Sources{
 		Fleet: fleet, Traffic: rules, Upstreams: d.view.Upstreams(), Named: d.named, Gateways: gateways,
-		SettledAt: d.gatewayCount.settledAt(), Now: now,
+		SettledAt: d.gatewayCount.SettledAt(), Now: now,
 	}))
 	if previous == nil || previous.Traffic != rules {
 		d.common.Log.Info("rules changed", zap.Int64("rules", rules.Number()), zap.Uint64("commit", fleet.GetCommitIndex()))
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -6,12 +6,12 @@
 	"math/rand/v2"
 	"time"
 
-	"go.uber.org/zap"
-
 	"figbank"
 	"figbank/latency"
 	"figbank/placement"
 	"figbank/traffic"
+
+	"go.uber.org/zap"
 )
 
 const (
@@ -67,7 +67,7 @@
 		r.log.Info("placed", append(r.sizeFields(demand), zap.String("upstream", string(target.ID)), zap.Int("attempt", attempt),
 			zap.Int("outstanding", candidates[decision.Index].Outstanding),
 			zap.Duration("loadAge", target.Load.Age(now)), zap.Bool("reserved", r.place != nil), zap.Int("asked", asked),
-			zap.Duration("predicted", r.predicted), zap.Duration("late", target.Load.late.current(now)),
+			zap.Duration("predicted", r.predicted), zap.Duration("late", target.Load.Late.Current(now)),
 			zap.Int64("version", target.Version), zap.Int("candidates", len(candidates)), zap.Uint64("table", uint64(table.Index)))...)
 		return target, nil
 	}
@@ -94,7 +94,7 @@
 func (r *run) demand(now time.Time, attempt int, engine *latency.Predictor) placement.Demand {
 	demand := placement.Demand{
 		PromptTokens: r.request.PromptTokens, LatencyTarget: r.request.Route.LatencyTarget,
-		TimeLeft: r.request.Deadline.Sub(now), Drift: r.drift(r.request.Service).factor(now),
+		TimeLeft: r.request.Deadline.Sub(now), Drift: r.drift(r.request.Service).Factor(now),
 	}
 	if attempt == 1 {
 		demand.Waited = now.Sub(r.request.ReceivedAt)
@@ -142,7 +142,7 @@
 		// The keeper of a limited upstream may refuse although the answer would begin in time.
 		candidate.Full = candidate.Known <= demand.Allowed()
 		if rate, limited := target.Rate(now); limited && candidate.Full {
-			target.Load.recordRateFull(now, rate)
+			target.Load.RecordRateFull(now, rate)
 		}
 		return false
 	}
@@ -153,7 +153,7 @@
 // mayBegin reports whether the target may get the request now, if its answer is predicted to begin
 // after the given time.
 func (r *run) mayBegin(target *Target, now time.Time, predicted time.Duration) bool {
-	return target.ready(now) && (target.Engine == nil || !target.tooOld(now.Add(predicted+target.Load.late.current(now))))
+	return target.ready(now) && (target.Engine == nil || !target.tooOld(now.Add(predicted+target.Load.Late.Current(now))))
 }
 
 // candidates returns the upstreams that may take the request. The second slice holds, at the
@@ -182,8 +182,8 @@
 		if !r.mayBegin(target, now, predicted) {
 			continue
 		}
-		late := target.Load.late.current(now)
-		full := target.Load.rateFull(now)
+		late := target.Load.Late.Current(now)
+		full := target.Load.RateFull(now)
 		if reserver == nil {
 			full = !target.allowsRate(now, wholeShare)
 		}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"figbank"
+	"figbank/load"
 	"figbank/traffic"
 )
 
@@ -62,7 +63,7 @@
 		RecordLimit func(figbank.RequestsPerSecond)
 		// RecordNotice is called with what the upstream's answer, a refusal too, says of further
 		// requests. It may be nil.
-		RecordNotice func(UpstreamNotice)
+		RecordNotice func(load.Notice)
 		// MaySend is called right before the request is sent. If it returns false, the request is not
 		// sent, and Send returns a NotRunError. It may be nil.
 		MaySend func() bool
@@ -79,7 +80,7 @@
 		Unframed bool
 		Body     io.ReadCloser
 		// Load is the load that the upstream reports with the answer, nil when it reports none.
-		Load *ReportedLoad
+		Load *load.Report
 		// NamesLimit is set when the answer names a limit.
 		NamesLimit bool
 		// Events is set when the body is an event stream.
@@ -90,11 +91,6 @@
 		Version      int64
 	}
 
-	// ReportedLoad is an upstream's own count of its requests and slots.
-	ReportedLoad struct {
-		Running, Waiting, Slots int
-	}
-
 	// Transport sends requests to upstreams. It must be safe for concurrent use.
 	Transport interface {
 		// Send returns as soon as the head of the answer has arrived. An error of
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -10,6 +10,7 @@
 	"figbank/crashers"
 	"figbank/eventstream"
 	"figbank/feed"
+	"figbank/load"
 	"figbank/memory"
 	"figbank/retry"
 
@@ -47,7 +48,7 @@
 		crashers  *crashers.Set
 		// reserver is nil while this gateway shares no places with others.
 		reserver atomic.Pointer[Reserver]
-		// drifts maps a figbank.ServiceName to its *drift.
+		// drifts maps a figbank.ServiceName to its *load.Drift.
 		drifts sync.Map
 		// kinds maps a figbank.ServiceName to its *kinds.
 		kinds   sync.Map
@@ -60,7 +61,7 @@
 		named map[Version]time.Time
 		// gatewayCount tracks how many gateways share the upstreams. Only the follow
 		// goroutine uses it.
-		gatewayCount gatewayCount
+		gatewayCount load.GatewayCount
 	}
 )
 
@@ -107,12 +108,12 @@
 }
 
 // drift returns the drift of a service. The first call for a service creates it.
-func (d *Dispatcher) drift(service figbank.ServiceName) *drift {
+func (d *Dispatcher) drift(service figbank.ServiceName) *load.Drift {
 	if known, found := d.drifts.Load(service); found {
-		return known.(*drift) //nolint:forcetypeassert // nothing else is stored
+		return known.(*load.Drift) //nolint:forcetypeassert // nothing else is stored
 	}
-	known, _ := d.drifts.LoadOrStore(service, &drift{})
-	return known.(*drift) //nolint:forcetypeassert // nothing else is stored
+	known, _ := d.drifts.LoadOrStore(service, &load.Drift{})
+	return known.(*load.Drift) //nolint:forcetypeassert // nothing else is stored
 }
 
 // Serve sends the request to an upstream and its answer to the response. It must not be
--- a/dispatch/namedlimit.go
+++ b/dispatch/rate.go
@@ -1,11 +1,9 @@
 package dispatch
 
 import (
-	"sync/atomic"
 	"time"
 
 	"figbank"
-	"figbank/crashers"
 )
 
 const (
@@ -22,38 +20,6 @@
 	wholeShare = 1.0
 )
 
-type (
-	// namedLimit is the newest limit that an upstream has named in its answers. It is safe for
-	// concurrent use.
-	namedLimit struct {
-		newest atomic.Pointer[LimitNotice]
-	}
-
-	// LimitNotice is what an upstream said of its limit, the rate of requests of all gateways
-	// together, at the time At. Without Named it said that it has none.
-	LimitNotice struct {
-		Named     bool
-		PerSecond figbank.RequestsPerSecond
-		At        time.Time
-		// Origin tells how far from this gateway it was heard.
-		Origin crashers.Distance
-	}
-)
-
-// record stores a notice unless a newer one is known. It reports whether the limit has begun or
-// ended with it.
-func (n *namedLimit) record(notice LimitNotice) bool {
-	for {
-		known := n.newest.Load()
-		if known != nil && !notice.At.After(known.At) || known == nil && !notice.Named {
-			return false
-		}
-		if n.newest.CompareAndSwap(known, &notice) {
-			return known == nil || known.Named != notice.Named
-		}
-	}
-}
-
 // Rate returns how many requests per second all gateways together may send to the target now. It
 // returns false if there is no limit.
 func (t *Target) Rate(now time.Time) (figbank.RequestsPerSecond, bool) {
@@ -74,13 +40,13 @@
 // one more request.
 func (t *Target) allowsRate(now time.Time, share float64) bool {
 	rate, limited := t.Rate(now)
-	return !limited || !now.Before(t.SettledAt) && t.Load.turns.allows(now, t.partOf(rate, share))
+	return !limited || !now.Before(t.SettledAt) && t.Load.Turns.Allows(now, t.partOf(rate, share))
 }
 
 // countRate counts a request against this gateway's part of the given share of the target's rate.
 func (t *Target) countRate(now time.Time, share float64) {
 	if rate, limited := t.Rate(now); limited {
-		t.Load.turns.count(now, t.partOf(rate, share))
+		t.Load.Turns.Count(now, t.partOf(rate, share))
 	}
 }
 
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -10,6 +10,7 @@
 	"figbank"
 	"figbank/crashers"
 	"figbank/eventstream"
+	"figbank/load"
 	"figbank/retry"
 
 	"go.uber.org/zap"
@@ -64,7 +65,7 @@
 		// place is the place that was reserved for the current attempt, nil if there is none.
 		place Place
 		// load is the load of the current attempt's upstream.
-		load *Load
+		load *load.Upstream
 		// upstream is the last upstream that answered.
 		upstream figbank.UpstreamID
 		// identity identifies the request among those that crash upstreams.
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -6,6 +6,7 @@
 
 	"figbank"
 	"figbank/latency"
+	"figbank/load"
 	"figbank/registry"
 	"figbank/rollout"
 	"figbank/schema"
@@ -41,7 +42,7 @@
 		// Index is the commit index of the fleet state from which the table was built.
 		Index    figbank.CommitIndex
 		services map[figbank.ServiceName][]*Target
-		loads    map[loadKey]*Load
+		loads    map[loadKey]*load.Upstream
 		gateways int
 	}
 
@@ -79,7 +80,7 @@
 		// 0 for no limit.
 		Connections int64
 		Delay       time.Duration
-		Load        *Load
+		Load        *load.Upstream
 	}
 
 	// Version is a version of a model's weights.
@@ -114,7 +115,7 @@
 func NewTable(previous *Table, location Location, sources Sources) *Table {
 	t := &Table{
 		Traffic: sources.Traffic, Index: figbank.CommitIndex(sources.Fleet.GetCommitIndex()),
-		services: map[figbank.ServiceName][]*Target{}, loads: map[loadKey]*Load{},
+		services: map[figbank.ServiceName][]*Target{}, loads: map[loadKey]*load.Upstream{},
 		gateways: max(1, sources.Gateways),
 	}
 	engines := map[figbank.ServiceName]*latency.Predictor{}
@@ -124,9 +125,9 @@
 		if service == nil {
 			continue
 		}
-		load := t.keepLoad(previous, keyOf(upstream))
+		kept := t.keepLoad(previous, keyOf(upstream))
 		if upstream.Leaving {
-			load.standing.record(sources.Now, UpstreamNotice{Leaving: true})
+			kept.Standing.Record(sources.Now, load.Notice{Leaving: true})
 		}
 		if !usable(sources.Fleet, service, upstream) {
 			continue
@@ -135,7 +136,7 @@
 			engines[name] = latency.NewPredictor(service.GetEngine())
 		}
 		target := t.target(location, sources, service, upstream)
-		target.Load = load
+		target.Load = kept
 		target.Engine = engines[name]
 		t.services[name] = append(t.services[name], target)
 	}
@@ -149,12 +150,12 @@
 }
 
 // Load returns the load of one incarnation, or nil when the table does not hold it.
-func (t *Table) Load(id figbank.UpstreamID, born int64) *Load {
+func (t *Table) Load(id figbank.UpstreamID, born int64) *load.Upstream {
 	return t.loads[loadKey{id: id, born: born}]
 }
 
 // ForEachLoad calls act with the load of each incarnation.
-func (t *Table) ForEachLoad(act func(id figbank.UpstreamID, born int64, load *Load)) {
+func (t *Table) ForEachLoad(act func(id figbank.UpstreamID, born int64, load *load.Upstream)) {
 	for key, load := range t.loads {
 		act(key.id, key.born, load)
 	}
@@ -183,8 +184,8 @@
 
 // keepLoad registers the load of an incarnation with the table, the one from previous if it is
 // there.
-func (t *Table) keepLoad(previous *Table, key loadKey) *Load {
-	load := &Load{}
+func (t *Table) keepLoad(previous *Table, key loadKey) *load.Upstream {
+	load := &load.Upstream{}
 	if previous != nil && previous.loads[key] != nil {
 		load = previous.loads[key]
 	}
@@ -264,9 +265,9 @@
 // ready reports whether the target may get a request now.
 func (t *Target) ready(now time.Time) bool {
 	switch {
-	case t.tooOld(now), t.Load.standing.refuses(now):
+	case t.tooOld(now), t.Load.Standing.Refuses(now):
 		return false
-	case t.Silent && !t.Load.succeededWithin(now, silentGrace):
+	case t.Silent && !t.Load.SucceededWithin(now, silentGrace):
 		return false
 	case t.Connections > 0 && t.Load.Own() >= t.Connections:
 		return false
--- a/dispatch/drift.go
+++ b/load/drift.go
@@ -1,4 +1,4 @@
-package dispatch
+package load
 
 import (
 	"math"
@@ -17,11 +17,11 @@
 	maxDrift = 3.0
 )
 
-// drift tracks the ratio of the actual to the predicted time until a service's answers
+// Drift tracks the ratio of the actual to the predicted time until a service's answers
 // begin. Predictions are multiplied by this ratio because at saturation all of them are
 // wrong in the same direction: many gateways choose upstreams at the same time by load
-// counts that lag behind. A drift is safe for concurrent use.
-type drift struct {
+// counts that lag behind. A Drift is safe for concurrent use.
+type Drift struct {
 	mu sync.Mutex
 	// took is the sum of the actual times, predicted that of the predicted times. Both decay
 	// with time. at is the time of the last decay.
@@ -29,8 +29,8 @@
 	at              time.Time
 }
 
-// record adds the actual and the predicted time until an answer began.
-func (d *drift) record(now time.Time, took, predicted time.Duration) {
+// Record adds the actual and the predicted time until an answer began.
+func (d *Drift) Record(now time.Time, took, predicted time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.decay(now)
@@ -38,8 +38,8 @@
 	d.predicted += predicted
 }
 
-// factor returns the number, 1 or more, by which predictions must be multiplied.
-func (d *drift) factor(now time.Time) float64 {
+// Factor returns the number, 1 or more, by which predictions must be multiplied.
+func (d *Drift) Factor(now time.Time) float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.decay(now)
@@ -48,7 +48,7 @@
 }
 
 // decay applies the decay since the last call. The caller holds mu.
-func (d *drift) decay(now time.Time) {
+func (d *Drift) decay(now time.Time) {
 	left := math.Exp2(-max(0, now.Sub(d.at)).Seconds() / driftHalfLife.Seconds())
 	d.took = time.Duration(float64(d.took) * left)
 	d.predicted = time.Duration(float64(d.predicted) * left)
--- a/dispatch/gatewaycount.go
+++ b/load/gatewaycount.go
@@ -1,4 +1,4 @@
-package dispatch
+package load
 
 import "time"
 
@@ -12,10 +12,10 @@
 	decreaseDelay = 10 * time.Second
 )
 
-// gatewayCount tracks by how many gateways the limits of upstreams must be divided. The
+// GatewayCount tracks by how many gateways the limits of upstreams must be divided. The
 // number rises at once and falls only after decreaseDelay, so that the gateways together
 // stay within the limits while their lists differ.
-type gatewayCount struct {
+type GatewayCount struct {
 	// count is the number of listed gateways. A lower number takes effect only after
 	// decreaseDelay.
 	count int
@@ -28,9 +28,9 @@
 	fewerSince time.Time
 }
 
-// update stores how many gateways are listed and how many the log records. It returns the
+// Update stores how many gateways are listed and how many the log records. It returns the
 // number by which the limits must be divided.
-func (c *gatewayCount) update(now time.Time, listed, recorded int) int {
+func (c *GatewayCount) Update(now time.Time, listed, recorded int) int {
 	c.recorded = recorded
 	if c.firstUpdateAt.IsZero() {
 		c.firstUpdateAt = now
@@ -46,8 +46,8 @@
 	return max(c.count, recorded)
 }
 
-// settledAt returns the time from which the count is reliable.
-func (c *gatewayCount) settledAt() time.Time {
+// SettledAt returns the time from which the count is reliable.
+func (c *GatewayCount) SettledAt() time.Time {
 	if c.recorded > 0 {
 		return c.firstUpdateAt
 	}
--- a/dispatch/lateness.go
+++ b/load/lateness.go
@@ -1,4 +1,4 @@
-package dispatch
+package load
 
 import (
 	"math"
@@ -18,17 +18,17 @@
 	maxLateness = 3 * time.Second
 )
 
-// lateness is a moving average of how much later than predicted an upstream begins to
+// Lateness is a moving average of how much later than predicted an upstream begins to
 // answer. It detects upstreams that are slow for reasons that their load does not
 // show, such as a link with reduced bandwidth or a slow host. It is safe for concurrent use.
-type lateness struct {
+type Lateness struct {
 	mu    sync.Mutex
 	value time.Duration
 	at    time.Time
 }
 
-// record adds the time that an upstream took, or has taken so far, to begin to answer.
-func (l *lateness) record(now time.Time, took, predicted time.Duration) {
+// Record adds the time that an upstream took, or has taken so far, to begin to answer.
+func (l *Lateness) Record(now time.Time, took, predicted time.Duration) {
 	late := min(max(0, took-predicted-latenessTolerance), maxLateness)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -36,15 +36,15 @@
 	l.at = now
 }
 
-// current returns the lateness to expect now.
-func (l *lateness) current(now time.Time) time.Duration {
+// Current returns the lateness to expect now.
+func (l *Lateness) Current(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.decayed(now)
 }
 
 // decayed returns the average after the decay since the last record. The caller holds mu.
-func (l *lateness) decayed(now time.Time) time.Duration {
+func (l *Lateness) decayed(now time.Time) time.Duration {
 	if l.value == 0 {
 		return 0
 	}
--- a/dispatch/load.go
+++ b/load/load.go
@@ -1,4 +1,6 @@
-package dispatch
+// Package load keeps what a gateway knows of the load and health of upstreams: its own counts, those of other gateways, what
+// upstreams say of themselves, and how well they keep to predictions.
+package load
 
 import (
 	"sync/atomic"
@@ -30,10 +32,15 @@
 	maxRatePause = 200 * time.Millisecond
 )
 
-// Load is a gateway's knowledge of the load and health of one incarnation of an
+// Report is an upstream's own count of its requests and slots.
+type Report struct {
+	Running, Waiting, Slots int
+}
+
+// Upstream is a gateway's knowledge of the load and health of one incarnation of an
 // upstream. Successive tables share it. Its times are in Unix nanoseconds, 0 for never. It
 // is safe for concurrent use.
-type Load struct {
+type Upstream struct {
 	// own is how many of this gateway's requests the upstream holds.
 	own atomic.Int64
 	// peersReported is the sum of the other gateways' reported counts, as of peersReportedAt.
@@ -46,17 +53,20 @@
 	failuresPerMille                     atomic.Int64
 	succeededAt                          atomic.Int64
 	rateFullUntil                        atomic.Int64
-	turns                                sharedRate
-	named                                namedLimit
-	standing                             standing
-	late                                 lateness
+	// Turns are those of this gateway while the rate of requests to the upstream is limited.
+	Turns SharedRate
+	named namedLimit
+	// Standing is what the upstream has said of further requests.
+	Standing Standing
+	// Late tells how much later than predicted it begins to answer.
+	Late Lateness
 }
 
 // Outstanding estimates how many requests the upstream holds: this gateway's own, plus
 // those of the other gateways. The requests of the other gateways are counted by the upstream
 // and by these gateways. Outstanding uses the higher of the two counts, and ignores a count
 // that is not recent.
-func (l *Load) Outstanding(now time.Time) int {
+func (l *Upstream) Outstanding(now time.Time) int {
 	others := int64(0)
 	if now.UnixNano()-l.upstreamReportedAt.Load() < int64(reportLifetime) {
 		others = l.upstreamReported.Load()
@@ -69,7 +79,7 @@
 
 // Age returns the age of the newest count from the upstream or the other gateways, 0
 // when there is none.
-func (l *Load) Age(now time.Time) time.Duration {
+func (l *Upstream) Age(now time.Time) time.Duration {
 	newest := max(l.upstreamReportedAt.Load(), l.peersReportedAt.Load())
 	if newest == 0 {
 		return 0
@@ -78,16 +88,16 @@
 }
 
 // Own returns how many of this gateway's requests the upstream holds.
-func (l *Load) Own() int64 {
+func (l *Upstream) Own() int64 {
 	return l.own.Load()
 }
 
-// begin and end count the start and the end of one of this gateway's requests.
-func (l *Load) begin() { l.own.Add(1) }
-func (l *Load) end()   { l.own.Add(-1) }
+// Begin and end count the start and the end of one of this gateway's requests.
+func (l *Upstream) Begin() { l.own.Add(1) }
+func (l *Upstream) End()   { l.own.Add(-1) }
 
-// recordReport stores the count that the upstream reports. A nil report changes nothing.
-func (l *Load) recordReport(now time.Time, report *ReportedLoad) {
+// RecordReport stores the count that the upstream reports. A nil report changes nothing.
+func (l *Upstream) RecordReport(now time.Time, report *Report) {
 	if report == nil {
 		return
 	}
@@ -96,22 +106,22 @@
 }
 
 // RecordPeers stores how many requests the other gateways together have at the upstream.
-func (l *Load) RecordPeers(now time.Time, running int64) {
+func (l *Upstream) RecordPeers(now time.Time, running int64) {
 	l.peersReported.Store(running)
 	l.peersReportedAt.Store(now.UnixNano())
 }
 
-// recordSuccess records a complete answer.
-func (l *Load) recordSuccess(now time.Time) {
+// RecordSuccess records a complete answer.
+func (l *Upstream) RecordSuccess(now time.Time) {
 	l.failedInRow.Store(0)
 	l.succeededAt.Store(now.UnixNano())
 	l.updateFailureRate(0)
 }
 
-// recordFailure records an error answer, or a missing or incomplete answer if broken is set.
+// RecordFailure records an error answer, or a missing or incomplete answer if broken is set.
 // A broken attempt pauses the upstream. The pause is longer after each broken attempt in a
 // row.
-func (l *Load) recordFailure(now time.Time, broken bool) {
+func (l *Upstream) RecordFailure(now time.Time, broken bool) {
 	l.updateFailureRate(perMille)
 	if !broken {
 		return
@@ -119,16 +129,16 @@
 	l.pauseAfter(now, l.failedInRow.Add(1))
 }
 
-// recordGarbage records an answer with bytes that are none. The upstream runs, so that it is paused only
+// RecordGarbage records an answer with bytes that are none. The upstream runs, so that it is paused only
 // from the second in a row on: where all upstreams of a service garble a part of their answers, one must
 // be left to go on at.
-func (l *Load) recordGarbage(now time.Time) {
+func (l *Upstream) RecordGarbage(now time.Time) {
 	l.updateFailureRate(perMille)
 	l.pauseAfter(now, l.failedInRow.Add(1)-1)
 }
 
 // pauseAfter pauses the upstream after that many broken attempts in a row.
-func (l *Load) pauseAfter(now time.Time, row int64) {
+func (l *Upstream) pauseAfter(now time.Time, row int64) {
 	if row <= 0 {
 		return
 	}
@@ -136,24 +146,24 @@
 	l.pausedUntil.Store(now.Add(pause).UnixNano())
 }
 
-// recordBusy records that the upstream refused a request because it was busy.
-func (l *Load) recordBusy(now time.Time) {
+// RecordBusy records that the upstream refused a request because it was busy.
+func (l *Upstream) RecordBusy(now time.Time) {
 	l.pausedUntil.Store(max(l.pausedUntil.Load(), now.Add(busyPause).UnixNano()))
 }
 
-// recordRateFull records that the keeper refused a request because of the upstream's rate. Half
+// RecordRateFull records that the keeper refused a request because of the upstream's rate. Half
 // the time between two requests at that rate, no other one is tried.
-func (l *Load) recordRateFull(now time.Time, rate figbank.RequestsPerSecond) {
+func (l *Upstream) RecordRateFull(now time.Time, rate figbank.RequestsPerSecond) {
 	l.rateFullUntil.Store(now.Add(min(period(rate)/2, maxRatePause)).UnixNano())
 }
 
-// rateFull reports whether the upstream's keeper has just refused a request because of its rate.
-func (l *Load) rateFull(now time.Time) bool {
+// RateFull reports whether the upstream's keeper has just refused a request because of its rate.
+func (l *Upstream) RateFull(now time.Time) bool {
 	return now.UnixNano() < l.rateFullUntil.Load()
 }
 
 // Limit returns the newest limit that the upstream has named, and false if it has never named one.
-func (l *Load) Limit() (LimitNotice, bool) {
+func (l *Upstream) Limit() (LimitNotice, bool) {
 	if notice := l.named.newest.Load(); notice != nil {
 		return *notice, true
 	}
@@ -162,28 +172,28 @@
 
 // RecordLimit stores a limit that another gateway has heard of, unless a newer one is known. It
 // reports whether the limit has begun or ended with it.
-func (l *Load) RecordLimit(notice LimitNotice) bool {
+func (l *Upstream) RecordLimit(notice LimitNotice) bool {
 	return l.named.record(notice)
 }
 
 // Paused reports whether the upstream gets no requests for now.
-func (l *Load) Paused(now time.Time) bool {
+func (l *Upstream) Paused(now time.Time) bool {
 	return now.UnixNano() < l.pausedUntil.Load()
 }
 
 // Penalty returns the time to add to the upstream's predicted time for its failures, so that
 // fast failures do not attract requests.
-func (l *Load) Penalty() time.Duration {
+func (l *Upstream) Penalty() time.Duration {
 	return failurePenalty * time.Duration(l.failuresPerMille.Load()) / perMille
 }
 
-// succeededWithin reports whether the last complete answer is younger than d.
-func (l *Load) succeededWithin(now time.Time, d time.Duration) bool {
+// SucceededWithin reports whether the last complete answer is younger than d.
+func (l *Upstream) SucceededWithin(now time.Time, d time.Duration) bool {
 	return now.UnixNano()-l.succeededAt.Load() < int64(d)
 }
 
 // updateFailureRate adds an outcome, 0 or perMille, to the moving failure rate.
-func (l *Load) updateFailureRate(outcome int64) {
+func (l *Upstream) updateFailureRate(outcome int64) {
 	old := l.failuresPerMille.Load()
 	l.failuresPerMille.Store(old + int64(failureWeight*float64(outcome-old)))
 }
--- a/dispatch/sharedrate.go
+++ b/load/sharedrate.go
@@ -1,4 +1,4 @@
-package dispatch
+package load
 
 import (
 	"math/rand/v2"
@@ -16,12 +16,12 @@
 // maxPeriod bounds the time between two turns.
 const maxPeriod = time.Hour
 
-// sharedRate is a rate limit for one gateway's requests to an upstream whose rate all
+// SharedRate is a rate limit for one gateway's requests to an upstream whose rate all
 // gateways share, because it is cold or names a limit. The gateway gets one turn in each period, and a turn allows one request.
 // Each gateway's first turn begins at a random offset. Therefore the sum over many gateways
 // stays near the upstream's rate in each second, even when all of them begin to send at
-// once. A sharedRate is safe for concurrent use.
-type sharedRate struct {
+// once. A SharedRate is safe for concurrent use.
+type SharedRate struct {
 	mu sync.Mutex
 	// next is when the next unused turn begins, zero before the first use of the limit.
 	next time.Time
@@ -30,15 +30,15 @@
 	phase func() float64
 }
 
-// allows reports whether one more request is within the rate perSecond.
-func (c *sharedRate) allows(now time.Time, perSecond figbank.RequestsPerSecond) bool {
+// Allows reports whether one more request is within the rate perSecond.
+func (c *SharedRate) Allows(now time.Time, perSecond figbank.RequestsPerSecond) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return !now.Before(c.nextTurn(now, period(perSecond)))
 }
 
-// count uses up a turn for one request.
-func (c *sharedRate) count(now time.Time, perSecond figbank.RequestsPerSecond) {
+// Count uses up a turn for one request.
+func (c *SharedRate) Count(now time.Time, perSecond figbank.RequestsPerSecond) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next = c.nextTurn(now, period(perSecond)).Add(period(perSecond))
@@ -46,7 +46,7 @@
 
 // nextTurn returns when the next unused turn begins, skipping expired ones. The caller
 // holds mu.
-func (c *sharedRate) nextTurn(now time.Time, period time.Duration) time.Time {
+func (c *SharedRate) nextTurn(now time.Time, period time.Duration) time.Time {
 	if c.next.IsZero() {
 		c.next = now.Add(time.Duration(c.drawPhase() * float64(period)))
 	}
@@ -57,7 +57,7 @@
 }
 
 // drawPhase draws the random offset of the first turn.
-func (c *sharedRate) drawPhase() float64 {
+func (c *SharedRate) drawPhase() float64 {
 	if c.phase != nil {
 		return c.phase()
 	}
--- a/loadshare/exchanger.go
+++ b/loadshare/exchanger.go
@@ -15,6 +15,7 @@
 	"figbank/crashers"
 	"figbank/dispatch"
 	"figbank/feed"
+	"figbank/load"
 	"figbank/schema"
 	"figbank/transport"
 )
@@ -104,7 +105,7 @@
 	others := e.reports.others()
 	sum, reportsDomain = e.reports.domainSum(own), e.reports.reportsDomain()
 	e.mu.Unlock()
-	table.ForEachLoad(func(id figbank.UpstreamID, born int64, load *dispatch.Load) {
+	table.ForEachLoad(func(id figbank.UpstreamID, born int64, load *load.Upstream) {
 		load.RecordPeers(now, others[key{id: id, born: born}])
 	})
 	return sum, reportsDomain
@@ -114,7 +115,7 @@
 // which it has none.
 func ownLoads(table *dispatch.Table) map[key]int64 {
 	own := map[key]int64{}
-	table.ForEachLoad(func(id figbank.UpstreamID, born int64, load *dispatch.Load) {
+	table.ForEachLoad(func(id figbank.UpstreamID, born int64, load *load.Upstream) {
 		if running := load.Own(); running > 0 {
 			own[key{id: id, born: born}] = running
 		}
--- a/loadshare/limits.go
+++ b/loadshare/limits.go
@@ -3,12 +3,13 @@
 import (
 	"time"
 
-	"go.uber.org/zap"
-
 	"figbank"
 	"figbank/crashers"
 	"figbank/dispatch"
+	"figbank/load"
 	"figbank/schema"
+
+	"go.uber.org/zap"
 )
 
 // endedLimitLifetime is how long other gateways are told that an upstream's limit has ended.
@@ -19,7 +20,7 @@
 // and looks new there.
 func namedLimits(now time.Time, table *dispatch.Table, to crashers.Distance) []*schema.NamedLimit {
 	var limits []*schema.NamedLimit
-	table.ForEachLoad(func(id figbank.UpstreamID, born int64, load *dispatch.Load) {
+	table.ForEachLoad(func(id figbank.UpstreamID, born int64, load *load.Upstream) {
 		notice, found := load.Limit()
 		if !found || notice.Origin >= to || !notice.Named && now.Sub(notice.At) > endedLimitLifetime {
 			return
@@ -39,11 +40,11 @@
 		return
 	}
 	for _, limit := range limits {
-		load := table.Load(figbank.UpstreamID(limit.GetId()), limit.GetBornUnixMilli())
-		if load == nil || !(limit.GetPerSecond() >= 0) {
+		known := table.Load(figbank.UpstreamID(limit.GetId()), limit.GetBornUnixMilli())
+		if known == nil || !(limit.GetPerSecond() >= 0) {
 			continue
 		}
-		changed := load.RecordLimit(dispatch.LimitNotice{
+		changed := known.RecordLimit(load.LimitNotice{
 			Named: limit.GetNamed(), PerSecond: figbank.RequestsPerSecond(limit.GetPerSecond()), Origin: from,
 			At: now.Add(-time.Duration(limit.GetHeardMicrosecondsAgo()) * time.Microsecond),
 		})
