--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -41,6 +41,7 @@
 		},
 		RecordNotice: func(notice load.Notice) { r.recordNotice(target, notice) },
 		MaySend:      r.maySend(target),
+		Ranked:       r.entrant.Ranked, Rank: r.rank,
 	})
 	if err != nil {
 		r.recordFailure(ctx, target, err)
--- a/dispatch/build.go
+++ b/dispatch/build.go
@@ -56,7 +56,8 @@
 		SettledAt: d.gatewayCount.SettledAt(), Now: now,
 	}))
 	if previous == nil || previous.Traffic != rules {
-		d.common.Log.Info("rules changed", zap.Int64("rules", rules.Number()), zap.Uint64("commit", fleet.GetCommitIndex()))
+		d.common.Log.Info("rules changed", zap.Int64("rules", rules.Number()), zap.Uint64("commit", fleet.GetCommitIndex()),
+			zap.Strings("ranked", rules.RankedServices()))
 	}
 	if previous == nil || previous.Index != figbank.CommitIndex(fleet.GetCommitIndex()) {
 		d.common.Log.Info("fleet state applied", zap.Uint64("commit", fleet.GetCommitIndex()), zap.Int64("rules", rules.Number()),
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"figbank"
@@ -33,10 +34,58 @@
 			zap.Strings("parts", r.request.SharedParts))
 		return nil, figbank.NotRunError{Reason: figbank.ReasonCrashesUpstreams, RetryAfter: crashersRetryAfter}
 	}
+	for waited := time.Duration(0); ; waited += placement.WaitStep {
+		target, refusal := r.findPlace(ctx, attempt)
+		if refusal == nil {
+			return target, nil
+		}
+		if refusal.decision.Reason != figbank.ReasonQueueFull || attempt > 1 || refusal.engine == nil {
+			return nil, r.refuse(refusal, attempt, waited)
+		}
+		now = r.common.Clock.Now()
+		contest := r.contest(r.request.Service)
+		if waited == 0 {
+			contest.RecordMiss(now, r.entrant)
+		}
+		if !contest.Competition(now, r.entrant).With(refusal.engine).MayWait(waited) {
+			contest.RecordRefusal(now, r.entrant)
+			return nil, r.refuse(refusal, attempt, waited)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, r.refuse(refusal, attempt, waited)
+		case <-r.common.Clock.After(placement.WaitStep):
+		}
+	}
+}
+
+// refusal is why a request has found no place.
+type refusal struct {
+	decision   placement.Decision
+	demand     placement.Demand
+	engine     *latency.Predictor
+	candidates int
+	asked      int
+	table      figbank.CommitIndex
+}
+
+// refuse logs a refusal and returns the error to answer with.
+func (r *run) refuse(refusal *refusal, attempt int, waited time.Duration) error {
+	decision := refusal.decision
+	r.log.Info("refused", append(r.sizeFields(refusal.demand), zap.String("reason", string(decision.Reason)), zap.Duration("retryAfter", decision.RetryAfter),
+		zap.Duration("predicted", decision.Predicted), zap.Int("candidates", refusal.candidates), zap.Int("asked", refusal.asked),
+		zap.Int("attempt", attempt), zap.Duration("waited", waited), zap.Uint64("table", uint64(refusal.table)))...)
+	r.countPlace("refused", waited)
+	return figbank.NotRunError{Reason: decision.Reason, RetryAfter: decision.RetryAfter}
+}
+
+// findPlace chooses an upstream that has a place for the request, or tells why there is none.
+func (r *run) findPlace(ctx context.Context, attempt int) (*Target, *refusal) {
+	now := r.common.Clock.Now()
 	table := r.table.Load()
 	targets, candidates := r.candidates(table, now)
-	if attempt == 1 && r.request.PromptTokens > 0 {
-		r.kindsOf(r.request).record(now, r.request)
+	if attempt == 1 && r.request.PromptTokens > 0 && !r.entered {
+		r.entered, r.entrant = true, r.contest(r.request.Service).Enter(now, r.newEntrant(table))
 	}
 	engine := engineOf(candidates)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // spreads load, no secret
@@ -51,13 +100,7 @@
 			decision = placement.Refuse(figbank.ReasonQueueFull, 0, random)
 		}
 		if decision.Index < 0 {
-			r.log.Info("refused", append(r.sizeFields(demand), zap.String("reason", string(decision.Reason)), zap.Duration("retryAfter", decision.RetryAfter),
-				zap.Duration("predicted", decision.Predicted), zap.Int("candidates", len(candidates)), zap.Int("asked", asked),
-				zap.Int("attempt", attempt), zap.Uint64("table", uint64(table.Index)))...)
-			if decision.Reason == figbank.ReasonQueueFull && attempt == 1 && engine != nil {
-				r.kindsOf(r.request).recordRefusal(now)
-			}
-			return nil, figbank.NotRunError{Reason: decision.Reason, RetryAfter: decision.RetryAfter}
+			return nil, &refusal{decision: decision, demand: demand, engine: engine, candidates: len(candidates), asked: asked, table: table.Index}
 		}
 		target := targets[decision.Index]
 		if !r.reserve(ctx, target, &candidates[decision.Index], demand) {
@@ -69,15 +112,28 @@
 			zap.Duration("loadAge", target.Load.Age(now)), zap.Bool("reserved", r.place != nil), zap.Int("asked", asked),
 			zap.Duration("predicted", r.predicted), zap.Duration("late", target.Load.Late.Current(now)),
 			zap.Int64("version", target.Version), zap.Int("candidates", len(candidates)), zap.Uint64("table", uint64(table.Index)))...)
+		r.countPlace("placed", now.Sub(r.request.ReceivedAt))
 		return target, nil
 	}
 }
 
+// countPlace counts what became of a request that competes with others of another rank, and how long it waited for it.
+func (r *run) countPlace(outcome string, waited time.Duration) {
+	if !r.entrant.Ranked {
+		return
+	}
+	scope := r.common.Scope.Tagged(map[string]string{"outcome": outcome, "priority": strconv.FormatInt(r.entrant.Urgency.Route, 10)})
+	scope.Counter("places").Inc(1)
+	scope.Timer("place_wait").Record(waited)
+}
+
 // sizeFields returns the log fields that tell whether the request's size decides where it goes.
 func (r *run) sizeFields(demand placement.Demand) []zap.Field {
 	return []zap.Field{
 		zap.String("route", r.request.Route.GetName()), zap.Int("prompt", r.request.PromptTokens), zap.Int("answer", r.request.AnswerTokens),
 		zap.Duration("allowed", demand.Allowed()), zap.Float64("drift", demand.Drift), zap.Duration("left", demand.TimeLeft),
+		zap.Bool("ranked", r.entrant.Ranked), zap.Int64("workspacePriority", r.entrant.Urgency.Workspace), zap.Int64("priority", r.entrant.Urgency.Route),
+		zap.Bool("returned", r.entrant.Urgency.Returned), zap.Int("keepFree", demand.KeepFree),
 	}
 }
 
@@ -90,6 +146,18 @@
 	return candidates[0].Engine
 }
 
+// newEntrant returns what the request competes by. Urgency counts only for services whose callers differ in it.
+func (r *run) newEntrant(table *Table) placement.Entrant {
+	entrant := placement.Entrant{
+		Route: r.request.Route.GetName(), Prompt: r.request.PromptTokens, Urgency: placement.Urgency{Route: r.request.Route.GetPriority()},
+		Ranked: table.Traffic.Ranked(r.request.Service), Patience: r.request.Deadline.Sub(r.request.ReceivedAt),
+	}
+	if workspace := r.request.Workspace; workspace != nil {
+		entrant.Workspace, entrant.Urgency.Workspace = workspace.Name, workspace.Priority
+	}
+	return entrant
+}
+
 // demand describes the request as placement needs it. Engine is nil for services without engines.
 func (r *run) demand(now time.Time, attempt int, engine *latency.Predictor) placement.Demand {
 	demand := placement.Demand{
@@ -100,9 +168,9 @@
 		demand.Waited = now.Sub(r.request.ReceivedAt)
 	}
 	if engine != nil {
-		competition := r.kindsOf(r.request).competition(now, r.request.Route.GetName())
-		competition.Engine = engine
+		competition := r.contest(r.request.Service).Competition(now, r.entrant).With(engine)
 		demand.Limit = competition.Limit(demand.LatencyTarget, demand.PromptTokens, demand.Drift)
+		demand.KeepFree, r.rank = competition.KeepFree(), competition.Rank
 	}
 	return demand
 }
@@ -119,7 +187,7 @@
 	}
 	answer, known := (*reserver).Reserve(ctx, target, PlaceRequest{
 		Service: r.request.Service, PromptTokens: r.request.PromptTokens,
-		Allowed: demand.Allowed() - candidate.Delay, Lifetime: demand.TimeLeft,
+		Allowed: demand.Allowed() - candidate.Delay, Lifetime: demand.TimeLeft, KeepFree: demand.KeepFree,
 	})
 	now = r.common.Clock.Now()
 	if !r.mayBegin(target, now, answer.Predicted) {
@@ -140,7 +208,7 @@
 	candidate.Known, candidate.Outstanding = answer.Predicted+candidate.Delay, answer.Outstanding
 	if !answer.Granted {
 		// The keeper of a limited upstream may refuse although the answer would begin in time.
-		candidate.Full = candidate.Known <= demand.Allowed()
+		candidate.Full = candidate.Known <= demand.Allowed() && placement.LeavesFree(*candidate, demand.KeepFree)
 		if rate, limited := target.Rate(now); limited && candidate.Full {
 			target.Load.RecordRateFull(now, rate)
 		}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -64,6 +64,10 @@
 		// RecordNotice is called with what the upstream's answer, a refusal too, says of further
 		// requests. It may be nil.
 		RecordNotice func(load.Notice)
+		// Ranked is set if the upstream's requests differ in urgency. Rank then orders those that wait there, the most urgent
+		// ones have 0.
+		Ranked bool
+		Rank   int
 		// MaySend is called right before the request is sent. If it returns false, the request is not
 		// sent, and Send returns a NotRunError. It may be nil.
 		MaySend func() bool
@@ -113,6 +117,8 @@
 		Allowed time.Duration
 		// Lifetime is the time until the request's deadline.
 		Lifetime time.Duration
+		// KeepFree is the number of places that must stay free for more urgent requests.
+		KeepFree int
 	}
 
 	// PlaceAnswer tells whether a place was granted.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	"figbank/feed"
 	"figbank/load"
 	"figbank/memory"
+	"figbank/placement"
 	"figbank/retry"
 
 	"go.uber.org/zap"
@@ -50,11 +51,11 @@
 		reserver atomic.Pointer[Reserver]
 		// drifts maps a figbank.ServiceName to its *load.Drift.
 		drifts sync.Map
-		// kinds maps a figbank.ServiceName to its *kinds.
-		kinds   sync.Map
-		rebuild chan struct{}
-		stop    context.CancelFunc
-		group   sync.WaitGroup
+		// contests maps a figbank.ServiceName to its *placement.Contest.
+		contests sync.Map
+		rebuild  chan struct{}
+		stop     context.CancelFunc
+		group    sync.WaitGroup
 
 		// named is the time at which each version was named, by this process's monotonic
 		// clock. Only the follow goroutine uses it.
@@ -116,6 +117,15 @@
 	return known.(*load.Drift) //nolint:forcetypeassert // nothing else is stored
 }
 
+// contest returns the contest for the engines of a service. The first call for a service creates it.
+func (d *Dispatcher) contest(service figbank.ServiceName) *placement.Contest {
+	if known, found := d.contests.Load(service); found {
+		return known.(*placement.Contest) //nolint:forcetypeassert // nothing else is stored
+	}
+	known, _ := d.contests.LoadOrStore(service, placement.NewContest())
+	return known.(*placement.Contest) //nolint:forcetypeassert // nothing else is stored
+}
+
 // Serve sends the request to an upstream and its answer to the response. It must not be
 // called while Table returns nil. A nil error means that the whole answer was written to
 // the response. NotRunError, and DeadlineError with NotSent set, prove that the request did
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -11,6 +11,7 @@
 	"figbank/crashers"
 	"figbank/eventstream"
 	"figbank/load"
+	"figbank/placement"
 	"figbank/retry"
 
 	"go.uber.org/zap"
@@ -68,6 +69,11 @@
 		load *load.Upstream
 		// upstream is the last upstream that answered.
 		upstream figbank.UpstreamID
+		// entrant is what the request competes by for places, once entered is set.
+		entrant placement.Entrant
+		entered bool
+		// rank is the number of more urgent ranks.
+		rank int
 		// identity identifies the request among those that crash upstreams.
 		identity crashers.Request
 	}
--- /dev/null
+++ b/measure/overload.go
@@ -0,0 +1,417 @@
+package measure
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"figbank"
+	"figbank/latency"
+	"figbank/load"
+	"figbank/placement"
+	"figbank/reservation"
+	"figbank/schema"
+)
+
+const (
+	// overloadGateways is the number of gateways, each with counts of its own.
+	overloadGateways = 24
+	// overloadEngines is the number of engines.
+	overloadEngines = 30
+	// overloadAsks is how many engines a request asks for a place before it is refused.
+	overloadAsks = 7
+	// overloadReports is how often gateways learn how many requests each engine has.
+	overloadReports = 150 * time.Millisecond
+	// overloadDeadline is how long a caller waits, overloadPatience the share of what is left of it after which a refused
+	// caller comes back at the latest.
+	overloadDeadline = 6 * time.Second
+	overloadPatience = 3
+)
+
+type (
+	// LoadKind is one kind of requests of a replayed load.
+	LoadKind struct {
+		Name    string
+		Urgency placement.Urgency
+		// Share is the share of the kind among all requests.
+		Share float64
+		// Prompt and Events are the mean lengths of prompts, in tokens, and of answers, in events.
+		Prompt, Events int
+		Target         time.Duration
+		// Worth is what an answer in time is worth, Late what a late one is.
+		Worth, Late float64
+	}
+
+	// Load is a load that is replayed against the deciders, in virtual time.
+	Load struct {
+		Name  string
+		Kinds []LoadKind
+		// Rate returns the requests per second of all kinds, by the time since the start.
+		Rate func(at time.Duration) float64
+		// Kind returns by how much more is asked of a kind at a time, 1 for no more.
+		Burst func(kind int, at time.Duration) float64
+		// Flood is the share of all requests that come from one workspace. The others come evenly from 24.
+		Flood  float64
+		Length time.Duration
+	}
+
+	// KindOutcome is how the requests of one kind, or of one workspace, fared.
+	KindOutcome struct {
+		Asked, InTime, Late, Refused, RefusedAgain int
+		Worth, Owed                                float64
+	}
+
+	// LoadOutcome is how all requests of a load fared.
+	LoadOutcome struct {
+		Kinds      []KindOutcome
+		Workspaces map[figbank.Workspace]*KindOutcome
+		// Small and Large are requests with prompts below the mean, and of the largest tenth.
+		Small, Large KindOutcome
+	}
+
+	// Order tells how requests are ordered in a replay.
+	Order struct {
+		// Ranks makes urgency count.
+		Ranks bool
+	}
+
+	replayRequest struct {
+		kind      int
+		workspace figbank.Workspace
+		at        time.Duration
+		prompt    int
+		events    int
+		again     bool
+		entrant   placement.Entrant
+		// entered is set while the request competes for a place, waited is for how long it has waited for one.
+		entered   bool
+		waited    time.Duration
+		engine    int
+		ticket    reservation.Ticket
+		sentAt    time.Duration
+		predicted time.Duration
+		gateway   int
+		readLeft  int
+		begun     bool
+		priority  int
+	}
+
+	replayEngine struct {
+		waiting []*replayRequest
+		running []*replayRequest
+		busy    bool
+	}
+
+	replayEvent struct {
+		at     time.Duration
+		number int
+		act    func()
+	}
+
+	replayEvents []replayEvent
+
+	replay struct {
+		load      Load
+		order     Order
+		random    *rand.Rand
+		now       time.Duration
+		events    replayEvents
+		number    int
+		predictor *latency.Predictor
+		book      *reservation.Book
+		engines   []replayEngine
+		counts    []int
+		contests  []*placement.Contest
+		drifts    []*load.Drift
+		own       [][]int
+		outcome   *LoadOutcome
+		tickets   uint64
+	}
+)
+
+func (e replayEvents) Len() int { return len(e) }
+func (e replayEvents) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].number < e[j].number
+}
+func (e replayEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push adds an event, for package heap.
+func (e *replayEvents) Push(x any) { *e = append(*e, x.(replayEvent)) } //nolint:forcetypeassert // nothing else is pushed
+
+// Pop removes the last event, for package heap.
+func (e *replayEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// share returns the earned share of the worth that was owed.
+func (k KindOutcome) share() float64 { return k.Worth / max(k.Owed, 1e-9) }
+
+// served returns the share of the requests that were answered.
+func (k KindOutcome) served() float64 { return float64(k.InTime+k.Late) / float64(max(1, k.Asked)) }
+
+// total returns the outcome of all kinds together.
+func (o *LoadOutcome) total() KindOutcome {
+	var sum KindOutcome
+	for _, k := range o.Kinds {
+		sum.Asked += k.Asked
+		sum.InTime += k.InTime
+		sum.Late += k.Late
+		sum.Refused += k.Refused
+		sum.RefusedAgain += k.RefusedAgain
+		sum.Worth += k.Worth
+		sum.Owed += k.Owed
+	}
+	return sum
+}
+
+// overloadEngine is the model of the engines that a load is replayed against.
+func overloadEngine() *schema.EngineModel {
+	return &schema.EngineModel{
+		Slots: 12, Stride: 7, StepMilliseconds: 6.73, StepPerRequestMilliseconds: 0.0219, StepPerThousandTokensMilliseconds: 0.0068,
+		ReadTokensPerSecond: 30600, ReadPairsMilliseconds: 0.647, ReadChunkTokens: 2048, UsualPromptTokens: 936, UsualAnswerTokens: 120,
+	}
+}
+
+// ReplayLoad replays a load against the deciders of gateways and keepers.
+func ReplayLoad(replayed Load, order Order, seed uint64) *LoadOutcome {
+	r := &replay{
+		load: replayed, order: order, random: rand.New(rand.NewPCG(seed, 7)), predictor: latency.NewPredictor(overloadEngine()),
+		book: reservation.NewBook(), engines: make([]replayEngine, overloadEngines), counts: make([]int, overloadEngines),
+		outcome: &LoadOutcome{Kinds: make([]KindOutcome, len(replayed.Kinds)), Workspaces: map[figbank.Workspace]*KindOutcome{}},
+	}
+	for range overloadGateways {
+		r.contests = append(r.contests, placement.NewContest())
+		r.drifts = append(r.drifts, &load.Drift{})
+		r.own = append(r.own, make([]int, overloadEngines))
+	}
+	r.after(0, r.report)
+	for kind := range replayed.Kinds {
+		r.after(0, func() { r.arrive(kind) })
+	}
+	for len(r.events) > 0 {
+		next := heap.Pop(&r.events).(replayEvent) //nolint:forcetypeassert // nothing else is pushed
+		r.now = next.at
+		next.act()
+	}
+	return r.outcome
+}
+
+func (r *replay) after(d time.Duration, act func()) {
+	r.number++
+	heap.Push(&r.events, replayEvent{at: r.now + d, number: r.number, act: act})
+}
+
+func (r *replay) clock() time.Time { return time.Unix(1000, 0).Add(r.now) }
+
+// report tells all gateways how many requests each engine has.
+func (r *replay) report() {
+	for i := range r.engines {
+		r.counts[i] = len(r.engines[i].waiting) + len(r.engines[i].running)
+	}
+	for _, own := range r.own {
+		clear(own)
+	}
+	if r.now < r.load.Length+overloadDeadline {
+		r.after(overloadReports, r.report)
+	}
+}
+
+// arrive lets one request of a kind come, and the next one after a random time.
+func (r *replay) arrive(kind int) {
+	if r.now >= r.load.Length {
+		return
+	}
+	k := r.load.Kinds[kind]
+	rate := r.load.Rate(r.now) * k.Share
+	if r.load.Burst != nil {
+		rate *= r.load.Burst(kind, r.now)
+	}
+	r.after(time.Duration(r.random.ExpFloat64()/rate*float64(time.Second)), func() { r.arrive(kind) })
+	workspace := figbank.Workspace(fmt.Sprint("w", r.random.IntN(24)))
+	if r.random.Float64() < r.load.Flood {
+		workspace = "flood"
+	}
+	request := &replayRequest{
+		kind: kind, workspace: workspace, at: r.now, prompt: min(3*k.Prompt, 40+int(float64(k.Prompt)*r.random.ExpFloat64())),
+		events: 1 + min(3*k.Events, int(float64(k.Events)*r.random.ExpFloat64())),
+	}
+	for _, o := range r.outcomes(request) {
+		o.Asked++
+		o.Owed += k.Worth
+	}
+	r.ask(request)
+}
+
+// outcomes returns the outcomes in which a request counts.
+func (r *replay) outcomes(request *replayRequest) []*KindOutcome {
+	if r.outcome.Workspaces[request.workspace] == nil {
+		r.outcome.Workspaces[request.workspace] = &KindOutcome{}
+	}
+	found := []*KindOutcome{&r.outcome.Kinds[request.kind], r.outcome.Workspaces[request.workspace]}
+	mean := r.load.Kinds[request.kind].Prompt
+	switch {
+	case request.prompt > 23*mean/10:
+		found = append(found, &r.outcome.Large)
+	case request.prompt < mean:
+		found = append(found, &r.outcome.Small)
+	}
+	return found
+}
+
+// ask decides on a request as a gateway does.
+func (r *replay) ask(request *replayRequest) {
+	gateway := r.random.IntN(overloadGateways)
+	contest, k := r.contests[gateway], r.load.Kinds[request.kind]
+	left := request.at + overloadDeadline - r.now
+	if request.entered {
+		request.waited += placement.WaitStep
+	} else {
+		request.entrant = contest.Enter(r.clock(), placement.Entrant{
+			Route: k.Name, Workspace: request.workspace, Prompt: request.prompt, Urgency: k.Urgency, Ranked: r.order.Ranks, Patience: left,
+		})
+		request.entered, request.waited = true, 0
+	}
+	competition := contest.Competition(r.clock(), request.entrant).With(r.predictor)
+	drift := r.drifts[gateway].Factor(r.clock())
+	demand := placement.Demand{
+		PromptTokens: request.prompt, LatencyTarget: k.Target, TimeLeft: left, Drift: drift,
+		Limit: competition.Limit(k.Target, request.prompt, drift), KeepFree: competition.KeepFree(),
+	}
+	candidates := make([]placement.Candidate, len(r.engines))
+	for i := range candidates {
+		candidates[i] = placement.Candidate{Engine: r.predictor, Outstanding: r.counts[i] + r.own[gateway][i], SameDomain: true}
+	}
+	var decision placement.Decision
+	for asked := 0; ; asked++ {
+		decision = placement.Decide(demand, candidates, r.random)
+		if asked == overloadAsks {
+			decision = placement.Refuse(figbank.ReasonQueueFull, 0, r.random)
+		}
+		if decision.Index < 0 {
+			break
+		}
+		if r.reserve(request, gateway, decision.Index, demand, &candidates[decision.Index]) {
+			return
+		}
+	}
+	if request.waited == 0 {
+		contest.RecordMiss(r.clock(), request.entrant)
+	}
+	if competition.MayWait(request.waited) {
+		r.after(placement.WaitStep, func() { r.ask(request) })
+		return
+	}
+	contest.RecordRefusal(r.clock(), request.entrant)
+	r.refuse(request, decision.RetryAfter, left)
+}
+
+// reserve asks the keeper of an engine for a place.
+func (r *replay) reserve(request *replayRequest, gateway, engine int, demand placement.Demand, candidate *placement.Candidate) bool {
+	r.tickets++
+	ticket := reservation.Ticket{Stream: uint64(gateway), ID: r.tickets}
+	verdict := r.book.Reserve(r.clock(), ticket, reservation.Ask{
+		Key: reservation.Key{Upstream: figbank.UpstreamID(fmt.Sprint(engine))}, PromptTokens: request.prompt, Allowed: demand.Allowed(),
+		Lifetime: demand.TimeLeft, KeepFree: demand.KeepFree, Slots: r.predictor.Slots(),
+		Predict: func(outstanding, pending int) time.Duration {
+			return r.predictor.TimeToFirstEventBehind(outstanding, pending, request.prompt)
+		},
+	})
+	candidate.Known, candidate.Outstanding = verdict.Predicted, verdict.Outstanding
+	if !verdict.Granted {
+		candidate.Full = verdict.Predicted <= demand.Allowed()
+		return false
+	}
+	request.engine, request.gateway, request.ticket = engine, gateway, ticket
+	request.sentAt, request.predicted, request.readLeft = r.now, verdict.Predicted, request.prompt
+	if r.order.Ranks {
+		request.priority = int(r.load.Kinds[request.kind].Urgency.Route)
+	}
+	r.own[gateway][engine]++
+	e := &r.engines[engine]
+	e.waiting = append(e.waiting, request)
+	slices.SortStableFunc(e.waiting, func(a, b *replayRequest) int { return a.priority - b.priority })
+	if !e.busy {
+		e.busy = true
+		r.pass(engine)
+	}
+	return true
+}
+
+// refuse lets a caller come back once.
+func (r *replay) refuse(request *replayRequest, wait, left time.Duration) {
+	if request.again {
+		for _, o := range r.outcomes(request) {
+			o.Refused++
+			o.RefusedAgain++
+		}
+		return
+	}
+	request.again, request.entered = true, false
+	r.after(min(wait, left/overloadPatience), func() { r.ask(request) })
+}
+
+// pass lets an engine read a part of a prompt and then write the next event of each answer.
+func (r *replay) pass(engine int) {
+	e := &r.engines[engine]
+	for len(e.waiting) > 0 && len(e.running) < r.predictor.Slots() {
+		e.running, e.waiting = append(e.running, e.waiting[0]), e.waiting[1:]
+	}
+	if len(e.running) == 0 {
+		e.busy = false
+		return
+	}
+	budget, took := int(overloadEngine().GetReadChunkTokens()), time.Duration(0)
+	var writing []*replayRequest
+	for _, request := range e.running {
+		read := min(budget, request.readLeft)
+		budget -= read
+		request.readLeft -= read
+		took += r.predictor.PromptTime(read)
+		if request.readLeft == 0 {
+			writing = append(writing, request)
+		}
+	}
+	if len(writing) > 0 {
+		took += r.predictor.EventInterval(len(writing))
+	}
+	r.after(took, func() {
+		for _, request := range writing {
+			r.write(request)
+		}
+		r.pass(engine)
+	})
+}
+
+// write writes one event of an answer.
+func (r *replay) write(request *replayRequest) {
+	if !request.begun {
+		request.begun = true
+		r.book.Begin(request.ticket)
+		r.drifts[request.gateway].Record(r.clock(), r.now-request.sentAt, request.predicted)
+		r.begin(request)
+	}
+	if request.events--; request.events > 0 {
+		return
+	}
+	r.book.End(request.ticket)
+	e := &r.engines[request.engine]
+	e.running = slices.DeleteFunc(e.running, func(other *replayRequest) bool { return other == request })
+}
+
+// begin counts a request whose answer has begun.
+func (r *replay) begin(request *replayRequest) {
+	k := r.load.Kinds[request.kind]
+	for _, o := range r.outcomes(request) {
+		if r.now-request.at <= k.Target {
+			o.InTime++
+			o.Worth += k.Worth
+		} else {
+			o.Late++
+			o.Worth += k.Late
+		}
+	}
+}
--- a/placement/competition.go
+++ b/placement/competition.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"figbank/latency"
@@ -12,6 +13,13 @@
 	// headroomShare is the share of the time that a large prompt takes beyond a usual one by which all
 	// requests wait less. The rest is what a large one may begin late.
 	headroomShare = 0.5
+	// fullUrgentPressure is the share of refused more urgent requests from which as many places are kept free for them
+	// as ever, keptShare the share of an engine's places that is kept free then.
+	fullUrgentPressure = 0.25
+	keptShare          = 0.9
+	// WaitStep is the pause before a request that waits for a place asks again. maxPlaceWait is how long one waits at most.
+	WaitStep     = 25 * time.Millisecond
+	maxPlaceWait = 100 * time.Millisecond
 )
 
 type (
@@ -33,9 +41,21 @@
 		Kinds []Kind
 		// Pressure is the share of requests that were refused lately since all engines were full.
 		Pressure float64
+		// UrgentPressure is that share among requests of a more urgent rank, the highest if there are several. It is 0 for a
+		// request that is owed a place by the share of its route or workspace.
+		UrgentPressure float64
+		// Ranked is set if requests of different urgency compete. Rank is then the number of more urgent ranks.
+		Ranked bool
+		Rank   int
 	}
 )
 
+// With returns the competition for engines of the given model.
+func (c Competition) With(engine *latency.Predictor) Competition {
+	c.Engine = engine
+	return c
+}
+
 // Limit returns the longest predicted time to the first event with which a request is placed, not
 // corrected by drift. Without pressure this is the request's own objective. Under pressure all requests of a
 // kind may wait equally long for their own prompt to be read: as long as a usual one, less a headroom that is
@@ -51,6 +71,18 @@
 	return max(wait, c.waitForLastPlace()) + own
 }
 
+// KeepFree returns how many places of an engine the request must leave free for more urgent ones. They come one by one, and
+// each place that a less urgent request has taken is gone for the time that a whole answer takes.
+func (c Competition) KeepFree() int {
+	return int(math.Ceil(min(1, c.UrgentPressure/fullUrgentPressure) * keptShare * float64(c.Engine.Slots())))
+}
+
+// MayWait reports whether a request that finds no place waits a moment for one, before it is refused. Places that come free are for
+// those of which no more urgent ones are short.
+func (c Competition) MayWait(waited time.Duration) bool {
+	return c.Ranked && c.KeepFree() == 0 && waited+WaitStep <= maxPlaceWait
+}
+
 // headroom returns by how much less than a usual request all requests wait.
 func (c Competition) headroom() time.Duration {
 	most := time.Duration(0)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -69,6 +69,8 @@
 		// Limit, unless it is 0, takes the place of LatencyTarget. It is a predicted time, not to be
 		// corrected by Drift.
 		Limit time.Duration
+		// KeepFree is the number of places that the request must leave free at an upstream with an engine.
+		KeepFree int
 		// TimeLeft is the time until the request's deadline.
 		TimeLeft time.Duration
 		// Waited is the time since the request arrived, which counts against the objective.
@@ -98,8 +100,10 @@
 // there is no candidate that is not full.
 func Decide(demand Demand, candidates []Candidate, random *rand.Rand) Decision {
 	best, bestCost, bestPredicted := -1, time.Duration(0), time.Duration(0)
+	full := false
 	for i, candidate := range candidates {
-		if candidate.Full {
+		if candidate.Full || !LeavesFree(candidate, demand.KeepFree) {
+			full = full || !candidate.Full
 			continue
 		}
 		predicted := cmp.Or(candidate.Known, Predict(demand.PromptTokens, candidate))
@@ -111,6 +115,9 @@
 			best, bestCost, bestPredicted = i, cost, predicted
 		}
 	}
+	if best < 0 && full {
+		return Refuse(figbank.ReasonQueueFull, 0, random)
+	}
 	if best < 0 {
 		return Refuse(figbank.ReasonNoUpstream, noUpstreamWait, random)
 	}
@@ -122,6 +129,11 @@
 	return Decision{Index: best, Predicted: bestPredicted}
 }
 
+// LeavesFree reports whether as many places stay free at the candidate if it takes one request more.
+func LeavesFree(candidate Candidate, keep int) bool {
+	return keep <= 0 || candidate.Engine == nil || candidate.Outstanding+1+keep <= candidate.Engine.Slots()
+}
+
 // Allowed returns the longest predicted time with which the request is placed.
 func (d Demand) Allowed() time.Duration {
 	limit := cmp.Or(d.Limit, correct(d.LatencyTarget, d.Drift))
--- a/reservation/book.go
+++ b/reservation/book.go
@@ -48,6 +48,8 @@
 		PromptTokens int
 		// Allowed is the longest time until the answer begins.
 		Allowed time.Duration
+		// KeepFree is the number of places that must stay free, and Slots the number of all; without KeepFree they don't count.
+		KeepFree, Slots int
 		// Lifetime is how long the place may be held.
 		Lifetime time.Duration
 		// PerSecond is the rate of requests that the upstream takes, 0 if it has no limit.
@@ -100,7 +102,7 @@
 	a := b.account(now, ask.Key)
 	outstanding, pending := len(a.held), a.pendingTokens()
 	verdict := Verdict{Predicted: ask.Predict(outstanding, pending), Outstanding: outstanding}
-	if verdict.Predicted > ask.Allowed || !a.allowsRate(now, ask) {
+	if verdict.Predicted > ask.Allowed || ask.KeepFree > 0 && ask.Slots > 0 && outstanding+1+ask.KeepFree > ask.Slots || !a.allowsRate(now, ask) {
 		return verdict
 	}
 	verdict.Granted = true
--- a/reservation/client.go
+++ b/reservation/client.go
@@ -93,6 +93,7 @@
 		Id: c.ids.Add(1), Kind: schema.ReservationKind_RESERVATION_KIND_ASK, Service: string(ask.Service),
 		Upstream: string(target.ID), BornUnixMilli: target.BornUnixMilli, PromptTokens: int64(ask.PromptTokens),
 		AllowedMicroseconds: ask.Allowed.Microseconds(), LifetimeMicroseconds: ask.Lifetime.Microseconds(),
+		KeepFree: int64(ask.KeepFree),
 	}
 	if rate, limited := target.Rate(c.common.Clock.Now()); limited {
 		message.RatePerSecond = float64(rate)
--- a/reservation/keeper.go
+++ b/reservation/keeper.go
@@ -99,6 +99,7 @@
 		Allowed:      time.Duration(message.GetAllowedMicroseconds()) * time.Microsecond,
 		Lifetime:     time.Duration(message.GetLifetimeMicroseconds()) * time.Microsecond,
 		Fallback:     message.GetFallback(),
+		KeepFree:     int(message.GetKeepFree()),
 	}
 	if table == nil {
 		return ask, false
@@ -107,6 +108,9 @@
 	if target == nil {
 		return ask, false
 	}
+	if target.Engine != nil {
+		ask.Slots = target.Engine.Slots()
+	}
 	ask.PerSecond = lowestRate(target, now, figbank.RequestsPerSecond(message.GetRatePerSecond()))
 	ask.Predict = func(outstanding, pendingTokens int) time.Duration {
 		return placement.Predict(ask.PromptTokens, placement.Candidate{
--- a/traffic/table.go
+++ b/traffic/table.go
@@ -20,6 +20,8 @@
 		keys     map[string]*Workspace
 		services map[figbank.ServiceName]*schema.RoutedService
 		maxBody  figbank.Bytes
+		// ranked holds the services for which requests differ in priority.
+		ranked map[figbank.ServiceName]bool
 	}
 
 	// Route is one routing rule with its derived durations and total weight.
@@ -74,9 +76,35 @@
 	for _, service := range rules.GetServices() {
 		t.services[figbank.ServiceName(service.GetName())] = service
 	}
+	t.ranked = rankedServices(rules)
 	return t
 }
 
+// rankedServices returns the services for which requests differ in priority: by their routes, or all if workspaces differ.
+func rankedServices(rules *schema.Traffic) map[figbank.ServiceName]bool {
+	ranked := map[figbank.ServiceName]bool{}
+	priorities := map[figbank.ServiceName]int64{}
+	for _, route := range rules.GetRoutes() {
+		for _, share := range route.GetShares() {
+			service := figbank.ServiceName(share.GetService())
+			first, found := priorities[service]
+			if !found {
+				priorities[service] = route.GetPriority()
+				continue
+			}
+			ranked[service] = ranked[service] || first != route.GetPriority()
+		}
+	}
+	for _, workspace := range rules.GetWorkspaces() {
+		if workspace.GetPriority() != rules.GetWorkspaces()[0].GetPriority() {
+			for service := range priorities {
+				ranked[service] = true
+			}
+		}
+	}
+	return ranked
+}
+
 func newRoute(rule *schema.Route) *Route {
 	route := &Route{
 		Route:         rule,
@@ -131,6 +159,23 @@
 	return t.services[name]
 }
 
+// Ranked reports whether requests for a service differ in priority, by their routes or their workspaces.
+func (t *Table) Ranked(name figbank.ServiceName) bool {
+	return t.ranked[name]
+}
+
+// RankedServices lists the services for which Ranked is true.
+func (t *Table) RankedServices() []string {
+	var names []string
+	for name, ranked := range t.ranked {
+		if ranked {
+			names = append(names, string(name))
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Services lists all services.
 func (t *Table) Services() []*schema.RoutedService {
 	return t.rules.GetServices()
