--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -72,6 +72,9 @@
 // refuse logs a refusal and returns the error to answer with.
 func (r *run) refuse(refusal *refusal, attempt int, waited time.Duration) error {
 	decision := refusal.decision
+	if r.entrant.Ranked && decision.Reason == figbank.ReasonQueueFull {
+		r.refusals.Record(r.common.Clock.Now(), r.returnFingerprint())
+	}
 	r.log.Info("refused", append(r.sizeFields(refusal.demand), zap.String("reason", string(decision.Reason)), zap.Duration("retryAfter", decision.RetryAfter),
 		zap.Duration("predicted", decision.Predicted), zap.Int("candidates", refusal.candidates), zap.Int("asked", refusal.asked),
 		zap.Int("attempt", attempt), zap.Duration("waited", waited), zap.Uint64("table", uint64(refusal.table)))...)
@@ -150,14 +153,20 @@
 func (r *run) newEntrant(table *Table) placement.Entrant {
 	entrant := placement.Entrant{
 		Route: r.request.Route.GetName(), Prompt: r.request.PromptTokens, Urgency: placement.Urgency{Route: r.request.Route.GetPriority()},
-		Ranked: table.Traffic.Ranked(r.request.Service), Patience: r.request.Deadline.Sub(r.request.ReceivedAt),
+		Ranked: table.Traffic.Ranked(r.request.Service),
 	}
+	entrant.Urgency.Returned = entrant.Ranked && r.refusals.Contains(r.common.Clock.Now(), r.returnFingerprint())
 	if workspace := r.request.Workspace; workspace != nil {
 		entrant.Workspace, entrant.Urgency.Workspace = workspace.Name, workspace.Priority
 	}
 	return entrant
 }
 
+// returnFingerprint identifies the request if its caller sends it again.
+func (r *run) returnFingerprint() uint64 {
+	return uint64(r.identity.Fingerprint) + uint64(r.request.PromptTokens)
+}
+
 // demand describes the request as placement needs it. Engine is nil for services without engines.
 func (r *run) demand(now time.Time, attempt int, engine *latency.Predictor) placement.Demand {
 	demand := placement.Demand{
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -13,6 +13,7 @@
 	"figbank/load"
 	"figbank/memory"
 	"figbank/placement"
+	"figbank/refusals"
 	"figbank/retry"
 
 	"go.uber.org/zap"
@@ -47,6 +48,7 @@
 		table     atomic.Pointer[Table]
 		budgets   *retry.Budgets
 		crashers  *crashers.Set
+		refusals  *refusals.Set
 		// reserver is nil while this gateway shares no places with others.
 		reserver atomic.Pointer[Reserver]
 		// drifts maps a figbank.ServiceName to its *load.Drift.
@@ -73,7 +75,8 @@
 	d := &Dispatcher{
 		common: common.Named("dispatch"), settings: settings, transport: transport, view: view,
 		budgets: retry.NewBudgets(settings.Retries, common.Clock.Now()), crashers: crashers.NewSet(),
-		rebuild: make(chan struct{}, 1), stop: stop,
+		refusals: refusals.NewSet(),
+		rebuild:  make(chan struct{}, 1), stop: stop,
 		named: map[Version]time.Time{},
 	}
 	view.Watch(func() {
@@ -108,6 +111,11 @@
 	return d.crashers
 }
 
+// Refusals returns the requests that were refused for want of a place.
+func (d *Dispatcher) Refusals() *refusals.Set {
+	return d.refusals
+}
+
 // drift returns the drift of a service. The first call for a service creates it.
 func (d *Dispatcher) drift(service figbank.ServiceName) *load.Drift {
 	if known, found := d.drifts.Load(service); found {
--- a/loadshare/exchanger.go
+++ b/loadshare/exchanger.go
@@ -90,6 +90,7 @@
 	}
 	e.dispatcher.Crashers().Receive(now, message.GetCrashes(), from)
 	e.applyLimits(now, message.GetLimits(), from)
+	e.dispatcher.Refusals().Receive(now, message.GetRefused())
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.reports.add(now, message)
@@ -130,6 +131,9 @@
 		From: e.self.GetId(), FailureDomain: e.self.GetFailureDomain(), WholeDomain: to == crashers.OtherDomain,
 		Crashes: e.dispatcher.Crashers().Report(now, to), Limits: namedLimits(now, table, to),
 	}
+	if to == crashers.SameDomain {
+		message.Refused = e.dispatcher.Refusals().Report()
+	}
 	for k, running := range loads {
 		message.Loads = append(message.Loads, &schema.InstanceLoad{Id: string(k.id), BornUnixMilli: k.born, Running: running})
 	}
--- a/measure/overload.go
+++ b/measure/overload.go
@@ -270,8 +270,10 @@
 	if request.entered {
 		request.waited += placement.WaitStep
 	} else {
+		urgency := k.Urgency
+		urgency.Returned = request.again
 		request.entrant = contest.Enter(r.clock(), placement.Entrant{
-			Route: k.Name, Workspace: request.workspace, Prompt: request.prompt, Urgency: k.Urgency, Ranked: r.order.Ranks, Patience: left,
+			Route: k.Name, Workspace: request.workspace, Prompt: request.prompt, Urgency: urgency, Ranked: r.order.Ranks,
 		})
 		request.entered, request.waited = true, 0
 	}
--- a/placement/contest.go
+++ b/placement/contest.go
@@ -30,9 +30,6 @@
 	// most urgent, in proportion to the share of all requests that get places. Even the least urgent callers must be
 	// able to rely on being served at times.
 	leastShare = 0.4
-	// returnedShare is the share of the longest time that callers of a route wait below which a caller counts as one that
-	// has come back: callers state how much of their time is left.
-	returnedShare = 0.97
 )
 
 type (
@@ -52,8 +49,6 @@
 		// Ranked is set if requests of different urgency compete for the service. Without it, Urgency does not count.
 		Ranked bool
 		Prompt int
-		// Patience is how long the caller waits, as it states.
-		Patience time.Duration
 	}
 
 	// Contest tracks the requests that compete for the engines of a service, and which of them are refused. It is safe
@@ -70,8 +65,6 @@
 	route struct {
 		tally
 		sizes PromptSizes
-		// patience is the longest time that a caller waits.
-		patience time.Duration
 	}
 
 	// tally counts requests, and those of them that were refused. Both decay with time; at is the time of the last
@@ -115,8 +108,6 @@
 		c.routes[entrant.Route] = known
 	}
 	known.sizes.Record(entrant.Prompt)
-	known.patience = max(known.patience, entrant.Patience)
-	entrant.Urgency.Returned = entrant.Ranked && float64(entrant.Patience) < returnedShare*float64(known.patience)
 	known.ask(now, shareHalfLife)
 	tallyOf(c.ranks, entrant.Urgency).ask(now, pressureHalfLife)
 	tallyOf(c.workspaces, entrant.Workspace).ask(now, shareHalfLife)
