--- a/app/platformagent.go
+++ b/app/platformagent.go
@@ -29,7 +29,7 @@
 func NewPlatformAgent(s *schema.PlatformSettings, file SettingsFile, options ...fx.Option) *fx.App {
 	return fx.New(
 		platformOptions(s, schema.MemberRole_MEMBER_ROLE_AGENT),
-		fx.Supply(file, &transfer.Active{}),
+		fx.Supply(file, &transfer.Active{}, staging.NewLists()),
 		fx.Provide(newAgentPool, newTemporaryStore, newLink),
 		fx.Invoke(watchSettings, serveWeights, runStager),
 		fx.Options(options...),
@@ -61,7 +61,7 @@
 
 // serveWeights serves the chunks that this agent holds to other agents.
 func serveWeights(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, store *weights.Store,
-	active *transfer.Active, link *transfer.Link, recorder *timeline.Recorder, meter *transport.Meter,
+	active *transfer.Active, link *transfer.Link, lists *staging.Lists, recorder *timeline.Recorder, meter *transport.Meter,
 ) error {
 	listener, err := listen(s.GetProcess().GetListenProcesses())
 	if err != nil {
@@ -73,6 +73,7 @@
 		schema.StreamKind_STREAM_KIND_HAVE:     chunkServer.ServeHave,
 		schema.StreamKind_STREAM_KIND_CHUNK:    chunkServer.ServeChunk,
 		schema.StreamKind_STREAM_KIND_MANIFEST: chunkServer.ServeManifest,
+		schema.StreamKind_STREAM_KIND_DIGESTS:  lists.Serve,
 		schema.StreamKind_STREAM_KIND_INSPECT:  recorder.Serve,
 	}, transport.WithMeter(meter))
 	lifecycle.Append(fx.StopHook(server.Close))
@@ -81,7 +82,7 @@
 
 // runStager runs the part that fetches weights and switches the engine to them.
 func runStager(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, view *feed.View,
-	subscriber *feed.Subscriber, pool *transport.Pool, connections *upstream.Pool, store *weights.Store, active *transfer.Active, link *transfer.Link,
+	subscriber *feed.Subscriber, pool *transport.Pool, connections *upstream.Pool, store *weights.Store, active *transfer.Active, link *transfer.Link, lists *staging.Lists,
 ) {
 	member := memberOf(s, schema.MemberRole_MEMBER_ROLE_AGENT)
 	w := s.GetWeights()
@@ -98,6 +99,11 @@
 	stager := staging.New(common, staging.Settings{
 		Member: member, Service: figbank.ServiceName(s.GetNode().GetService()),
 		VersionTime: s.GetBounds().GetVersionTime().AsDuration(), Bandwidth: settings.WeightBandwidth(w), Boot: clock.System{},
+		Lists: lists, AskLister: func(ctx context.Context, address figbank.Address, request *schema.DigestsRequest) (*schema.DigestsAnswer, error) {
+			answer := &schema.DigestsAnswer{}
+			_, err := pool.Call(ctx, address, schema.StreamKind_STREAM_KIND_DIGESTS, request, answer)
+			return answer, err
+		},
 	}, platform.NewEngine(connections, figbank.Address(s.GetNode().GetUpstream())), platform.NewOrigin(connections),
 		view, subscriber, store, active, newFetcher)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/staging/decide.go
+++ b/staging/decide.go
@@ -39,6 +39,9 @@
 		// HeldShare is the share of the wanted version that is on this host, from 0 to 1,
 		// while the version is being fetched.
 		HeldShare float64
+		// InSight is set if hosts are known to hold all of that version together. Without that the rest of it may be long in
+		// coming, for instance while the origin is lost.
+		InSight bool
 		// Held is set if the complete wanted version is on this host.
 		Held bool
 		// MaySwitch is set if the other upstreams have enough capacity for this one to
@@ -61,7 +64,7 @@
 		return decideServing(input)
 	case input.Held:
 		return decideHeld(input, allLayersLoaded)
-	case input.Loaded > 0 && input.MaySwitch && input.HeldShare >= drainShare:
+	case input.Loaded > 0 && input.MaySwitch && input.HeldShare >= drainShare && input.InSight:
 		return ActionDrain
 	}
 	return ActionFetch
--- a/staging/decide_test.go
+++ b/staging/decide_test.go
@@ -15,8 +15,9 @@
 		{name: "serves the wanted version, which is stored", input: DecisionInput{Known: true, Loaded: 1, Wanted: 1, Layers: 16, AllLayers: 16, Held: true}, want: ActionWait},
 		{name: "old version, may not switch", input: DecisionInput{Known: true, Loaded: 1, Wanted: 2, Layers: 16, AllLayers: 16, Held: true}, want: ActionWait},
 		{name: "old version, may switch", input: DecisionInput{Known: true, Loaded: 1, Wanted: 2, Layers: 16, AllLayers: 16, Held: true, MaySwitch: true}, want: ActionSwitch},
-		{name: "old version, may switch, most is fetched", input: DecisionInput{Known: true, Loaded: 1, Wanted: 2, Layers: 16, AllLayers: 16, HeldShare: 0.6, MaySwitch: true}, want: ActionDrain},
-		{name: "old version, may switch, too little is fetched", input: DecisionInput{Known: true, Loaded: 1, Wanted: 2, Layers: 16, AllLayers: 16, HeldShare: 0.5, MaySwitch: true}, want: ActionFetch},
+		{name: "old version, may switch, most is fetched", input: DecisionInput{Known: true, Loaded: 1, Wanted: 2, Layers: 16, AllLayers: 16, HeldShare: 0.6, InSight: true, MaySwitch: true}, want: ActionDrain},
+		{name: "old version, may switch, most is fetched, the rest is nowhere", input: DecisionInput{Known: true, Loaded: 1, Wanted: 2, Layers: 16, AllLayers: 16, HeldShare: 0.6, MaySwitch: true}, want: ActionFetch},
+		{name: "old version, may switch, too little is fetched", input: DecisionInput{Known: true, Loaded: 1, Wanted: 2, Layers: 16, AllLayers: 16, HeldShare: 0.5, InSight: true, MaySwitch: true}, want: ActionFetch},
 		{name: "the engine carries out an order", input: DecisionInput{Known: true, Loaded: 1, Wanted: 2, Layers: 16, AllLayers: 16, Held: true, MaySwitch: true, Busy: true}, want: ActionWait},
 		{name: "only a part of the layers is loaded", input: DecisionInput{Known: true, Loaded: 2, Wanted: 2, Layers: 7, AllLayers: 16, Held: true}, want: ActionSwitch},
 	}
--- a/staging/fetch.go
+++ b/staging/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"time"
@@ -9,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"figbank"
-	"figbank/swarm"
 	"figbank/transfer"
 	"figbank/weights"
 )
@@ -64,10 +64,7 @@
 	source := wanted.fetch
 	began := s.common.Clock.Now()
 	isNew := s.namedWithin(source, newVersionTime)
-	if isNew && !s.awaitDigestsTurn(ctx, wanted.chunks) {
-		return figbank.WrapError("staging", "Canceled", ctx.Err())
-	}
-	digests, err := s.origin.Digests(ctx, source)
+	digests, err := s.digests(ctx, source)
 	if err != nil {
 		return err
 	}
@@ -83,6 +80,10 @@
 		Manifest: content, Digest: digest, OriginRate: wanted.originRate, HeldByPeers: s.servedElsewhere(source.Version),
 		New: isNew,
 	})
+	if errors.As(err, new(transfer.ManifestDoubtError)) && s.settings.Lists != nil {
+		s.doubted = source
+		s.settings.Lists.forget(source)
+	}
 	if err != nil {
 		return err
 	}
@@ -92,22 +93,6 @@
 	return nil
 }
 
-// awaitDigestsTurn lets those hosts ask the origin first for the digests of a new version that
-// bring its chunks to the others. The origin accepts fewer connections than there are hosts. It
-// returns false if ctx ends.
-func (s *Stager) awaitDigestsTurn(ctx context.Context, chunks int) bool {
-	list, _ := s.peers.list()
-	if swarm.BringsChunks(s.peers.selfPeer(), list, chunks) {
-		return true
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-s.common.Clock.After(jitter(digestsDelay)):
-		return true
-	}
-}
-
 // reuseStaged reads the pieces that are already staged at the engine and stores those that belong
 // to the version. It stops when more than maxMismatches pieces were unusable. It returns how many
 // chunks of the version are then on disk. If the version was complete before, it returns 0.
--- a/staging/stager.go
+++ b/staging/stager.go
@@ -40,9 +40,6 @@
 	// newVersionTime is how long after its naming no host can hold a version yet, if all hosts hear
 	// of it at about the same time.
 	newVersionTime = 500 * time.Millisecond
-	// digestsDelay is how long hosts that bring no chunk from the origin wait, on average, before
-	// they ask it for the digests of a new version.
-	digestsDelay = 600 * time.Millisecond
 	// firstVersion is the version to serve if operators have named no version for the model.
 	firstVersion = 1
 )
@@ -61,6 +58,10 @@
 		Bandwidth figbank.Bytes
 		// Boot is a clock that goes on while the host is suspended.
 		Boot figbank.BootClock
+		// AskLister asks other hosts for the digests of a version, and Lists holds those that this host has for them. If
+		// they are nil, each host asks the origin.
+		AskLister AskLister
+		Lists     *Lists
 	}
 
 	// Stager manages the weights of one engine. Start it with Run.
@@ -85,6 +86,9 @@
 		// drainedAt is when drain took the engine out of service, or zero. drain does so at
 		// most once for each version.
 		drainedAt time.Time
+		// doubted is the version whose digests were in doubt. They are asked for at the origin. Only the fetch that runs uses
+		// it.
+		doubted Source
 		// rules are the traffic rules in force, unpacked.
 		rules *schema.Traffic
 
@@ -184,7 +188,8 @@
 		Layers: report.Loaded.GetLayers(), AllLayers: wanted.layers, Busy: report.Busy, Held: held != nil,
 		Wrong: s.load.mustReload(report),
 	}
-	input.HeldShare = s.active.Progress().Share()
+	progress := s.active.Progress()
+	input.HeldShare, input.InSight = progress.Share(), progress.InSight
 	if known && input.Loaded != input.Wanted {
 		input.MaySwitch = s.maySwitch(wanted, input.Loaded)
 	}
--- a/swarm/fetch.go
+++ b/swarm/fetch.go
@@ -9,6 +9,9 @@
 // FetchDone records that a fetch succeeded.
 func (p *Plan) FetchDone(fetch Fetch, now time.Time) {
 	p.endFetch(fetch)
+	if fetch.Peer == "" {
+		p.originFailures = 0
+	}
 	p.MarkHeld(fetch.Chunk, now)
 }
 
@@ -18,7 +21,10 @@
 func (p *Plan) FetchFailed(fetch Fetch, failure Failure, wait time.Duration, now time.Time) {
 	p.endFetch(fetch)
 	if fetch.Peer == "" {
-		p.originRetryAt = later(p.originRetryAt, now.Add(max(wait, originDelay)))
+		delay := min(firstOriginDelay<<min(p.originFailures, 8), maxOriginDelay)
+		p.originFailures++
+		p.originRetryAt = later(p.originRetryAt, now.Add(max(wait, delay)))
+		p.orderFromOrigin()
 		return
 	}
 	source, found := p.peers[fetch.Peer]
--- a/swarm/order.go
+++ b/swarm/order.go
@@ -1,6 +1,7 @@
 package swarm
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strconv"
@@ -27,20 +28,50 @@
 // it, a turn passes with each firstCopyTurn, however busy this host is: the origin may be lost
 // before the other chunks have spread. The largest of these counts applies.
 func (p *Plan) turnsPassed(chunk figbank.ChunkIndex, now time.Time) int {
-	turns := int(now.Sub(p.lastProgress) / p.settings.StallTime)
+	progress := p.lastProgress
+	if p.originFailures > 0 && p.copies[chunk] == 0 {
+		// While the origin is lost, no host makes progress, the first ones in the order neither.
+		progress = later(progress, p.originRetryAt)
+	}
+	turns := int(max(0, now.Sub(progress)) / p.settings.StallTime)
 	if p.settings.OneCopy && !p.idleSince.IsZero() {
-		since := later(later(p.idleSince, p.lastFirstCopy), p.originTurn(chunk+1))
+		since := later(later(p.idleSince, p.lastFirstCopy), p.sentBy(chunk))
 		turns = max(turns, int(now.Sub(since)/idleTurn))
 	}
 	if p.settings.OneCopy && p.settings.OriginGap > 0 && p.copies[chunk] == 0 {
-		turns = max(turns, int(now.Sub(p.originTurn(chunk+1))/firstCopyTurn))
+		turns = max(turns, int(now.Sub(p.sentBy(chunk))/firstCopyTurn))
 	}
 	return turns
 }
 
 // originTurn returns when the origin has had the time to send the chunks before this one.
 func (p *Plan) originTurn(chunk figbank.ChunkIndex) time.Time {
-	return p.originRetryAt.Add(time.Duration(chunk) * p.settings.OriginGap)
+	return p.originRetryAt.Add(time.Duration(p.originOrder[chunk]) * p.settings.OriginGap)
+}
+
+// sentBy returns when the origin has had the time to send a chunk.
+func (p *Plan) sentBy(chunk figbank.ChunkIndex) time.Time {
+	return p.originTurn(chunk).Add(p.settings.OriginGap)
+}
+
+// orderFromOrigin computes originOrder.
+func (p *Plan) orderFromOrigin() {
+	p.originOrder = make([]int, p.settings.Chunks)
+	position := 0
+	for chunk := range p.originOrder {
+		p.originOrder[chunk] = position
+		if !p.have[chunk] && p.copies[chunk] == 0 {
+			position++
+		}
+	}
+}
+
+// noticeOrigin ends the pause after failed fetches from the origin, since a chunk that nobody held has just come from there.
+func (p *Plan) noticeOrigin(now time.Time) {
+	if p.originFailures > 0 && now.Before(p.originRetryAt) {
+		p.originRetryAt, p.originFailures = now, 0
+		p.orderFromOrigin()
+	}
 }
 
 // markPeersFailed records that, from the given time, a chunk counts as one that its holders fail to
@@ -124,15 +155,30 @@
 	return firsts
 }
 
-// BringsChunks reports whether a host is the first of all hosts in the order of some chunk, so that
-// others wait for what it fetches from the origin.
-func BringsChunks(self Peer, peers []Peer, chunks int) bool {
-	for chunk := range chunks {
-		if firstHost(peers, chunk, func(Peer) bool { return true }).ID == self.ID {
-			return true
+// Listers returns the hosts that ask the origin for what describes a version: the first hosts of each region in an order that
+// differs between versions.
+func Listers(peers []Peer, version int64, perRegion int) []Peer {
+	ordered := slices.Clone(peers)
+	slices.SortFunc(ordered, func(a, b Peer) int {
+		return cmp.Compare(listerHash(b.ID, version), listerHash(a.ID, version))
+	})
+	counts := map[figbank.Region]int{}
+	var listers []Peer
+	for _, peer := range ordered {
+		if counts[peer.Region]++; counts[peer.Region] <= perRegion {
+			listers = append(listers, peer)
 		}
 	}
-	return false
+	return listers
+}
+
+func listerHash(id figbank.ProcessID, version int64) uint64 {
+	return xxhash.Sum64String(string(id) + "/list/" + strconv.FormatInt(version, 10))
+}
+
+// HashOf returns a number that differs between hosts.
+func HashOf(id figbank.ProcessID) uint64 {
+	return xxhash.Sum64String(string(id))
 }
 
 // firstHost returns the first of the eligible hosts in a chunk's order.
--- a/swarm/plan.go
+++ b/swarm/plan.go
@@ -53,9 +53,10 @@
 	// narrowTurns is how many additional turns a host waits before it fetches from the origin
 	// while its link has reduced bandwidth.
 	narrowTurns = 8
-	// originDelay is the minimum delay between a failed fetch from the origin and the
-	// next attempt.
-	originDelay = time.Second
+	// firstOriginDelay is the delay between a failed fetch from the origin and the next attempt. It doubles with each
+	// failure in a row, up to maxOriginDelay: hundreds of hosts may wait for the origin to return.
+	firstOriginDelay = 250 * time.Millisecond
+	maxOriginDelay   = time.Second
 )
 
 // The causes of a failed fetch.
@@ -141,6 +142,11 @@
 		// originRetryAt is the earliest time of the next fetch from the origin.
 		originRetryAt  time.Time
 		originInFlight int
+		// originFailures counts the failed fetches from the origin in a row.
+		originFailures int
+		// originOrder is the position of each chunk among those that nobody was known to hold at originRetryAt. The origin
+		// sends them in that order.
+		originOrder []int
 		// peersFailedAt holds, for each chunk that its holders failed to deliver, the time
 		// from which the failure counts. That time may be in the future.
 		peersFailedAt map[figbank.ChunkIndex]time.Time
@@ -175,6 +181,7 @@
 		lastProgress:  now, originRetryAt: now.Add(settings.OriginDelay),
 	}
 	p.computeRanks()
+	p.orderFromOrigin()
 	return p
 }
 
@@ -242,6 +249,7 @@
 			continue
 		}
 		p.lastFirstCopy = now
+		p.noticeOrigin(now)
 		if holder.distance != otherRegion {
 			p.lastProgress = now
 		}
@@ -284,6 +292,16 @@
 	return p.missing == 0
 }
 
+// InSight reports whether each chunk is held by this host or by a peer that it follows.
+func (p *Plan) InSight() bool {
+	for chunk, held := range p.have {
+		if !held && p.copies[chunk] == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // heldInRegion reports whether a peer of this region holds the chunk. Peers whose link has reduced
 // bandwidth do not count.
 func (p *Plan) heldInRegion(chunk figbank.ChunkIndex) bool {
--- a/transfer/active.go
+++ b/transfer/active.go
@@ -18,6 +18,8 @@
 	changed chan struct{}
 	// changedAt is when the newest chunk arrived.
 	changedAt time.Time
+	// inSight is set once hosts are known to hold all chunks together.
+	inSight bool
 }
 
 // Progress describes a version that is being fetched.
@@ -27,12 +29,14 @@
 	Size        figbank.Bytes
 	// ChangedAt is when the newest chunk arrived. It may be older than the fetch.
 	ChangedAt time.Time
+	// InSight is set if this host and its peers are known to hold all chunks together.
+	InSight bool
 }
 
 func (a *Active) set(partial *weights.PartialVersion) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.partial = partial
+	a.partial, a.inSight = partial, false
 	a.signal()
 }
 
@@ -44,6 +48,13 @@
 	a.signal()
 }
 
+// setInSight records whether this host and its peers are known to hold all chunks together.
+func (a *Active) setInSight(inSight bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.inSight = inSight
+}
+
 // wait returns a channel that is closed at the next change.
 func (a *Active) wait() <-chan struct{} {
 	a.mu.Lock()
@@ -80,7 +91,7 @@
 	}
 	manifest := a.partial.Version().Manifest
 	return Progress{
-		Held: a.partial.Count(), Total: len(manifest.GetChunks()), Size: weights.Size(manifest), ChangedAt: a.changedAt,
+		Held: a.partial.Count(), Total: len(manifest.GetChunks()), Size: weights.Size(manifest), ChangedAt: a.changedAt, InSight: a.inSight,
 	}
 }
 
--- a/transfer/fetcher.go
+++ b/transfer/fetcher.go
@@ -219,6 +219,7 @@
 	mismatches := map[figbank.ChunkIndex]int{}
 	for !plan.Complete() {
 		f.startFetches(ctx, plan, partial, inbox)
+		f.active.setInSight(plan.InSight())
 		select {
 		case <-ctx.Done():
 			return figbank.WrapError("transfer", "Canceled", ctx.Err())
