Rank: only routes of different priority switch it on, and more urgent ranks count together

Cause: workspaces of all deployments have priorities, so that earlier ones would have been served in another order; a rank of few requests kept most places free by one refusal. Change: traffic/table.go, placement/contest.go.

--- a/measure/overload.go
+++ b/measure/overload.go
@@ -271,6 +271,9 @@
 		request.waited += placement.WaitStep
 	} else {
 		urgency := k.Urgency
+		if request.workspace < "w1" {
+			urgency.Workspace = -1
+		}
 		urgency.Returned = request.again
 		request.entrant = contest.Enter(r.clock(), placement.Entrant{
 			Route: k.Name, Workspace: request.workspace, Prompt: request.prompt, Urgency: urgency, Ranked: r.order.Ranks,
--- a/placement/competition.go
+++ b/placement/competition.go
@@ -41,8 +41,8 @@
 		Kinds []Kind
 		// Pressure is the share of requests that were refused lately since all engines were full.
 		Pressure float64
-		// UrgentPressure is that share among requests of a more urgent rank, the highest if there are several. It is 0 for a
-		// request that is owed a place by the share of its route or workspace.
+		// UrgentPressure is that share among more urgent requests. It is 0 for a request that is owed a place by the share of
+		// its route or workspace.
 		UrgentPressure float64
 		// Ranked is set if requests of different urgency compete. Rank is then the number of more urgent ranks.
 		Ranked bool
--- a/placement/contest.go
+++ b/placement/contest.go
@@ -21,6 +21,8 @@
 	// pressurePrior is a number of requests that count as placed before, so that a few refusals do not
 	// count as pressure.
 	pressurePrior = 5.0
+	// urgentPrior is the same for more urgent requests, of which a gateway may see only a few.
+	urgentPrior = 10.0
 	// shareHalfLife is the time in which the weight of past requests decays to half where it is compared which share of
 	// them each route and workspace has got places for.
 	shareHalfLife = 4 * time.Second
@@ -156,32 +158,40 @@
 	return competition
 }
 
-// addUrgent adds by how much more urgent requests are pressed. The caller holds mu.
+// addUrgent adds how many ranks are more urgent, and by how much they are pressed together. The caller holds mu.
 func (c *Contest) addUrgent(now time.Time, competition *Competition, entrant Entrant) {
+	refused, asked := 0.0, 0.0
 	for urgency, known := range c.ranks {
 		switch {
 		case now.Sub(known.lastAt) > kindLifetime:
 			delete(c.ranks, urgency)
 		case urgency.Compare(entrant.Urgency) < 0:
 			competition.Rank++
-			competition.UrgentPressure = max(competition.UrgentPressure, known.pressure(now))
+			known.decay(now, pressureHalfLife)
+			refused += known.refused
+			asked += known.asked
 		}
 	}
-	if competition.UrgentPressure == 0 {
-		return
+	if refused > 0 && !c.isOwed(now, entrant) {
+		competition.UrgentPressure = refused / (asked + urgentPrior)
 	}
+}
+
+// isOwed reports whether the route or the workspace of a request has had less than its least share of places. The caller
+// holds mu.
+func (c *Contest) isOwed(now time.Time, entrant Entrant) bool {
 	least := leastShare * c.all.share(now)
-	if known, found := c.routes[entrant.Route]; found && known.share(now) < least {
-		competition.UrgentPressure = 0
-	}
 	for workspace, known := range c.workspaces {
-		switch {
-		case now.Sub(known.lastAt) > kindLifetime:
+		if now.Sub(known.lastAt) > kindLifetime {
 			delete(c.workspaces, workspace)
-		case workspace == entrant.Workspace && known.share(now) < least:
-			competition.UrgentPressure = 0
 		}
 	}
+	known, found := c.routes[entrant.Route]
+	if found && known.share(now) < least {
+		return true
+	}
+	workspace, found := c.workspaces[entrant.Workspace]
+	return found && workspace.share(now) < least
 }
 
 func tallyOf[K comparable](tallies map[K]*tally, key K) *tally {
--- a/traffic/table.go
+++ b/traffic/table.go
@@ -20,7 +20,7 @@
 		keys     map[string]*Workspace
 		services map[figbank.ServiceName]*schema.RoutedService
 		maxBody  figbank.Bytes
-		// ranked holds the services for which requests differ in priority.
+		// ranked holds the services to which routes of different priority lead.
 		ranked map[figbank.ServiceName]bool
 	}
 
@@ -80,7 +80,7 @@
 	return t
 }
 
-// rankedServices returns the services for which requests differ in priority: by their routes, or all if workspaces differ.
+// rankedServices returns the services to which routes of different priority lead.
 func rankedServices(rules *schema.Traffic) map[figbank.ServiceName]bool {
 	ranked := map[figbank.ServiceName]bool{}
 	priorities := map[figbank.ServiceName]int64{}
@@ -95,13 +95,6 @@
 			ranked[service] = ranked[service] || first != route.GetPriority()
 		}
 	}
-	for _, workspace := range rules.GetWorkspaces() {
-		if workspace.GetPriority() != rules.GetWorkspaces()[0].GetPriority() {
-			for service := range priorities {
-				ranked[service] = true
-			}
-		}
-	}
 	return ranked
 }
 
@@ -159,7 +152,7 @@
 	return t.services[name]
 }
 
-// Ranked reports whether requests for a service differ in priority, by their routes or their workspaces.
+// Ranked reports whether routes of different priority lead to a service. Urgency counts only there.
 func (t *Table) Ranked(name figbank.ServiceName) bool {
 	return t.ranked[name]
 }
