--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -113,7 +113,7 @@
 		r.log.Info("placed", append(r.sizeFields(demand), zap.String("upstream", string(target.ID)), zap.Int("attempt", attempt),
 			zap.Int("outstanding", candidates[decision.Index].Outstanding),
 			zap.Duration("loadAge", target.Load.Age(now)), zap.Bool("reserved", r.place != nil), zap.Int("asked", asked),
-			zap.Duration("predicted", r.predicted), zap.Duration("late", target.Load.Late.Current(now)),
+			zap.Duration("predicted", r.predicted), zap.Duration("late", target.Load.Late.Current(now)), zap.Float64("slowdown", candidates[decision.Index].Slowdown),
 			zap.Int64("version", target.Version), zap.Int("candidates", len(candidates)), zap.Uint64("table", uint64(table.Index)))...)
 		r.countPlace("placed", now.Sub(r.request.ReceivedAt))
 		return target, nil
@@ -254,7 +254,7 @@
 		outstanding := target.Load.Outstanding(now)
 		predicted := time.Duration(0)
 		if target.Engine != nil {
-			predicted = target.Engine.TimeToFirstEvent(outstanding, r.request.PromptTokens)
+			predicted = time.Duration(float64(target.Engine.TimeToFirstEvent(outstanding, r.request.PromptTokens)) * target.Load.Speed.Slowdown(now))
 		}
 		if !r.mayBegin(target, now, predicted) {
 			continue
@@ -267,7 +267,7 @@
 		targets = append(targets, target)
 		candidates = append(candidates, placement.Candidate{
 			Outstanding: outstanding, Slots: target.Slots, Engine: target.Engine,
-			SameDomain: target.SameDomain, Delay: delay, Penalty: target.Load.Penalty() + late, Full: full,
+			Slowdown: target.Load.Speed.Slowdown(now), SameDomain: target.SameDomain, Delay: delay, Penalty: target.Load.Penalty() + late, Full: full,
 		})
 	}
 	return targets, candidates
--- a/load/load.go
+++ b/load/load.go
@@ -35,6 +35,8 @@
 // Report is an upstream's own count of its requests and slots.
 type Report struct {
 	Running, Waiting, Slots int
+	// Slowdown tells how long work takes there now: 1 as usual, 2 if twice as long; 0 if it does not say.
+	Slowdown float64
 }
 
 // Upstream is a gateway's knowledge of the load and health of one incarnation of an
@@ -58,6 +60,8 @@
 	named namedLimit
 	// Standing is what the upstream has said of further requests.
 	Standing Standing
+	// Speed tells how long work takes there now.
+	Speed Speed
 	// Late tells how much later than predicted it begins to answer.
 	Late Lateness
 }
@@ -103,6 +107,7 @@
 	}
 	l.upstreamReported.Store(max(0, int64(report.Running+report.Waiting)-l.own.Load()))
 	l.upstreamReportedAt.Store(now.UnixNano())
+	l.Speed.Record(now, report.Slowdown, true)
 }
 
 // RecordPeers stores how many requests the other gateways together have at the upstream.
--- a/loadshare/exchanger.go
+++ b/loadshare/exchanger.go
@@ -91,6 +91,7 @@
 	e.dispatcher.Crashers().Receive(now, message.GetCrashes(), from)
 	e.applyLimits(now, message.GetLimits(), from)
 	e.dispatcher.Refusals().Receive(now, message.GetRefused())
+	applySpeeds(now, message, e.dispatcher.Table())
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.reports.add(now, message)
@@ -137,6 +138,7 @@
 	for k, running := range loads {
 		message.Loads = append(message.Loads, &schema.InstanceLoad{Id: string(k.id), BornUnixMilli: k.born, Running: running})
 	}
+	addSpeeds(now, message, table)
 	return message
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -48,6 +48,8 @@
 		Engine *latency.Predictor
 		// SameDomain is set for upstreams of the gateway's own failure domain.
 		SameDomain bool
+		// Slowdown is how many times as long as usual work takes at the upstream now, 0 for 1.
+		Slowdown float64
 		// Delay is the round-trip time to the upstream.
 		Delay time.Duration
 		// Penalty is added to the upstream's cost, but not to its predicted time. It is above 0
@@ -143,18 +145,22 @@
 // Predict returns the predicted time to the candidate's first byte or event. Without an
 // engine model, the time grows in proportion to the candidate's requests, by
 // plainServiceTime/4 for as many requests as it has slots. If no slot is free, the wait for
-// one is added.
+// one is added. All work takes longer while the upstream is slow.
 func Predict(promptTokens int, candidate Candidate) time.Duration {
+	slowdown := cmp.Or(candidate.Slowdown, 1)
+	scaled := func(work time.Duration) time.Duration { return time.Duration(float64(work)*slowdown) + candidate.Delay }
 	switch {
 	case candidate.Engine != nil && candidate.Exact:
-		return candidate.Engine.TimeToFirstEventBehind(candidate.Outstanding, candidate.PendingTokens, promptTokens) + candidate.Delay
+		return scaled(candidate.Engine.TimeToFirstEventBehind(candidate.Outstanding, candidate.PendingTokens, promptTokens))
 	case candidate.Engine != nil:
-		return candidate.Engine.TimeToFirstEvent(candidate.Outstanding, promptTokens) + candidate.Delay
+		return scaled(candidate.Engine.TimeToFirstEvent(candidate.Outstanding, promptTokens))
 	}
 	slots := max(1, candidate.Slots)
 	waiting := max(0, candidate.Outstanding-slots+1)
 	busy := plainServiceTime * time.Duration(candidate.Outstanding) / time.Duration(slots) / 4
-	return busy + plainServiceTime*time.Duration(waiting)/time.Duration(slots) + candidate.Delay
+	// The time of the request itself is left out: it is the same at all upstreams that work as usual.
+	slower := time.Duration((slowdown - 1) * float64(plainServiceTime))
+	return scaled(busy+plainServiceTime*time.Duration(waiting)/time.Duration(slots)) + max(0, slower)
 }
 
 // Refuse returns a refusal. It limits wait to the range from minWait to maxWait. The retry
--- a/reservation/keeper.go
+++ b/reservation/keeper.go
@@ -115,6 +115,7 @@
 	ask.Predict = func(outstanding, pendingTokens int) time.Duration {
 		return placement.Predict(ask.PromptTokens, placement.Candidate{
 			Outstanding: outstanding, PendingTokens: pendingTokens, Exact: true, Slots: target.Slots, Engine: target.Engine,
+			Slowdown: target.Load.Speed.Slowdown(now),
 		})
 	}
 	return ask, true
