--- a/load/speed.go
+++ b/load/speed.go
@@ -7,14 +7,10 @@
 )
 
 const (
-	// newestHalfLife is the time in which the newest figure loses half of its weight against the average: how long work takes
-	// on a shared host changes many times a second.
-	newestHalfLife = 250 * time.Millisecond
-	// averageHalfLife is the time in which the average forgets half of what it knows. Without news, an upstream is taken
-	// to work as usual again.
-	averageHalfLife = 2 * time.Second
-	// averageWeight is the weight of the newest figure in the average.
-	averageWeight = 0.2
+	// speedHalfLife is the time in which a figure loses half of its weight: how long work takes on a shared host changes
+	// several times a second. An upstream that others keep away from tells nothing, so it must soon count as usual again; one
+	// that stays slow tells so with the next answer.
+	speedHalfLife = 130 * time.Millisecond
 	// minSlowdown and maxSlowdown bound what a figure can say.
 	minSlowdown, maxSlowdown = 0.25, 10.0
 )
@@ -22,9 +18,9 @@
 // Speed tells how long work takes at an upstream, beside how long it usually does. The zero value is that of an upstream of
 // which nothing is known. It is safe for concurrent use.
 type Speed struct {
-	mu              sync.Mutex
-	newest, average float64
-	at              time.Time
+	mu     sync.Mutex
+	newest float64
+	at     time.Time
 	// unreported is set if the newest figure is this gateway's own, and others have not been told.
 	unreported bool
 }
@@ -37,13 +33,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !at.After(s.at) {
-		return
+	if at.After(s.at) {
+		s.newest, s.at, s.unreported = min(max(slowdown, minSlowdown), maxSlowdown), at, own
 	}
-	slowdown = min(max(slowdown, minSlowdown), maxSlowdown)
-	average := s.averageAt(at)
-	s.average = average + averageWeight*(slowdown-average)
-	s.newest, s.at, s.unreported = slowdown, at, own
 }
 
 // Slowdown returns how many times as long as usual work is expected to take now.
@@ -53,8 +45,8 @@
 	if s.at.IsZero() {
 		return 1
 	}
-	weight := decayOver(now.Sub(s.at), newestHalfLife)
-	return weight*s.newest + (1-weight)*s.averageAt(now)
+	weight := math.Exp2(-max(0, now.Sub(s.at)).Seconds() / speedHalfLife.Seconds())
+	return 1 + weight*(s.newest-1)
 }
 
 // TakeNews returns the newest figure and its age if it is this gateway's own and was not returned before.
@@ -67,15 +59,3 @@
 	s.unreported = false
 	return s.newest, now.Sub(s.at), true
 }
-
-// averageAt returns the average after the decay since the last figure. The caller holds mu.
-func (s *Speed) averageAt(now time.Time) float64 {
-	if s.at.IsZero() {
-		return 1
-	}
-	return 1 + (s.average-1)*decayOver(now.Sub(s.at), averageHalfLife)
-}
-
-func decayOver(age, halfLife time.Duration) float64 {
-	return math.Exp2(-max(0, age).Seconds() / halfLife.Seconds())
-}
