Upstream: an answer whose status is none is no answer

Change: IsFinalStatus and IsInformationalStatus in the root package are the one place that says what a status is; upstream/ and engine/ go by it.

--- a/engine/client.go
+++ b/engine/client.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return nil, figbank.WrapError("engine", "Call", err)
 	}
-	if !isFinalStatus(response.StatusCode) {
+	if !figbank.IsFinalStatus(response.StatusCode) {
 		_ = response.Body.Close()
 		detail := fmt.Sprintf("status %d is no status of an answer", response.StatusCode)
 		return nil, figbank.WrapError("engine", "Status", figbank.ProtocolError{Detail: detail})
@@ -160,12 +160,6 @@
 	return &orderAnswer{status: response.StatusCode, header: response.Header, body: content}, nil
 }
 
-// isFinalStatus reports whether an answer may have this status (RFC 9110, section 15).
-func isFinalStatus(status int) bool {
-	const firstFinal, lastFinal = 200, 599
-	return firstFinal <= status && status <= lastFinal
-}
-
 // dial connects to the back end. If that fails, the request was not sent, so dial returns a
 // NotRunError.
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -126,7 +126,7 @@
 }
 
 // receiveHead reads the head of the final response and skips informational responses. All of
-// them together may have maxHeadBytes, and must fit in held.
+// them together may have maxHeadBytes, and must fit in held. A status that is none is a ProtocolError.
 func (c *conn) receiveHead(method string, held *memory.Reservation) (*http.Response, error) {
 	c.heads.begin(maxHeadBytes, held)
 	defer c.heads.end()
@@ -141,9 +141,12 @@
 		if !held.Fit(memory.HeaderSize(response.Header)) {
 			return nil, memory.FullError{}
 		}
-		if response.StatusCode >= http.StatusOK {
+		if figbank.IsFinalStatus(response.StatusCode) {
 			return response, nil
 		}
+		if !figbank.IsInformationalStatus(response.StatusCode) {
+			return nil, figbank.ProtocolError{Detail: "status " + strconv.Itoa(response.StatusCode) + " is no status of an answer"}
+		}
 	}
 	return nil, figbank.ProtocolError{Detail: "upstream sent too many informational answers"}
 }
