--- a/swarm/fetch.go
+++ b/swarm/fetch.go
@@ -81,11 +81,16 @@
 	if p.originInFlight >= max(1, p.settings.InFlight/originSlotDivisor) || now.Before(p.originRetryAt) {
 		return Fetch{}, false
 	}
+	firstCopiesOnly := p.settings.OneCopy && p.settings.OriginGap > 0 && !p.InSight()
 	for chunk, rank := range p.originRank {
 		index := figbank.ChunkIndex(chunk)
 		if !p.wants(index) || now.Before(p.originTurn(index)) {
 			continue
 		}
+		if firstCopiesOnly && p.copies[chunk] > 0 && now.Sub(p.lastFirstCopy) < p.settings.StallTime {
+			// The origin's link is for chunks that nobody holds.
+			continue
+		}
 		rank += p.extraTurns
 		if rank+p.turnsForHolders(index) <= p.turnsPassed(index, now) || rank <= p.turnsSincePeersFailed(index, now) {
 			return Fetch{Chunk: index}, true
--- a/swarm/order.go
+++ b/swarm/order.go
@@ -26,7 +26,8 @@
 // in which this host had no fetch to start, no first copy of any chunk became known, and the origin
 // should have sent the chunk. If no copy of the chunk is known although the origin should have sent
 // it, a turn passes with each firstCopyTurn, however busy this host is: the origin may be lost
-// before the other chunks have spread. The largest of these counts applies.
+// before the other chunks have spread. While nothing new leaves the origin, such a turn is as short as
+// quietTurn. The largest of these counts applies.
 func (p *Plan) turnsPassed(chunk figbank.ChunkIndex, now time.Time) int {
 	progress := p.lastProgress
 	if p.originFailures > 0 && p.copies[chunk] == 0 {
@@ -39,7 +40,7 @@
 		turns = max(turns, int(now.Sub(since)/idleTurn))
 	}
 	if p.settings.OneCopy && p.settings.OriginGap > 0 && p.copies[chunk] == 0 {
-		turns = max(turns, int(now.Sub(p.sentBy(chunk))/firstCopyTurn))
+		turns = max(turns, int(now.Sub(p.sentBy(chunk))/firstCopyTurn), int(now.Sub(later(p.lastFirstCopy, p.sentBy(chunk)))/quietTurn))
 	}
 	return turns
 }
