--- a/app/platformgateway.go
+++ b/app/platformgateway.go
@@ -78,6 +78,7 @@
 		Retries: retry.Allowance{
 			Ratio: s.GetBounds().GetRetryRatio(), Slack: s.GetBounds().GetRetrySlack(), Window: s.GetBounds().GetRetryWindow().AsDuration(),
 		},
+		HomeFirst: s.GetPlacement().GetHomeFirst(), LeaveCost: s.GetPlacement().GetLeaveCost().AsDuration(),
 		Memory: budget,
 	}, platform.NewTransport(common.Clock, pool), view)
 	lifecycle.Append(fx.StopHook(dispatcher.Close))
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -92,9 +92,11 @@
 	}
 	engine := engineOf(candidates)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // spreads load, no secret
+	leaving := r.leaving(table, candidates, random)
 	for asked := 0; ; asked++ {
 		now = r.common.Clock.Now()
 		demand := r.demand(now, attempt, engine)
+		demand.Leaving = leaving
 		decision := placement.Decide(demand, candidates, random)
 		if wait := earliestReturn(table, r.request.Service, now); decision.Index < 0 && len(candidates) == 0 && wait > 0 {
 			decision = placement.RefuseUntil(figbank.ReasonNoUpstream, wait, random)
@@ -113,6 +115,7 @@
 		r.log.Info("placed", append(r.sizeFields(demand), zap.String("upstream", string(target.ID)), zap.Int("attempt", attempt),
 			zap.Int("outstanding", candidates[decision.Index].Outstanding),
 			zap.Duration("loadAge", target.Load.Age(now)), zap.Bool("reserved", r.place != nil), zap.Int("asked", asked),
+			zap.Bool("away", !target.SameDomain), zap.Bool("stays", demand.Leaving.Stays), zap.Float64("homeShare", demand.Leaving.HomeShare),
 			zap.Duration("predicted", r.predicted), zap.Duration("late", target.Load.Late.Current(now)), zap.Float64("slowdown", candidates[decision.Index].Slowdown),
 			zap.Int64("version", target.Version), zap.Int("candidates", len(candidates)), zap.Uint64("table", uint64(table.Index)))...)
 		r.countPlace("placed", now.Sub(r.request.ReceivedAt))
@@ -149,6 +152,39 @@
 	return candidates[0].Engine
 }
 
+// leaving returns how the request may leave the failure domain.
+func (r *run) leaving(table *Table, candidates []placement.Candidate, random *rand.Rand) placement.Leaving {
+	if !r.settings.HomeFirst {
+		return placement.Leaving{Cost: r.settings.LeaveCost}
+	}
+	home := 0
+	for _, candidate := range candidates {
+		if candidate.SameDomain {
+			home++
+		}
+	}
+	domains := len(r.settings.Location.Regions)
+	share := float64(home*domains) / float64(max(1, len(candidates)))
+	return placement.Leaving{HomeFirst: true, Cost: r.settings.LeaveCost, HomeShare: share, Stays: !r.away(r.request.Service).May(random)}
+}
+
+// recordAway records whether another failure domain has taken the request.
+func (r *run) recordAway(target *Target, taken bool) {
+	if target.SameDomain || !r.settings.HomeFirst {
+		return
+	}
+	away, outcome := r.away(r.request.Service), "refused"
+	if taken {
+		away.RecordTaken()
+		outcome = "taken"
+	} else {
+		away.RecordRefused()
+	}
+	scope := r.common.Scope.Tagged(map[string]string{"service": string(r.request.Service), "domain": string(target.FailureDomain), "outcome": outcome})
+	scope.Counter("left_domain").Inc(1)
+	r.common.Scope.Tagged(map[string]string{"service": string(r.request.Service)}).Gauge("may_leave_share").Update(away.Share())
+}
+
 // newEntrant returns what the request competes by. Urgency counts only for services whose callers differ in it.
 func (r *run) newEntrant(table *Table) placement.Entrant {
 	entrant := placement.Entrant{
@@ -196,7 +232,7 @@
 	}
 	answer, known := (*reserver).Reserve(ctx, target, PlaceRequest{
 		Service: r.request.Service, PromptTokens: r.request.PromptTokens,
-		Allowed: demand.Allowed() - candidate.Delay, Lifetime: demand.TimeLeft, KeepFree: demand.KeepFree,
+		Allowed: demand.Allowed() - candidate.Delay, Lifetime: demand.TimeLeft, KeepFree: demand.KeepFreeAt(*candidate),
 	})
 	now = r.common.Clock.Now()
 	if !r.mayBegin(target, now, answer.Predicted) {
@@ -214,10 +250,11 @@
 		}
 		return !candidate.Full
 	}
+	r.recordAway(target, answer.Granted)
 	candidate.Known, candidate.Outstanding = answer.Predicted+candidate.Delay, answer.Outstanding
 	if !answer.Granted {
 		// The keeper of a limited upstream may refuse although the answer would begin in time.
-		candidate.Full = candidate.Known <= demand.Allowed() && placement.LeavesFree(*candidate, demand.KeepFree)
+		candidate.Full = candidate.Known <= demand.Allowed() && placement.LeavesFree(*candidate, demand.KeepFreeAt(*candidate))
 		if rate, limited := target.Rate(now); limited && candidate.Full {
 			target.Load.RecordRateFull(now, rate)
 		}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -33,6 +33,10 @@
 		Location Location
 		// Retries bounds the retries that all gateways together send to each service.
 		Retries retry.Allowance
+		// HomeFirst makes requests stay in their failure domain while it serves them in time. LeaveCost is how much sooner an
+		// answer must begin elsewhere, 0 for the default.
+		HomeFirst bool
+		LeaveCost time.Duration
 		// Memory bounds what all requests together hold. nil means no bound.
 		Memory *memory.Budget
 		// Began is called once for each request of a workspace whose answer begins. It may be nil.
@@ -53,6 +57,8 @@
 		reserver atomic.Pointer[Reserver]
 		// drifts maps a figbank.ServiceName to its *load.Drift.
 		drifts sync.Map
+		// aways maps a figbank.ServiceName to its *placement.Away.
+		aways sync.Map
 		// contests maps a figbank.ServiceName to its *placement.Contest.
 		contests sync.Map
 		rebuild  chan struct{}
@@ -125,6 +131,15 @@
 	return known.(*load.Drift) //nolint:forcetypeassert // nothing else is stored
 }
 
+// away returns what decides which requests of a service leave the failure domain. The first call for a service creates it.
+func (d *Dispatcher) away(service figbank.ServiceName) *placement.Away {
+	known, found := d.aways.Load(service)
+	if !found {
+		known, _ = d.aways.LoadOrStore(service, &placement.Away{})
+	}
+	return known.(*placement.Away) //nolint:forcetypeassert // nothing else is stored
+}
+
 // contest returns the contest for the engines of a service. The first call for a service creates it.
 func (d *Dispatcher) contest(service figbank.ServiceName) *placement.Contest {
 	if known, found := d.contests.Load(service); found {
--- a/measure/overload.go
+++ b/measure/overload.go
@@ -28,6 +28,9 @@
 	// caller comes back at the latest.
 	overloadDeadline = 6 * time.Second
 	overloadPatience = 3
+	// replayWorkspaces is the number of workspaces, of which replayUrgentWorkspace comes before all others.
+	replayWorkspaces      = 24
+	replayUrgentWorkspace = "w0"
 )
 
 type (
@@ -52,7 +55,10 @@
 		Rate func(at time.Duration) float64
 		// Kind returns by how much more is asked of a kind at a time, 1 for no more.
 		Burst func(kind int, at time.Duration) float64
-		// Flood is the share of all requests that come from one workspace. The others come evenly from 24.
+		// Domains is the number of failure domains, 0 for one. Skew returns by how much more is asked in a domain.
+		Domains int
+		Skew    func(domain int, at time.Duration) float64
+		// Flood is the share of all requests that come from one workspace. The others come evenly from replayWorkspaces.
 		Flood  float64
 		Length time.Duration
 	}
@@ -69,12 +75,18 @@
 		Workspaces map[figbank.Workspace]*KindOutcome
 		// Small and Large are requests with prompts below the mean, and of the largest tenth.
 		Small, Large KindOutcome
+		// Domains holds how requests of each failure domain fared.
+		Domains []KindOutcome
+		// Away is the number of requests that another domain has taken.
+		Away int
 	}
 
 	// Order tells how requests are ordered in a replay.
 	Order struct {
 		// Ranks makes urgency count.
 		Ranks bool
+		// HomeFirst makes requests stay in their failure domain while it serves them in time.
+		HomeFirst bool
 	}
 
 	replayRequest struct {
@@ -96,6 +108,7 @@
 		readLeft  int
 		begun     bool
 		priority  int
+		domain    int
 	}
 
 	replayEngine struct {
@@ -126,6 +139,7 @@
 		contests  []*placement.Contest
 		drifts    []*load.Drift
 		own       [][]int
+		aways     []*placement.Away
 		outcome   *LoadOutcome
 		tickets   uint64
 	}
@@ -181,16 +195,19 @@
 	r := &replay{
 		load: replayed, order: order, random: rand.New(rand.NewPCG(seed, 7)), predictor: latency.NewPredictor(overloadEngine()),
 		book: reservation.NewBook(), engines: make([]replayEngine, overloadEngines), counts: make([]int, overloadEngines),
-		outcome: &LoadOutcome{Kinds: make([]KindOutcome, len(replayed.Kinds)), Workspaces: map[figbank.Workspace]*KindOutcome{}},
+		outcome: &LoadOutcome{Domains: make([]KindOutcome, max(1, replayed.Domains)), Kinds: make([]KindOutcome, len(replayed.Kinds)), Workspaces: map[figbank.Workspace]*KindOutcome{}},
 	}
 	for range overloadGateways {
 		r.contests = append(r.contests, placement.NewContest())
 		r.drifts = append(r.drifts, &load.Drift{})
 		r.own = append(r.own, make([]int, overloadEngines))
+		r.aways = append(r.aways, &placement.Away{})
 	}
 	r.after(0, r.report)
 	for kind := range replayed.Kinds {
-		r.after(0, func() { r.arrive(kind) })
+		for domain := range r.outcome.Domains {
+			r.after(0, func() { r.arrive(kind, domain) })
+		}
 	}
 	for len(r.events) > 0 {
 		next := heap.Pop(&r.events).(replayEvent) //nolint:forcetypeassert // nothing else is pushed
@@ -220,23 +237,26 @@
 	}
 }
 
-// arrive lets one request of a kind come, and the next one after a random time.
-func (r *replay) arrive(kind int) {
+// arrive lets one request of a kind come in a domain, and the next one after a random time.
+func (r *replay) arrive(kind, domain int) {
 	if r.now >= r.load.Length {
 		return
 	}
 	k := r.load.Kinds[kind]
-	rate := r.load.Rate(r.now) * k.Share
+	rate := r.load.Rate(r.now) * k.Share / float64(len(r.outcome.Domains))
+	if r.load.Skew != nil {
+		rate *= r.load.Skew(domain, r.now)
+	}
 	if r.load.Burst != nil {
 		rate *= r.load.Burst(kind, r.now)
 	}
-	r.after(time.Duration(r.random.ExpFloat64()/rate*float64(time.Second)), func() { r.arrive(kind) })
-	workspace := figbank.Workspace(fmt.Sprint("w", r.random.IntN(24)))
+	r.after(time.Duration(r.random.ExpFloat64()/rate*float64(time.Second)), func() { r.arrive(kind, domain) })
+	workspace := figbank.Workspace(fmt.Sprint("w", r.random.IntN(replayWorkspaces)))
 	if r.random.Float64() < r.load.Flood {
 		workspace = "flood"
 	}
 	request := &replayRequest{
-		kind: kind, workspace: workspace, at: r.now, prompt: min(3*k.Prompt, 40+int(float64(k.Prompt)*r.random.ExpFloat64())),
+		kind: kind, domain: domain, workspace: workspace, at: r.now, prompt: min(3*k.Prompt, 40+int(float64(k.Prompt)*r.random.ExpFloat64())),
 		events: 1 + min(3*k.Events, int(float64(k.Events)*r.random.ExpFloat64())),
 	}
 	for _, o := range r.outcomes(request) {
@@ -251,7 +271,7 @@
 	if r.outcome.Workspaces[request.workspace] == nil {
 		r.outcome.Workspaces[request.workspace] = &KindOutcome{}
 	}
-	found := []*KindOutcome{&r.outcome.Kinds[request.kind], r.outcome.Workspaces[request.workspace]}
+	found := []*KindOutcome{&r.outcome.Kinds[request.kind], &r.outcome.Domains[request.domain], r.outcome.Workspaces[request.workspace]}
 	mean := r.load.Kinds[request.kind].Prompt
 	switch {
 	case request.prompt > 23*mean/10:
@@ -264,14 +284,15 @@
 
 // ask decides on a request as a gateway does.
 func (r *replay) ask(request *replayRequest) {
-	gateway := r.random.IntN(overloadGateways)
+	domains := len(r.outcome.Domains)
+	gateway := r.random.IntN(overloadGateways/domains)*domains + request.domain
 	contest, k := r.contests[gateway], r.load.Kinds[request.kind]
 	left := request.at + overloadDeadline - r.now
 	if request.entered {
 		request.waited += placement.WaitStep
 	} else {
 		urgency := k.Urgency
-		if request.workspace < "w1" {
+		if request.workspace == replayUrgentWorkspace {
 			urgency.Workspace = -1
 		}
 		urgency.Returned = request.again
@@ -288,7 +309,10 @@
 	}
 	candidates := make([]placement.Candidate, len(r.engines))
 	for i := range candidates {
-		candidates[i] = placement.Candidate{Engine: r.predictor, Outstanding: r.counts[i] + r.own[gateway][i], SameDomain: true}
+		candidates[i] = placement.Candidate{Engine: r.predictor, Outstanding: r.counts[i] + r.own[gateway][i], SameDomain: i%domains == request.domain}
+	}
+	if r.order.HomeFirst {
+		demand.Leaving = placement.Leaving{HomeFirst: true, HomeShare: 1, Stays: !r.aways[gateway].May(r.random)}
 	}
 	var decision placement.Decision
 	for asked := 0; ; asked++ {
@@ -320,14 +344,17 @@
 	ticket := reservation.Ticket{Stream: uint64(gateway), ID: r.tickets}
 	verdict := r.book.Reserve(r.clock(), ticket, reservation.Ask{
 		Key: reservation.Key{Upstream: figbank.UpstreamID(fmt.Sprint(engine))}, PromptTokens: request.prompt, Allowed: demand.Allowed(),
-		Lifetime: demand.TimeLeft, KeepFree: demand.KeepFree, Slots: r.predictor.Slots(),
+		Lifetime: demand.TimeLeft, KeepFree: demand.KeepFreeAt(*candidate), Slots: r.predictor.Slots(),
 		Predict: func(outstanding, pending int) time.Duration {
 			return r.predictor.TimeToFirstEventBehind(outstanding, pending, request.prompt)
 		},
 	})
+	if !candidate.SameDomain {
+		r.recordAway(gateway, verdict.Granted)
+	}
 	candidate.Known, candidate.Outstanding = verdict.Predicted, verdict.Outstanding
 	if !verdict.Granted {
-		candidate.Full = verdict.Predicted <= demand.Allowed()
+		candidate.Full = verdict.Predicted <= demand.Allowed() && placement.LeavesFree(*candidate, demand.KeepFreeAt(*candidate))
 		return false
 	}
 	request.engine, request.gateway, request.ticket = engine, gateway, ticket
@@ -346,6 +373,16 @@
 	return true
 }
 
+// recordAway records whether another domain has taken a request of a gateway.
+func (r *replay) recordAway(gateway int, taken bool) {
+	if !taken {
+		r.aways[gateway].RecordRefused()
+		return
+	}
+	r.aways[gateway].RecordTaken()
+	r.outcome.Away++
+}
+
 // refuse lets a caller come back once.
 func (r *replay) refuse(request *replayRequest, wait, left time.Duration) {
 	if request.again {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -16,7 +16,7 @@
 
 const (
 	// spillCost is how much sooner an upstream in another failure domain must answer to
-	// be preferred. It stands for the cost of the link between the domains.
+	// be preferred, unless operators set another time.
 	spillCost = 40 * time.Millisecond
 	// plainServiceTime is the assumed time that an upstream without an engine model
 	// spends on one request.
@@ -26,6 +26,9 @@
 	// time and overload it.
 	maxJitter = 100 * time.Millisecond
 
+	// comfortShare is the share of the allowed time within which an answer is predicted to begin that is surely in time.
+	comfortShare = 0.7
+
 	// minWait and maxWait bound the wait that a refusal asks for, before jitter.
 	minWait = 300 * time.Millisecond
 	maxWait = 1500 * time.Millisecond
@@ -77,6 +80,8 @@
 		TimeLeft time.Duration
 		// Waited is the time since the request arrived, which counts against the objective.
 		Waited time.Duration
+		// Leaving tells how the request may leave its failure domain.
+		Leaving Leaving
 		// Drift is the ratio of the actual to the predicted time until answers begin, 1 or
 		// more; 0 stands for 1.
 		Drift float64
@@ -103,15 +108,16 @@
 func Decide(demand Demand, candidates []Candidate, random *rand.Rand) Decision {
 	best, bestCost, bestPredicted := -1, time.Duration(0), time.Duration(0)
 	full := false
+	staysHome := demand.Leaving.staysHome(demand, candidates)
 	for i, candidate := range candidates {
-		if candidate.Full || !LeavesFree(candidate, demand.KeepFree) {
+		if candidate.Full || staysHome && !candidate.SameDomain || !LeavesFree(candidate, demand.KeepFreeAt(candidate)) {
 			full = full || !candidate.Full
 			continue
 		}
-		predicted := cmp.Or(candidate.Known, Predict(demand.PromptTokens, candidate))
-		cost := predicted + candidate.Penalty + time.Duration(random.Int64N(int64(maxJitter)))
+		predicted := predictionOf(demand, candidate)
+		cost := demand.worthOf(predicted, candidate) + candidate.Penalty + time.Duration(random.Int64N(int64(maxJitter)))
 		if !candidate.SameDomain {
-			cost += spillCost
+			cost += cmp.Or(demand.Leaving.Cost, spillCost)
 		}
 		if best < 0 || cost < bestCost {
 			best, bestCost, bestPredicted = i, cost, predicted
@@ -131,6 +137,30 @@
 	return Decision{Index: best, Predicted: bestPredicted}
 }
 
+// predictionOf returns the predicted time to a candidate's first byte or event.
+func predictionOf(demand Demand, candidate Candidate) time.Duration {
+	return cmp.Or(candidate.Known, Predict(demand.PromptTokens, candidate))
+}
+
+// KeepFreeAt returns the number of places that the request must leave free at a candidate.
+func (d Demand) KeepFreeAt(candidate Candidate) int {
+	return max(d.KeepFree, d.Leaving.guestPlaces(candidate))
+}
+
+// comfort is the longest predicted time that is surely in time.
+func (d Demand) comfort() time.Duration {
+	return time.Duration(comfortShare * float64(d.Allowed()))
+}
+
+// worthOf returns the predicted time as it counts for the choice. A slow upstream whose answer begins in time all the same is as good
+// as others: if all kept away from it, these would fill up.
+func (d Demand) worthOf(predicted time.Duration, candidate Candidate) time.Duration {
+	if candidate.Slowdown > 1 && predicted <= d.comfort() {
+		return time.Duration(float64(predicted) / candidate.Slowdown)
+	}
+	return predicted
+}
+
 // LeavesFree reports whether as many places stay free at the candidate if it takes one request more.
 func LeavesFree(candidate Candidate, keep int) bool {
 	return keep <= 0 || candidate.Engine == nil || candidate.Outstanding+1+keep <= candidate.Engine.Slots()
--- a/swarm/plan.go
+++ b/swarm/plan.go
@@ -41,7 +41,7 @@
 	// enough for the news of a first copy to reach the other regions.
 	firstCopyTurn = 500 * time.Millisecond
 	// quietTurn is the length of a turn for such a chunk while nothing new leaves the origin, whose link is then unused.
-	quietTurn = 200 * time.Millisecond
+	quietTurn = 350 * time.Millisecond
 	// In OneCopy mode, a host waits these numbers of additional turns before it fetches from
 	// the origin a chunk that peers hold. otherRegionTurns applies if only peers in other
 	// regions hold the chunk, sameRegionTurns if a peer in its region does.
