--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -92,7 +92,7 @@
 	}
 	engine := engineOf(candidates)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // spreads load, no secret
-	leaving := r.leaving(table, candidates, random)
+	leaving := r.leaving(candidates, random)
 	for asked := 0; ; asked++ {
 		now = r.common.Clock.Now()
 		demand := r.demand(now, attempt, engine)
@@ -153,7 +153,7 @@
 }
 
 // leaving returns how the request may leave the failure domain.
-func (r *run) leaving(table *Table, candidates []placement.Candidate, random *rand.Rand) placement.Leaving {
+func (r *run) leaving(candidates []placement.Candidate, random *rand.Rand) placement.Leaving {
 	if !r.settings.HomeFirst {
 		return placement.Leaving{Cost: r.settings.LeaveCost}
 	}
@@ -200,7 +200,7 @@
 
 // returnFingerprint identifies the request if its caller sends it again.
 func (r *run) returnFingerprint() uint64 {
-	return uint64(r.identity.Fingerprint) + uint64(r.request.PromptTokens)
+	return uint64(r.identity.Fingerprint) + uint64(max(0, r.request.PromptTokens))
 }
 
 // demand describes the request as placement needs it. Engine is nil for services without engines.
--- a/eventstream/numberedreader.go
+++ b/eventstream/numberedreader.go
@@ -30,6 +30,7 @@
 	Held *memory.Reservation
 }
 
+// NewNumberedReader returns a reader of the numbered events in a body. It checks them by format.
 func NewNumberedReader(body io.Reader, format *Format) *NumberedReader {
 	return &NumberedReader{reader: bufio.NewReaderSize(&stickyReader{source: body}, BufferSize), format: format}
 }
--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -28,6 +28,7 @@
 	Held *memory.Reservation
 }
 
+// NewReader returns a reader of the events in a body.
 func NewReader(body io.Reader) *Reader {
 	return &Reader{reader: bufio.NewReaderSize(body, BufferSize)}
 }
--- a/load/load.go
+++ b/load/load.go
@@ -96,9 +96,11 @@
 	return l.own.Load()
 }
 
-// Begin and end count the start and the end of one of this gateway's requests.
+// Begin counts the start of one of this gateway's requests.
 func (l *Upstream) Begin() { l.own.Add(1) }
-func (l *Upstream) End()   { l.own.Add(-1) }
+
+// End counts the end of one of this gateway's requests.
+func (l *Upstream) End() { l.own.Add(-1) }
 
 // RecordReport stores the count that the upstream reports. A nil report changes nothing.
 func (l *Upstream) RecordReport(now time.Time, report *Report) {
--- a/measure/overload.go
+++ b/measure/overload.go
@@ -193,8 +193,10 @@
 // ReplayLoad replays a load against the deciders of gateways and keepers.
 func ReplayLoad(replayed Load, order Order, seed uint64) *LoadOutcome {
 	r := &replay{
-		load: replayed, order: order, random: rand.New(rand.NewPCG(seed, 7)), predictor: latency.NewPredictor(overloadEngine()),
-		book: reservation.NewBook(), engines: make([]replayEngine, overloadEngines), counts: make([]int, overloadEngines),
+		load: replayed, order: order,
+		random:    rand.New(rand.NewPCG(seed, 7)), //nolint:gosec // a fixed sequence
+		predictor: latency.NewPredictor(overloadEngine()),
+		book:      reservation.NewBook(), engines: make([]replayEngine, overloadEngines), counts: make([]int, overloadEngines),
 		outcome: &LoadOutcome{Domains: make([]KindOutcome, max(1, replayed.Domains)), Kinds: make([]KindOutcome, len(replayed.Kinds)), Workspaces: map[figbank.Workspace]*KindOutcome{}},
 	}
 	for range overloadGateways {
@@ -341,7 +343,7 @@
 // reserve asks the keeper of an engine for a place.
 func (r *replay) reserve(request *replayRequest, gateway, engine int, demand placement.Demand, candidate *placement.Candidate) bool {
 	r.tickets++
-	ticket := reservation.Ticket{Stream: uint64(gateway), ID: r.tickets}
+	ticket := reservation.Ticket{Stream: uint64(gateway), ID: r.tickets} //nolint:gosec // not negative
 	verdict := r.book.Reserve(r.clock(), ticket, reservation.Ask{
 		Key: reservation.Key{Upstream: figbank.UpstreamID(fmt.Sprint(engine))}, PromptTokens: request.prompt, Allowed: demand.Allowed(),
 		Lifetime: demand.TimeLeft, KeepFree: demand.KeepFreeAt(*candidate), Slots: r.predictor.Slots(),
--- a/staging/lists.go
+++ b/staging/lists.go
@@ -213,7 +213,7 @@
 
 // firstTurn spreads the hosts over the listers.
 func (l *listSearch) firstTurn() int {
-	return int(swarm.HashOf(l.self.ID) % (1 << 16)) //nolint:gosec // below 65536
+	return int(swarm.HashOf(l.self.ID) % (1 << 16))
 }
 
 func (l *listSearch) pause(ctx context.Context) {
