figbank rules: a check of a configuration before it is sent

Cause: the operators' wish of a small tool: errors, entries without effect, limits that contradict each other, and what differs from the version in force.

--- a/cmd/figbank/command.go
+++ b/cmd/figbank/command.go
@@ -45,7 +45,7 @@
 	parser.AdditionalHelpAppend = "\nExit codes: 0 done, 1 failed, 2 invalid input, 3 refused by the gateway, 4 outcome unknown."
 	parser.DisableShowVersionWithVersion()
 	commands := []*command{
-		newGateway(), newAgent(), newPlatform(), newDemo(), newSoak(), newSoakReplica(), newCheck(), newPublish(), newStatus(),
+		newGateway(), newAgent(), newPlatform(), newDemo(), newSoak(), newSoakReplica(), newCheck(), newRules(), newPublish(), newStatus(),
 		newTimeline(), newManifest(), newSettings(), newExample(), newStandIn(),
 	}
 	for _, c := range commands {
