figbank duties shows who carries out the duties; files with one job each

Cause: no command showed the holder of a duty on a platform; choose.go had grown. Change: replicas serve the records beside their metrics; dispatch/rank.go and dispatch/away.go; a request without a stated length counts in no contest.

--- a/app/duties.go
+++ b/app/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 
 	"figbank"
@@ -15,6 +16,7 @@
 
 	"go.uber.org/fx"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/encoding/protojson"
 )
 
 // dutyRecords passes the records of duties from the log, which starts first, to whoever carries the duties out.
@@ -35,6 +37,20 @@
 	d.observe(records)
 }
 
+// ServeHTTP answers with the records of all duties as this replica has applied them.
+func (d *dutyRecords) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	d.mu.Lock()
+	status := &schema.DutyStatus{Duties: d.newest}
+	d.mu.Unlock()
+	content, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(status)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(content)
+}
+
 func (d *dutyRecords) follow(observe func([]*schema.DutyRecord)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/app/platform.go
+++ b/app/platform.go
@@ -13,6 +13,7 @@
 	"figbank/configuration"
 	"figbank/feed"
 	"figbank/listener"
+	"figbank/platform"
 	"figbank/schema"
 	"figbank/settings"
 	"figbank/transport"
@@ -81,12 +82,24 @@
 	return seeds
 }
 
-func servePlatformMetrics(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, m metrics) error {
+// pages holds what a process shows over HTTP to those who run it.
+type pages struct {
+	fx.In
+
+	Metrics metrics
+	// Duties is nil except on replicas.
+	Duties *dutyRecords `optional:"true"`
+}
+
+func servePlatformMetrics(lifecycle fx.Lifecycle, common figbank.Common, s *schema.PlatformSettings, shown pages) error {
 	if s.GetNode().GetListenMetrics() == "" {
 		return nil
 	}
 	mux := http.NewServeMux()
-	mux.Handle("/metrics", m.handler)
+	mux.Handle("/metrics", shown.Metrics.handler)
+	if shown.Duties != nil {
+		mux.Handle(platform.PathDuties, shown.Duties)
+	}
 	return serveHTTP(lifecycle, common, s.GetNode().GetListenMetrics(), mux)
 }
 
--- a/cmd/figbank/command.go
+++ b/cmd/figbank/command.go
@@ -32,6 +32,9 @@
 	exitUnknown
 )
 
+// subjectArguments names the command line in errors.
+const subjectArguments = "arguments"
+
 // command is one subcommand: its flags and the function that runs it.
 type command struct {
 	sub *flaggy.Subcommand
@@ -45,14 +48,14 @@
 	parser.AdditionalHelpAppend = "\nExit codes: 0 done, 1 failed, 2 invalid input, 3 refused by the gateway, 4 outcome unknown."
 	parser.DisableShowVersionWithVersion()
 	commands := []*command{
-		newGateway(), newAgent(), newPlatform(), newDemo(), newSoak(), newSoakReplica(), newCheck(), newRules(), newPublish(), newStatus(),
+		newGateway(), newAgent(), newPlatform(), newDemo(), newSoak(), newSoakReplica(), newCheck(), newRules(), newDuties(), newPublish(), newStatus(),
 		newTimeline(), newManifest(), newSettings(), newExample(), newStandIn(),
 	}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.sub, 1)
 	}
 	if err := parser.ParseArgs(arguments); err != nil {
-		return reportError(figbank.InvalidError{Subject: "arguments", Detail: err.Error()})
+		return reportError(figbank.InvalidError{Subject: subjectArguments, Detail: err.Error()})
 	}
 	for _, c := range commands {
 		if c.sub.Used {
--- a/cmd/figbank/operator.go
+++ b/cmd/figbank/operator.go
@@ -38,7 +38,7 @@
 // from the environment variable keyVariable.
 func (t *target) client() (*operators.Client, error) {
 	if t.address == "" {
-		return nil, figbank.InvalidError{Subject: "arguments", Detail: "--to ADDRESS is needed"}
+		return nil, figbank.InvalidError{Subject: subjectArguments, Detail: "--to ADDRESS is needed"}
 	}
 	key := t.key
 	if key == "" && t.keyFile != "" {
--- a/cmd/figbank/platform.go
+++ b/cmd/figbank/platform.go
@@ -53,7 +53,7 @@
 			}
 			return runApp(ctx, role.create(s, app.SettingsFile(*path)))
 		}
-		return figbank.InvalidError{Subject: "arguments", Detail: "role must be one of " + strings.Join(names, ", ")}
+		return figbank.InvalidError{Subject: subjectArguments, Detail: "role must be one of " + strings.Join(names, ", ")}
 	}
 	return c
 }
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"figbank"
@@ -39,7 +38,7 @@
 		if refusal == nil {
 			return target, nil
 		}
-		if refusal.decision.Reason != figbank.ReasonQueueFull || attempt > 1 || refusal.engine == nil {
+		if refusal.decision.Reason != figbank.ReasonQueueFull || attempt > 1 || refusal.engine == nil || !r.entered {
 			return nil, r.refuse(refusal, attempt, waited)
 		}
 		now = r.common.Clock.Now()
@@ -59,29 +58,6 @@
 	}
 }
 
-// refusal is why a request has found no place.
-type refusal struct {
-	decision   placement.Decision
-	demand     placement.Demand
-	engine     *latency.Predictor
-	candidates int
-	asked      int
-	table      figbank.CommitIndex
-}
-
-// refuse logs a refusal and returns the error to answer with.
-func (r *run) refuse(refusal *refusal, attempt int, waited time.Duration) error {
-	decision := refusal.decision
-	if r.entrant.Ranked && decision.Reason == figbank.ReasonQueueFull {
-		r.refusals.Record(r.common.Clock.Now(), r.returnFingerprint())
-	}
-	r.log.Info("refused", append(r.sizeFields(refusal.demand), zap.String("reason", string(decision.Reason)), zap.Duration("retryAfter", decision.RetryAfter),
-		zap.Duration("predicted", decision.Predicted), zap.Int("candidates", refusal.candidates), zap.Int("asked", refusal.asked),
-		zap.Int("attempt", attempt), zap.Duration("waited", waited), zap.Uint64("table", uint64(refusal.table)))...)
-	r.countPlace("refused", waited)
-	return figbank.NotRunError{Reason: decision.Reason, RetryAfter: decision.RetryAfter}
-}
-
 // findPlace chooses an upstream that has a place for the request, or tells why there is none.
 func (r *run) findPlace(ctx context.Context, attempt int) (*Target, *refusal) {
 	now := r.common.Clock.Now()
@@ -123,16 +99,6 @@
 	}
 }
 
-// countPlace counts what became of a request that competes with others of another rank, and how long it waited for it.
-func (r *run) countPlace(outcome string, waited time.Duration) {
-	if !r.entrant.Ranked {
-		return
-	}
-	scope := r.common.Scope.Tagged(map[string]string{"outcome": outcome, "priority": strconv.FormatInt(r.entrant.Urgency.Route, 10)})
-	scope.Counter("places").Inc(1)
-	scope.Timer("place_wait").Record(waited)
-}
-
 // sizeFields returns the log fields that tell whether the request's size decides where it goes.
 func (r *run) sizeFields(demand placement.Demand) []zap.Field {
 	return []zap.Field{
@@ -152,57 +118,6 @@
 	return candidates[0].Engine
 }
 
-// leaving returns how the request may leave the failure domain.
-func (r *run) leaving(candidates []placement.Candidate, random *rand.Rand) placement.Leaving {
-	if !r.settings.HomeFirst {
-		return placement.Leaving{Cost: r.settings.LeaveCost}
-	}
-	home := 0
-	for _, candidate := range candidates {
-		if candidate.SameDomain {
-			home++
-		}
-	}
-	domains := len(r.settings.Location.Regions)
-	share := float64(home*domains) / float64(max(1, len(candidates)))
-	return placement.Leaving{HomeFirst: true, Cost: r.settings.LeaveCost, HomeShare: share, Stays: !r.away(r.request.Service).May(random)}
-}
-
-// recordAway records whether another failure domain has taken the request.
-func (r *run) recordAway(target *Target, taken bool) {
-	if target.SameDomain || !r.settings.HomeFirst {
-		return
-	}
-	away, outcome := r.away(r.request.Service), "refused"
-	if taken {
-		away.RecordTaken()
-		outcome = "taken"
-	} else {
-		away.RecordRefused()
-	}
-	scope := r.common.Scope.Tagged(map[string]string{"service": string(r.request.Service), "domain": string(target.FailureDomain), "outcome": outcome})
-	scope.Counter("left_domain").Inc(1)
-	r.common.Scope.Tagged(map[string]string{"service": string(r.request.Service)}).Gauge("may_leave_share").Update(away.Share())
-}
-
-// newEntrant returns what the request competes by. Urgency counts only for services whose callers differ in it.
-func (r *run) newEntrant(table *Table) placement.Entrant {
-	entrant := placement.Entrant{
-		Route: r.request.Route.GetName(), Prompt: r.request.PromptTokens, Urgency: placement.Urgency{Route: r.request.Route.GetPriority()},
-		Ranked: table.Traffic.Ranked(r.request.Service),
-	}
-	entrant.Urgency.Returned = entrant.Ranked && r.refusals.Contains(r.common.Clock.Now(), r.returnFingerprint())
-	if workspace := r.request.Workspace; workspace != nil {
-		entrant.Workspace, entrant.Urgency.Workspace = workspace.Name, workspace.Priority
-	}
-	return entrant
-}
-
-// returnFingerprint identifies the request if its caller sends it again.
-func (r *run) returnFingerprint() uint64 {
-	return uint64(r.identity.Fingerprint) + uint64(max(0, r.request.PromptTokens))
-}
-
 // demand describes the request as placement needs it. Engine is nil for services without engines.
 func (r *run) demand(now time.Time, attempt int, engine *latency.Predictor) placement.Demand {
 	demand := placement.Demand{
