--- a/staging/lists.go
+++ b/staging/lists.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"slices"
 	"sync"
 	"time"
 
@@ -156,10 +157,15 @@
 func (l *listSearch) find(ctx context.Context, peers []swarm.Peer) (knownList, error) {
 	l.began = l.common.Clock.Now()
 	l.sort(peers)
-	list, err := l.obtain(ctx)
-	if err != nil || len(l.others) == 0 {
+	list, source, err := l.obtain(ctx)
+	if err != nil {
 		return list, err
 	}
+	// Who has told the digests can't confirm them.
+	confirming := slices.DeleteFunc(slices.Clone(l.others), func(p swarm.Peer) bool { return p.ID == source })
+	if len(confirming) == 0 {
+		return list, nil
+	}
 	if l.isLister {
 		// The others need not wait until these are confirmed, since they confirm them too.
 		l.lists.put(l.source, list)
@@ -167,7 +173,7 @@
 	disagreements := 0
 	until := l.common.Clock.Now().Add(confirmTime)
 	for turn := l.firstTurn(); l.common.Clock.Now().Before(until); turn++ {
-		answer := l.ask(ctx, l.others[turn%len(l.others)], true)
+		answer := l.ask(ctx, confirming[turn%len(confirming)], true)
 		switch {
 		case ctx.Err() != nil:
 			return knownList{}, figbank.WrapError("staging", "Canceled", ctx.Err())
@@ -186,20 +192,21 @@
 	return list, nil
 }
 
-// obtain returns the digests as a lister or the origin has them.
-func (l *listSearch) obtain(ctx context.Context) (knownList, error) {
+// obtain returns the digests as a lister or the origin has them, and which lister that was, empty for the origin.
+func (l *listSearch) obtain(ctx context.Context) (knownList, figbank.ProcessID, error) {
 	patience := jitter(originPatience)
 	for turn := l.firstTurn(); !l.isLister && len(l.own) > 0 && l.common.Clock.Now().Sub(l.began) < patience; turn++ {
-		answer := l.ask(ctx, l.own[turn%len(l.own)], false)
-		if list, found := l.listOf(answer); found {
-			return list, nil
+		lister := l.own[turn%len(l.own)]
+		if list, found := l.listOf(l.ask(ctx, lister, false)); found {
+			return list, lister.ID, nil
 		}
 		if ctx.Err() != nil {
-			return knownList{}, figbank.WrapError("staging", "Canceled", ctx.Err())
+			return knownList{}, "", figbank.WrapError("staging", "Canceled", ctx.Err())
 		}
 		l.pause(ctx)
 	}
-	return l.fromOrigin(ctx)
+	list, err := l.fromOrigin(ctx)
+	return list, "", err
 }
 
 func (l *listSearch) fromOrigin(ctx context.Context) (knownList, error) {
