--- a/measure/overload.go
+++ b/measure/overload.go
@@ -63,24 +63,6 @@
 		Length time.Duration
 	}
 
-	// KindOutcome is how the requests of one kind, or of one workspace, fared.
-	KindOutcome struct {
-		Asked, InTime, Late, Refused, RefusedAgain int
-		Worth, Owed                                float64
-	}
-
-	// LoadOutcome is how all requests of a load fared.
-	LoadOutcome struct {
-		Kinds      []KindOutcome
-		Workspaces map[figbank.Workspace]*KindOutcome
-		// Small and Large are requests with prompts below the mean, and of the largest tenth.
-		Small, Large KindOutcome
-		// Domains holds how requests of each failure domain fared.
-		Domains []KindOutcome
-		// Away is the number of requests that another domain has taken.
-		Away int
-	}
-
 	// Order tells how requests are ordered in a replay.
 	Order struct {
 		// Ranks makes urgency count.
@@ -111,20 +93,6 @@
 		domain    int
 	}
 
-	replayEngine struct {
-		waiting []*replayRequest
-		running []*replayRequest
-		busy    bool
-	}
-
-	replayEvent struct {
-		at     time.Duration
-		number int
-		act    func()
-	}
-
-	replayEvents []replayEvent
-
 	replay struct {
 		load      Load
 		order     Order
@@ -145,43 +113,6 @@
 	}
 )
 
-func (e replayEvents) Len() int { return len(e) }
-func (e replayEvents) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].number < e[j].number
-}
-func (e replayEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push adds an event, for package heap.
-func (e *replayEvents) Push(x any) { *e = append(*e, x.(replayEvent)) } //nolint:forcetypeassert // nothing else is pushed
-
-// Pop removes the last event, for package heap.
-func (e *replayEvents) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
-// share returns the earned share of the worth that was owed.
-func (k KindOutcome) share() float64 { return k.Worth / max(k.Owed, 1e-9) }
-
-// served returns the share of the requests that were answered.
-func (k KindOutcome) served() float64 { return float64(k.InTime+k.Late) / float64(max(1, k.Asked)) }
-
-// total returns the outcome of all kinds together.
-func (o *LoadOutcome) total() KindOutcome {
-	var sum KindOutcome
-	for _, k := range o.Kinds {
-		sum.Asked += k.Asked
-		sum.InTime += k.InTime
-		sum.Late += k.Late
-		sum.Refused += k.Refused
-		sum.RefusedAgain += k.RefusedAgain
-		sum.Worth += k.Worth
-		sum.Owed += k.Owed
-	}
-	return sum
-}
-
 // overloadEngine is the model of the engines that a load is replayed against.
 func overloadEngine() *schema.EngineModel {
 	return &schema.EngineModel{
@@ -268,22 +199,6 @@
 	r.ask(request)
 }
 
-// outcomes returns the outcomes in which a request counts.
-func (r *replay) outcomes(request *replayRequest) []*KindOutcome {
-	if r.outcome.Workspaces[request.workspace] == nil {
-		r.outcome.Workspaces[request.workspace] = &KindOutcome{}
-	}
-	found := []*KindOutcome{&r.outcome.Kinds[request.kind], &r.outcome.Domains[request.domain], r.outcome.Workspaces[request.workspace]}
-	mean := r.load.Kinds[request.kind].Prompt
-	switch {
-	case request.prompt > 23*mean/10:
-		found = append(found, &r.outcome.Large)
-	case request.prompt < mean:
-		found = append(found, &r.outcome.Small)
-	}
-	return found
-}
-
 // ask decides on a request as a gateway does.
 func (r *replay) ask(request *replayRequest) {
 	domains := len(r.outcome.Domains)
@@ -397,65 +312,3 @@
 	request.again, request.entered = true, false
 	r.after(min(wait, left/overloadPatience), func() { r.ask(request) })
 }
-
-// pass lets an engine read a part of a prompt and then write the next event of each answer.
-func (r *replay) pass(engine int) {
-	e := &r.engines[engine]
-	for len(e.waiting) > 0 && len(e.running) < r.predictor.Slots() {
-		e.running, e.waiting = append(e.running, e.waiting[0]), e.waiting[1:]
-	}
-	if len(e.running) == 0 {
-		e.busy = false
-		return
-	}
-	budget, took := int(overloadEngine().GetReadChunkTokens()), time.Duration(0)
-	var writing []*replayRequest
-	for _, request := range e.running {
-		read := min(budget, request.readLeft)
-		budget -= read
-		request.readLeft -= read
-		took += r.predictor.PromptTime(read)
-		if request.readLeft == 0 {
-			writing = append(writing, request)
-		}
-	}
-	if len(writing) > 0 {
-		took += r.predictor.EventInterval(len(writing))
-	}
-	r.after(took, func() {
-		for _, request := range writing {
-			r.write(request)
-		}
-		r.pass(engine)
-	})
-}
-
-// write writes one event of an answer.
-func (r *replay) write(request *replayRequest) {
-	if !request.begun {
-		request.begun = true
-		r.book.Begin(request.ticket)
-		r.drifts[request.gateway].Record(r.clock(), r.now-request.sentAt, request.predicted)
-		r.begin(request)
-	}
-	if request.events--; request.events > 0 {
-		return
-	}
-	r.book.End(request.ticket)
-	e := &r.engines[request.engine]
-	e.running = slices.DeleteFunc(e.running, func(other *replayRequest) bool { return other == request })
-}
-
-// begin counts a request whose answer has begun.
-func (r *replay) begin(request *replayRequest) {
-	k := r.load.Kinds[request.kind]
-	for _, o := range r.outcomes(request) {
-		if r.now-request.at <= k.Target {
-			o.InTime++
-			o.Worth += k.Worth
-		} else {
-			o.Late++
-			o.Worth += k.Late
-		}
-	}
-}
