Metering: windows that were overdue when the duty was taken are told, as unknown

Cause: a holder counted and logged only windows that became overdue while it held the duty. Change: the first overdue window that a new holder sees is logged and counted as unknown; it cannot know whether an earlier holder reported it. Measured: TestWindowOverdueBeforeTheDutyIsTaken fails before, passes after; tests of metering pass with the race detector.

--- a/metering/reporter.go
+++ b/metering/reporter.go
@@ -149,6 +149,10 @@
 			r.reports("missed").Inc(1)
 			r.common.Log.Error("usage: window missed", zap.Int64("window", int64(window)), zap.Bool("fixed", progress.Fixed != nil),
 				zap.Int("tries", progress.Tries), zap.Int("gatewaysMissing", missing), zap.Uint64("token", r.token))
+		} else {
+			r.reports("unknown").Inc(1)
+			r.common.Log.Warn("usage: this window and those before it were overdue when the duty was taken, the log of their holder tells of them",
+				zap.Int64("window", int64(window)), zap.Uint64("token", r.token))
 		}
 	case Wait, Done:
 	}
--- a/metering/reporter_test.go
+++ b/metering/reporter_test.go
@@ -7,6 +7,7 @@
 	"figbank"
 	"figbank/schema"
 
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -111,6 +112,23 @@
 	}
 }
 
+// Nobody held the duty while a window became overdue. Who takes it does not know whether the window was reported, and says so.
+func TestWindowOverdueBeforeTheDutyIsTaken(t *testing.T) {
+	w := newTestWorld()
+	w.clock.boot = 4 * testLength
+	p := w.newProcess(t, "p", 0)
+	scope := tally.NewTestScope("", nil)
+	p.reporter.reports = func(outcome string) tally.Counter { return scope.Counter(outcome) }
+	w.run(time.Second, p)
+	counters := scope.Snapshot().Counters()
+	if got := counters["unknown+"]; got == nil || got.Value() != 1 {
+		t.Errorf("counters = %v, want one unknown window", counters)
+	}
+	if got := counters["missed+"]; got != nil {
+		t.Errorf("%d windows are counted as missed, want none", got.Value())
+	}
+}
+
 // A report that is overdue is not sent any more.
 func TestOverdueWindowIsMissed(t *testing.T) {
 	w := newTestWorld()
