Feeds: the log says why a feed ended, and that none can be had

Change: 'subscriber disconnected' and 'replica disconnected' have a cause; 'replica does not feed this process' follows attempts 1, 2, 4, 8 and so on, with the cause and the number of other feeds.

--- a/feed/runningfeed.go
+++ b/feed/runningfeed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"math/bits"
 	"time"
 
 	"figbank"
@@ -38,8 +39,11 @@
 	failures := 0
 	for f.ctx.Err() == nil {
 		failures++
-		if s.runFeedOnce(f) {
+		delivered, err := s.runFeedOnce(f)
+		if delivered {
 			failures = 1
+		} else {
+			s.logFailure(f, failures, err)
 		}
 		s.setFailing(f)
 		select {
@@ -49,6 +53,18 @@
 	}
 }
 
+// logFailure logs a failed attempt to be fed by a replica: the first ones, and ever fewer of those that follow.
+func (s *Subscriber) logFailure(f *runningFeed, failures int, err error) {
+	if f.ctx.Err() != nil || bits.OnesCount(uint(failures)) != 1 { //nolint:gosec // a count is not negative
+		return
+	}
+	s.mu.Lock()
+	connected := s.connectedFeeds()
+	s.mu.Unlock()
+	s.common.Log.Warn("replica does not feed this process", zap.String("replica", string(f.address)), zap.Int("attempts", failures),
+		zap.Int("otherFeeds", connected), causeField(err))
+}
+
 // reconnectPause returns the pause after a number of failed attempts in a row. spread, from 0 to 1,
 // differs between processes, so that those that lost the same replica do not all return at once.
 func reconnectPause(failures int, spread float64) time.Duration {
@@ -100,27 +116,28 @@
 }
 
 // runFeedOnce receives updates from a replica over one connection, until that ends. It reports
-// whether there were any.
-func (s *Subscriber) runFeedOnce(f *runningFeed) bool {
-	ctx, cancel := context.WithCancel(f.ctx)
-	defer cancel()
+// whether there were any, and why it ended.
+func (s *Subscriber) runFeedOnce(f *runningFeed) (delivered bool, err error) {
+	ctx, end := context.WithCancelCause(f.ctx)
+	defer end(nil)
 	openCtx, cancelOpen := context.WithTimeout(ctx, silenceTimeout)
 	stream, err := s.pool.Open(openCtx, f.address, schema.StreamKind_STREAM_KIND_FEED)
 	cancelOpen()
 	if err != nil {
-		return false
+		return false, err
 	}
 	defer stream.Close()
 	defer stream.CloseWhenDone(ctx)()
 	received := make(chan struct{}, 1)
-	go watchSilence(ctx, func() { s.dropSession(cancel, f.address) }, s.common.Clock, received, openTimeout)
+	go watchSilence(ctx, func() { s.dropSession(end, f.address) }, s.common.Clock, received, openTimeout)
 	if err := stream.Send(s.newRefresh()); err != nil {
-		return false
+		return false, err
 	}
-	admitted, delivered := false, false
+	admitted := false
 	for {
 		update := &schema.FeedUpdate{}
 		if err := stream.Receive(update); err != nil {
+			end(err)
 			break
 		}
 		if s.view.isForeign(update.GetLog()) {
@@ -130,7 +147,7 @@
 		if !admitted {
 			// The replica goes on once it hears that this process still waits for it.
 			admitted = true
-			go s.refresh(ctx, cancel, stream)
+			go func() { end(s.refresh(ctx, stream)) }()
 		}
 		if !delivered && !update.GetAllMembers() {
 			continue
@@ -145,34 +162,33 @@
 	}
 	s.lags.forget(f.address)
 	if delivered {
-		s.disconnected(f)
+		s.disconnected(f, context.Cause(ctx))
 	}
-	return delivered
+	return delivered, context.Cause(ctx)
 }
 
 // dropSession closes the session of a feed that receives nothing any more. The session's TCP
 // connection may be dead without an error. Other streams of the session fail too. The log has a session
 // of its own.
-func (s *Subscriber) dropSession(cancel context.CancelFunc, address figbank.Address) {
+func (s *Subscriber) dropSession(end context.CancelCauseFunc, address figbank.Address) {
 	s.common.Log.Warn("feed timed out", zap.String("replica", string(address)))
 	s.pool.Drop(address, schema.StreamKind_STREAM_KIND_FEED)
-	cancel()
+	end(silenceError{})
 }
 
 // refresh sends the state of this process and its engine to a replica every keepAliveInterval, and
-// at once after a change. These messages keep the subscription alive.
-func (s *Subscriber) refresh(ctx context.Context, cancel context.CancelFunc, stream *transport.Stream) {
-	defer cancel()
+// at once after a change. These messages keep the subscription alive. It returns why nothing can be sent any more.
+func (s *Subscriber) refresh(ctx context.Context, stream *transport.Stream) error {
 	for {
 		s.mu.Lock()
 		refreshNow := s.refreshNow
 		s.mu.Unlock()
 		if err := stream.Send(s.newRefresh()); err != nil {
-			return
+			return err
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-refreshNow:
 		case <-s.common.Clock.After(keepAliveInterval):
 		}
@@ -207,11 +223,11 @@
 // disconnected handles the end of a connection that has delivered updates. A process that is not a
 // replica gets the same members from every replica. While such a process is connected to another
 // replica, it removes the list of members from the disconnected one.
-func (s *Subscriber) disconnected(f *runningFeed) {
+func (s *Subscriber) disconnected(f *runningFeed, cause error) {
 	if f.ctx.Err() != nil {
 		s.common.Log.Info("feed closed", zap.String("replica", string(f.address)))
 	} else {
-		s.common.Log.Warn("replica disconnected", zap.String("replica", string(f.address)))
+		s.common.Log.Warn("replica disconnected", zap.String("replica", string(f.address)), causeField(cause))
 	}
 	s.mu.Lock()
 	f.state = feedFailing
--- a/feed/server.go
+++ b/feed/server.go
@@ -47,11 +47,11 @@
 // Serve feeds one subscriber until its stream ends or the subscriber has sent nothing
 // for silenceTimeout.
 func (v *View) Serve(ctx context.Context, _ figbank.ProcessID, stream *transport.Stream) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
 	defer stream.CloseWhenDone(ctx)()
 	received := make(chan struct{}, 1)
-	go watchSilence(ctx, cancel, v.common.Clock, received, silenceTimeout)
+	go watchSilence(ctx, func() { end(silenceError{}) }, v.common.Clock, received, silenceTimeout)
 	opening := admit(stream)
 	if opening.GetMember().GetId() == "" {
 		return
@@ -69,10 +69,20 @@
 	defer func() {
 		v.removeSubscriber(figbank.ProcessID(s.member.GetId()), stream)
 		v.work.leaves.Add(1)
-		v.common.Log.Info("subscriber disconnected", zap.String("subscriber", s.member.GetId()))
+		v.common.Log.Info("subscriber disconnected", zap.String("subscriber", s.member.GetId()), causeField(context.Cause(ctx)))
 	}()
-	go s.receiveRefreshes(cancel, received)
-	s.sendUpdates(ctx)
+	go func() { end(s.receiveRefreshes(received)) }()
+	if err := s.sendUpdates(ctx); err != nil {
+		end(err)
+	}
+}
+
+// causeField tells in a log line why a feed ended.
+func causeField(cause error) zap.Field {
+	if cause == nil {
+		return zap.Skip()
+	}
+	return zap.String("cause", cause.Error())
 }
 
 // admit answers a subscriber's opening message with an empty update, and returns the message with
@@ -93,13 +103,12 @@
 	return confirmation
 }
 
-// receiveRefreshes handles the subscriber's messages until the stream ends.
-func (s *subscription) receiveRefreshes(cancel context.CancelFunc, received chan<- struct{}) {
-	defer cancel()
+// receiveRefreshes handles the subscriber's messages until the stream ends, and returns why it did.
+func (s *subscription) receiveRefreshes(received chan<- struct{}) error {
 	for {
 		refresh := &schema.Subscribe{}
 		if err := s.stream.Receive(refresh); err != nil {
-			return
+			return err
 		}
 		s.view.mergeEngine(refresh.GetEngine())
 		s.view.updateSubscriber(refresh.GetMember())
@@ -109,13 +118,13 @@
 }
 
 // sendUpdates sends changes as they happen, and an update at least once every
-// keepAliveInterval.
-func (s *subscription) sendUpdates(ctx context.Context) {
+// keepAliveInterval. It returns nil if ctx has ended, and otherwise why nothing can be sent any more.
+func (s *subscription) sendUpdates(ctx context.Context) error {
 	clock := s.view.common.Clock
 	for {
 		changed := s.view.nextChange(s.member.GetRole())
 		if err := s.send(); err != nil {
-			return
+			return err
 		}
 		pause := s.sentAt.Add(keepAliveInterval).Sub(clock.Now())
 		if fleet, wait := s.newerFleet(clock.Now()); fleet != nil {
@@ -123,12 +132,12 @@
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-clock.After(minUpdateInterval):
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-changed:
 		case <-clock.After(pause):
 		}
--- a/feed/silence.go
+++ b/feed/silence.go
@@ -20,6 +20,14 @@
 	unreadGrace = 500 * time.Millisecond
 )
 
+// silenceError reports a feed on which nothing has arrived for too long.
+type silenceError struct{}
+
+// Error describes the silence.
+func (silenceError) Error() string {
+	return "nothing was received in time"
+}
+
 // watchSilence calls cancel and returns when nothing has arrived on received for a timeout: first, and
 // silenceTimeout after the first message. If this process itself has not run for part of that time, it
 // waits for unreadGrace more.
