--- a/feed/runningfeed.go
+++ b/feed/runningfeed.go
@@ -55,7 +55,7 @@
 
 // logFailure logs a failed attempt to be fed by a replica: the first ones, and ever fewer of those that follow.
 func (s *Subscriber) logFailure(f *runningFeed, failures int, err error) {
-	if f.ctx.Err() != nil || bits.OnesCount(uint(failures)) != 1 { //nolint:gosec // a count is not negative
+	if f.ctx.Err() != nil || bits.OnesCount(uint(failures)) != 1 {
 		return
 	}
 	s.mu.Lock()
