Names that are no text are refused where they come in

Configurations and evacuations are acknowledged and reach no gateway, and one that restarts does not become ready, until the replicas are restarted.

Cause: messages between processes refuse such a text when they are encoded, far from who let it in. The registry took the record, each subscriber's first update holds all records, and an update that cannot be encoded ended the feed. The log lines of name it at each replica: 'string field contains invalid UTF-8'.

Change: ids and names of upstreams, services, failure domains, hosts and models must be text (figbank.IsName) before anything is kept of them, and none that a JSON decoder has mended with U+FFFD, as two names may become one. The same cause on other paths: a report of a leave left its record behind though it was answered 503; a DELETE got 503 for ever; an evacuation, a withdrawal and a named version were sent to replicas until their time was over. All get 400 at once. A command that cannot be encoded is an InvalidError without a message sent. A feed leaves out records that cannot be encoded, and goes on with the others. Settings and declarations with such bytes are refused with the line.

Why this works: what comes from HTTP is checked at the one place through which it enters the registry or the log; what comes from processes was encoded by them.

--- a/control/control.go
+++ b/control/control.go
@@ -80,9 +80,12 @@
 // Leave records in the view that the current incarnation of an upstream leaves for good, and returns once
 // that is in the log. Gateways that this process feeds hear of it at once, also while the log accepts
 // nothing. It returns a NotAcceptedError if this process does not know the upstream, since other
-// processes may, and a CallerGoneError if the caller has given up: the call may come from an earlier
-// incarnation.
+// processes may, a CallerGoneError if the caller has given up, since the call may come from an earlier
+// incarnation, and an InvalidError if no upstream can have the id.
 func (c *Control) Leave(ctx context.Context, id figbank.UpstreamID, caller figbank.Caller) error {
+	if !figbank.IsName(string(id)) {
+		return invalidName("upstream")
+	}
 	record := c.view.Instance(id)
 	if !caller.Waits() {
 		return figbank.CallerGoneError{}
@@ -156,8 +159,12 @@
 // Evacuate takes a failure domain out of service, or puts it back if withdraw is set. It returns a
 // CallerGoneError if the caller has given up, and a NotAcceptedError if a newer order was accepted after
 // the call came in. The newest order is looked up before the caller is: whatever delays the command after
-// that, in this process, on its way or at the leader, the log compares the two.
+// that, in this process, on its way or at the leader, the log compares the two. It returns an InvalidError if no
+// failure domain can have the name.
 func (c *Control) Evacuate(ctx context.Context, domain figbank.FailureDomain, withdraw bool, caller figbank.Caller) error {
+	if !figbank.IsName(string(domain)) {
+		return invalidName("failure domain")
+	}
 	newest := ledger.LastEvacuationOrder(c.view.Fleet(), string(domain))
 	if !caller.Waits() {
 		return figbank.CallerGoneError{}
@@ -169,14 +176,22 @@
 }
 
 // NameVersion sets the version of the weights that a model's upstreams should serve. A
-// version that is not newer than the newest named one changes nothing.
+// version that is not newer than the newest named one changes nothing. It returns an InvalidError if no model
+// can have the name.
 func (c *Control) NameVersion(ctx context.Context, model string, version int64) error {
+	if !figbank.IsName(model) {
+		return invalidName("model")
+	}
 	_, err := c.propose(ctx, &schema.Command{Action: &schema.Command_NameVersion{NameVersion: &schema.NameVersion{
 		Model: model, Version: version,
 	}}})
 	return err
 }
 
+func invalidName(subject string) error {
+	return figbank.InvalidError{Subject: subject, Detail: "the name is missing, too long or no text"}
+}
+
 // propose proposes a command and returns its result. It returns a NotAcceptedError if the log refused it
 // because of a newer one, and an InvalidError if the log refused it for another reason.
 func (c *Control) propose(ctx context.Context, command *schema.Command) (*schema.Result, error) {
--- a/errors.go
+++ b/errors.go
@@ -71,6 +71,11 @@
 		Detail string
 	}
 
+	// EncodingError reports a message that cannot be encoded. Nothing of it has been sent or stored.
+	EncodingError struct {
+		Detail string
+	}
+
 	// DeadlineError reports a request whose deadline passed. If NotSent is set, no
 	// upstream has run the request.
 	DeadlineError struct {
@@ -125,6 +130,11 @@
 	return "protocol violation: " + e.Detail
 }
 
+// Error describes what cannot be encoded.
+func (e EncodingError) Error() string {
+	return "message cannot be encoded: " + e.Detail
+}
+
 // Error describes whether the request had been sent when the deadline passed.
 func (e DeadlineError) Error() string {
 	if e.NotSent {
--- a/feed/server.go
+++ b/feed/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -160,7 +162,27 @@
 		update.Position, update.Log = s.view.logPosition(), s.view.Fleet().GetLog()
 		s.positionAt = now
 	}
-	return s.stream.Send(update)
+	err := s.stream.Send(update)
+	if errors.As(err, new(figbank.EncodingError)) {
+		s.view.common.Log.Error("update cannot be encoded, leaving records out", zap.String("subscriber", s.member.GetId()), figbank.ErrorField(err))
+		return s.stream.Send(encodable(update))
+	}
+	return err
+}
+
+// encodable returns an update without the records that cannot be encoded. One of those must not keep all others
+// from the subscriber.
+func encodable(update *schema.FeedUpdate) *schema.FeedUpdate {
+	rest := proto.CloneOf(update)
+	rest.Instances = slices.DeleteFunc(rest.Instances, isUnencodable)
+	rest.Engines = slices.DeleteFunc(rest.Engines, isUnencodable)
+	rest.Members = slices.DeleteFunc(rest.Members, isUnencodable)
+	return rest
+}
+
+func isUnencodable[M proto.Message](record M) bool {
+	_, err := proto.Marshal(record)
+	return err != nil
 }
 
 // newerFleet returns the fleet state that the subscriber lacks, or nil, and how long to wait before it is sent.
--- a/inifile/decode.go
+++ b/inifile/decode.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"figbank"
 	"figbank/schema"
 
 	"github.com/dustin/go-humanize"
@@ -144,6 +145,9 @@
 }
 
 func checkText(rule *schema.KeyRule, text string) string {
+	if !figbank.IsText(text) {
+		return "bytes that are no UTF-8"
+	}
 	if allowed := rule.GetAllowed(); len(allowed) > 0 && !slices.Contains(allowed, text) {
 		return fmt.Sprintf("%q is not allowed; allowed: %s", text, strings.Join(allowed, ", "))
 	}
--- a/registry/check.go
+++ b/registry/check.go
@@ -22,8 +22,6 @@
 	maxVersion = 1 << 53
 	// maxCold is the longest time for which an upstream may say that it is slow after its start.
 	maxCold = 24 * time.Hour
-	// maxName bounds ids and names in bytes.
-	maxName = 1 << 10
 	// maxRenewals bounds how often an incarnation may serve on after a leave.
 	maxRenewals = 1 << 20
 )
@@ -33,8 +31,8 @@
 // announcement supersedes it, or be computed with.
 func CheckInstance(now time.Time, record *schema.Instance) error {
 	switch {
-	case !validName(record.GetId()), !validName(record.GetService()), len(record.GetFailureDomain()) > maxName:
-		return invalidInstance("a name is missing or too long")
+	case !figbank.IsName(record.GetId()), !figbank.IsName(record.GetService()), record.GetFailureDomain() != "" && !figbank.IsName(record.GetFailureDomain()):
+		return invalidInstance("a name is missing, too long or no text")
 	case !validAddress(record.GetAddress()):
 		return invalidInstance("the address has no host or no valid port")
 	case !validBirth(now, record.GetBornUnixMilli()):
@@ -62,10 +60,6 @@
 	return nil
 }
 
-func validName(name string) bool {
-	return name != "" && len(name) <= maxName
-}
-
 // validAddress reports whether an address names a host and a port from 1 to 65535.
 func validAddress(address string) bool {
 	colon := strings.LastIndex(address, ":")
@@ -74,7 +68,7 @@
 	}
 	host := strings.Trim(address[:colon], "[]")
 	port, err := strconv.ParseUint(address[colon+1:], 10, 16)
-	return validName(host) && host != "0.0.0.0" && host != "::" && err == nil && port > 0
+	return figbank.IsName(host) && host != "0.0.0.0" && host != "::" && err == nil && port > 0
 }
 
 func validBirth(now time.Time, milliseconds int64) bool {
@@ -82,7 +76,7 @@
 }
 
 func validWeights(loaded *schema.LoadedWeights) bool {
-	return len(loaded.GetModel()) <= maxName && loaded.GetVersion() >= 0 && loaded.GetVersion() <= maxVersion &&
+	return (loaded.GetModel() == "" || figbank.IsName(loaded.GetModel())) && loaded.GetVersion() >= 0 && loaded.GetVersion() <= maxVersion &&
 		loaded.GetLayers() >= 0 && loaded.GetLayers() <= maxLayers
 }
 
--- a/replica/client.go
+++ b/replica/client.go
@@ -9,6 +9,8 @@
 	"figbank"
 	"figbank/schema"
 	"figbank/transport"
+
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -84,11 +86,15 @@
 // Propose returns the command's result once it is committed and applied. It tries the
 // replicas until ctx ends or proposeTimeout has passed. Then it returns a
 // NotAcceptedError if no replica can have accepted the command, and an
-// UnknownOutcomeError otherwise.
+// UnknownOutcomeError otherwise. A command that cannot be encoded is an InvalidError at once.
 func (c *Client) Propose(ctx context.Context, command *schema.Command) (*schema.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	command.ForLog = c.log()
+	if _, err := proto.Marshal(command); err != nil {
+		// No replica could take it, however often it were sent.
+		return nil, figbank.WrapError("replica", "Encode", figbank.InvalidError{Subject: "command", Detail: err.Error()})
+	}
 	r := newRace(ctx, c, command)
 	result, unknown := r.run()
 	if result != nil {
--- a/replica/race_test.go
+++ b/replica/race_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 	"time"
 
 	"figbank"
+	"figbank/schema"
 )
 
 // Replicas are slow, since they have too much to do. If each proposal asks several of them then, they have
@@ -55,3 +57,16 @@
 		cancel()
 	}
 }
+
+// A command holds a text that is no UTF-8, which no message can. Its caller must be told at once that it can never be accepted,
+// not have it sent to all replicas again and again until the time is over.
+func TestCommandThatCannotBeEncodedIsRefusedAtOnce(t *testing.T) {
+	g := newCluster(t)
+	g.mustPublish(1)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	command := &schema.Command{Action: &schema.Command_Evacuate{Evacuate: &schema.Evacuate{FailureDomain: "zone-\xff", Order: "1"}}}
+	if _, err := g.client.Propose(ctx, command); !errors.As(err, new(figbank.InvalidError)) {
+		t.Errorf("Propose() = %v, want an InvalidError", err)
+	}
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -68,6 +68,7 @@
 	}{
 		{name: "unknown key lists the allowed ones", content: gatewayFile + "Port = 3\n", want: "g.ini:12: [Gateway] Port: unknown key; allowed: ListenCallers"},
 		{name: "unknown section", content: gatewayFile + "[Gatewya]\n", want: "g.ini:12: [Gatewya] unknown section; allowed: Process"},
+		{name: "bytes that are no text", content: strings.Replace(gatewayFile, "Region = ", "Region = \xff", 1), want: "g.ini:3: [Process] Region: bytes that are no UTF-8"},
 		{name: "section twice", content: gatewayFile + "[Gateway]\n", want: "g.ini:12: [Gateway] section occurs twice"},
 		{name: "missing section", content: "[Process]\nId = g1\nRegion = r\nFailureDomain = a\nListenProcesses = :1\n", want: "g.ini:1: [Gateway] ListenCallers: key is missing"},
 		{name: "duration out of range", content: gatewayFile + "[Requests]\nQueueAge = 0s\n", want: "g.ini:13: [Requests] QueueAge: 0s is out of range; allowed: 0.01 to 600"},
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -116,7 +117,7 @@
 	defer stream.Close()
 	defer stream.CloseWhenDone(ctx)()
 	if err := stream.Send(request); err != nil {
-		return true, err
+		return !errors.As(err, new(figbank.EncodingError)), err
 	}
 	return true, stream.Receive(answer)
 }
--- a/transport/stream.go
+++ b/transport/stream.go
@@ -41,13 +41,13 @@
 	return &Stream{raw: raw, reader: bufio.NewReaderSize(raw, readBuffer)}
 }
 
-// Send writes one message, preceded by its length.
+// Send writes one message, preceded by its length. After an EncodingError the stream goes on without the message.
 func (s *Stream) Send(message proto.Message) error {
 	s.sendMu.Lock()
 	defer s.sendMu.Unlock()
 	s.buffer.Reset()
 	if _, err := protodelim.MarshalTo(&s.buffer, message); err != nil {
-		return figbank.WrapError("transport", "Marshal", err)
+		return figbank.WrapError("transport", "Marshal", figbank.EncodingError{Detail: err.Error()})
 	}
 	s.meter.countSent(s.buffer.Len())
 	_, err := s.raw.Write(s.buffer.Bytes())
