Declared services: header values and queries may be no UTF-8

What callers saw: a request to a declared service with a header value or query such as 'caf\xe9' got 503 NotRun (NoUpstream), as each attempt failed to encode it and counted its upstream as unreachable. An answer with such a header ran and was lost: its outcome was unknown, and under an idempotency key it was never recorded. An idempotency key of such bytes kept the log busy for 2 s, then 503.

HTTP allows bytes above 0x7f in header values; the messages between gateway and agent, and the recorded answer, carried them as strings, which must be UTF-8.

Change: Header.Value, CallHead.Path and RecordedAnswer.ContentType are bytes, which is the same on the wire and on disk. An idempotency key must be text, else 400: it is a part of the log's keys and of the events that figbank shows. An incarnation in a header that is no text is as none, since it could not be announced.

--- a/agent/call.go
+++ b/agent/call.go
@@ -172,7 +172,7 @@
 	go c.cancelUnlessAnswered(answered, cancel)
 	declared := configuration.Declaration(c.agent.holder.Current(), c.agent.service)
 	answer, err := c.agent.engine.Call(ctx, &figbank.ServiceRequest{
-		ID: figbank.RequestID(c.id), Method: c.head.GetMethod(), Path: c.head.GetPath(),
+		ID: figbank.RequestID(c.id), Method: c.head.GetMethod(), Path: string(c.head.GetPath()),
 		Headers: c.head.GetHeaders(), Body: body, Repeatable: declared.GetRepeatable(),
 	})
 	if err != nil {
--- a/agent/events.go
+++ b/agent/events.go
@@ -60,7 +60,7 @@
 // newAnswerCheck returns the check for an answer with these headers.
 func newAnswerCheck(headers []*schema.Header) answerCheck {
 	for _, header := range headers {
-		mediaType, _, _ := strings.Cut(header.GetValue(), ";")
+		mediaType, _, _ := strings.Cut(string(header.GetValue()), ";")
 		if strings.EqualFold(header.GetName(), "Content-Type") && strings.EqualFold(strings.TrimSpace(mediaType), eventStreamType) {
 			return &eventStream{}
 		}
--- a/agent/events_test.go
+++ b/agent/events_test.go
@@ -10,7 +10,7 @@
 )
 
 func newTestStream() answerCheck {
-	return newAnswerCheck([]*schema.Header{{Name: "content-type", Value: "text/event-stream"}})
+	return newAnswerCheck([]*schema.Header{{Name: "content-type", Value: []byte("text/event-stream")}})
 }
 
 // The bytes of a stream arrive in pieces of any size. What passes must not depend on their sizes.
--- a/engine/client.go
+++ b/engine/client.go
@@ -111,7 +111,7 @@
 		return nil, figbank.WrapError("engine", "Request", figbank.InvalidError{Subject: "request", Detail: err.Error()})
 	}
 	for _, header := range call.Headers {
-		request.Header.Add(header.GetName(), header.GetValue())
+		request.Header.Add(header.GetName(), string(header.GetValue()))
 	}
 	request.Header.Set(HeaderRequestID, string(call.ID))
 	httpClient := c.noKeepAlive
@@ -134,7 +134,7 @@
 	}
 	return &figbank.ServiceAnswer{
 		Status: response.StatusCode, Headers: headersOf(response.Header), Body: response.Body,
-		Incarnation: figbank.Incarnation(response.Header.Get(HeaderIncarnation)),
+		Incarnation: figbank.Incarnation(incarnationOf(response.Header)),
 		Manifest:    response.Header.Get(HeaderManifest),
 	}, nil
 }
@@ -176,11 +176,19 @@
 	return http.ErrUseLastResponse
 }
 
+// incarnationOf returns the incarnation that a back end names, or "" if that is no text: it could not be announced.
+func incarnationOf(header http.Header) string {
+	if named := header.Get(HeaderIncarnation); figbank.IsName(named) {
+		return named
+	}
+	return ""
+}
+
 func headersOf(header http.Header) []*schema.Header {
 	var headers []*schema.Header
 	for name, values := range header {
 		for _, value := range values {
-			headers = append(headers, &schema.Header{Name: name, Value: value})
+			headers = append(headers, &schema.Header{Name: name, Value: []byte(value)})
 		}
 	}
 	return headers
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -78,7 +78,7 @@
 		return nil, err
 	}
 	ready := answer.status < http.StatusInternalServerError
-	return &schema.EngineStatus{Incarnation: answer.header.Get(HeaderIncarnation), Ready: ready}, nil
+	return &schema.EngineStatus{Incarnation: incarnationOf(answer.header), Ready: ready}, nil
 }
 
 // Load always fails, since a plain service has no weights.
--- a/gateway/announcedbody_test.go
+++ b/gateway/announcedbody_test.go
@@ -29,7 +29,7 @@
 			t.Fatal(err)
 		}
 		defer stream.Close()
-		head := &schema.CallHead{Service: "s", Method: "POST", Path: "/x", Cost: 1, BodyLength: length, Credit: 1 << 10, TimeoutMilliseconds: 10_000}
+		head := &schema.CallHead{Service: "s", Method: "POST", Path: []byte("/x"), Cost: 1, BodyLength: length, Credit: 1 << 10, TimeoutMilliseconds: 10_000}
 		if err := stream.Send(&schema.CallFrame{RequestId: strconv.Itoa(i), Frame: &schema.CallFrame_Head{Head: head}}); err != nil {
 			t.Fatal(err)
 		}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -87,6 +87,9 @@
 	if len(req.key) > maxKeyLength {
 		return nil, figbank.InvalidError{Subject: headerIdempotencyKey, Detail: "longer than 255 bytes"}
 	}
+	if !figbank.IsText(req.key) {
+		return nil, figbank.InvalidError{Subject: headerIdempotencyKey, Detail: "bytes that are no UTF-8"}
+	}
 	req.Headers = forwardedHeaders(r.Header)
 	if !req.reservation.Grow(g.settings.Relay.StreamWindow) {
 		return nil, figbank.NotRunError{Reason: figbank.ReasonMemoryFull}
@@ -192,7 +195,7 @@
 			continue
 		}
 		for _, value := range values {
-			headers = append(headers, &schema.Header{Name: name, Value: value})
+			headers = append(headers, &schema.Header{Name: name, Value: []byte(value)})
 		}
 	}
 	return headers
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -95,7 +95,7 @@
 func (r *responseWriter) replay(answer *schema.RecordedAnswer) error {
 	r.head = &schema.AnswerHead{Status: answer.GetStatus(), Headers: []*schema.Header{
 		{Name: "Content-Type", Value: answer.GetContentType()},
-		{Name: "Figbank-Replayed", Value: "yes"},
+		{Name: "Figbank-Replayed", Value: []byte("yes")},
 	}}
 	return r.send(answer.GetBody())
 }
@@ -131,7 +131,7 @@
 	header := r.writer.Header()
 	for _, h := range r.head.GetHeaders() {
 		if !slices.Contains(droppedHeaders, http.CanonicalHeaderKey(h.GetName())) {
-			header.Add(h.GetName(), h.GetValue())
+			header.Add(h.GetName(), string(h.GetValue()))
 		}
 	}
 	header.Set(headerRequestID, string(r.id))
@@ -139,11 +139,11 @@
 	r.writer.WriteHeader(int(r.head.GetStatus()))
 }
 
-func contentType(head *schema.AnswerHead) string {
+func contentType(head *schema.AnswerHead) []byte {
 	for _, h := range head.GetHeaders() {
 		if http.CanonicalHeaderKey(h.GetName()) == "Content-Type" {
 			return h.GetValue()
 		}
 	}
-	return ""
+	return nil
 }
--- a/measure/engine.go
+++ b/measure/engine.go
@@ -178,7 +178,7 @@
 	answer, contentType := e.answer(request, call)
 	return &figbank.ServiceAnswer{
 		Status:      200,
-		Headers:     []*schema.Header{{Name: "Content-Type", Value: contentType}, {Name: "X-Request-Id", Value: string(request.ID)}},
+		Headers:     []*schema.Header{{Name: "Content-Type", Value: []byte(contentType)}, {Name: "X-Request-Id", Value: []byte(request.ID)}},
 		Body:        &body{engine: e, ctx: ctx, restarted: restarted, remaining: bytes.NewReader(answer), paced: call.Size == 0},
 		Incarnation: figbank.Incarnation(strconv.Itoa(incarnation)),
 	}, nil
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -57,7 +57,7 @@
 	remaining := a.deadline.Sub(a.relay.common.Clock.Now())
 	head := &schema.CallHead{
 		Service: string(a.request.Service), Workspace: string(a.request.Workspace),
-		Method: a.request.Method, Path: a.request.Path, Headers: a.request.Headers,
+		Method: a.request.Method, Path: []byte(a.request.Path), Headers: a.request.Headers,
 		Manifest: a.candidate.Manifest, Cost: int64(a.request.Cost), BodyLength: int64(len(a.request.Body)),
 		Credit: int64(a.relay.settings.StreamWindow), ConfigIndex: uint64(a.relay.holder.Index()),
 		TimeoutMilliseconds: max(1, remaining.Milliseconds()),
