A promise that no upstream proved is not passed on

Cause: an upstream in trouble runs a request and fails it with 503 without the header that proves that it did not run. The gateway rightly did not count that as a refusal, and then passed the answer on as it was: in its own mouth the status is a promise. 429 and 408 went the same way, on streams too.

Change: the platform's boundary says of an answer whether its status is such a promise (dispatch.Answer.ClaimsNotRun); dispatch does not pass it on where the request must not run twice, but answers 502, which promises nothing, without the upstream's seal. Requests that may be repeated still get what the upstream says: nobody runs one twice by mistake who may run it twice.

Looked at besides: 421 is a refusal by itself on the platform; the own interface names the outcome in Figbank-Outcome, which says Ran beside an engine's 503.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -89,6 +89,9 @@
 		NamesLimit bool
 		// Events is set when the body is an event stream.
 		Events bool
+		// ClaimsNotRun is set if callers take the status as a promise that the request has not run, of which the
+		// upstream has given no proof.
+		ClaimsNotRun bool
 		// VersionField is the name of the field in which an event states the version of the weights,
 		// empty if there is none. Version is the version that the head states, 0 for none.
 		VersionField string
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -34,11 +34,16 @@
 // forward sends one answer to the caller. If the response has already started, only an event
 // stream can continue it; any other answer causes an error. An answer with a status of 500
 // or more to a repeatable request is not sent if it has at most maxBufferedAnswer bytes, and there is
-// memory for them: forward stores it in failedAnswer and returns FailedAnswerError.
+// memory for them: forward stores it in failedAnswer and returns FailedAnswerError. It returns that error too for an
+// answer that must not be passed on.
 func (r *run) forward(answer *Answer) error {
 	if answer.Events && answer.Status == http.StatusOK {
 		return r.forwardEvents(answer)
 	}
+	if !mayPassOn(answer, r.request.Route.Repeatable()) {
+		r.recordFirstByte()
+		return figbank.FailedAnswerError{Status: answer.Status}
+	}
 	held := r.settings.Memory.Reserve(memory.Answer, answerShare)
 	if answer.Length > maxBufferedAnswer {
 		return r.forwardUnbuffered(answer, nil, held)
@@ -64,6 +69,12 @@
 	return buffered.writeTo(r.response)
 }
 
+// mayPassOn reports whether a caller may be sent an answer as it is. A caller that is promised that its request has not run
+// sends it again, so one that must not run twice needs proof. A request that may be repeated is told what the upstream says.
+func mayPassOn(answer *Answer, repeatable bool) bool {
+	return repeatable || !answer.ClaimsNotRun
+}
+
 // forwardEvents forwards each event as soon as it has arrived completely. Events of a route of streams
 // have numbers; those of other routes may have none.
 func (r *run) forwardEvents(answer *Answer) error {
