Soak: another writer's announcements are odd in any way, while replicas restart

Change: beside all scenarios in which rules change, and in the random plans that have it, a writer draws ids, names, types and bytes at random by the seed. The scenario odd-writers stops and starts the replicas in turn, 8 s apart, while two operators publish at the same moment; each gateway is asked ten times a second.

--- a/soak/logfaults.go
+++ b/soak/logfaults.go
@@ -85,17 +85,20 @@
 	return leader
 }
 
-// garbleAnnouncements sends announcements that cannot be read to all control addresses in turn.
+// garbleAnnouncements sends announcements that cannot be read to all control addresses in turn, and odd ones, some of which
+// can be. What any of them says concerns nobody else.
 func (i *injector) garbleAnnouncements(ctx context.Context, fault Fault) {
 	i.record.mark("upstream", fault.Duration, "%s", fault.Kind)
 	client := &http.Client{Timeout: askTimeout}
 	defer client.CloseIdleConnections()
+	writer := newOddWriter(fault.RandomBits)
 	for k, end := 0, wall.Now().Add(fault.Duration); wall.Now().Before(end) && ctx.Err() == nil; k++ {
 		order := standin.Order{Method: http.MethodPut, Path: "/v1/instances/garbage", Body: garbage[k%len(garbage)]}
 		status, _, err := order.Send(ctx, client, i.cluster.control[k%len(i.cluster.control)])
 		if err == nil && status == http.StatusOK {
 			i.record.addViolation("Config", "an announcement that cannot be read was accepted: %v", order.Body)
 		}
+		_, _, _ = writer.next().Send(ctx, client, i.cluster.control[k%len(i.cluster.control)])
 		wall.sleep(garbleInterval)
 	}
 }
--- a/soak/scenario_test.go
+++ b/soak/scenario_test.go
@@ -81,6 +81,12 @@
 	testScenario(t, "strangers", 16*time.Second)
 }
 
+// Another writer's announcements are odd in any way, in their ids too, while replicas restart in turn and two operators publish
+// at once. After one of them no replica fed anybody any more: gateways went by old rules until all replicas had restarted.
+func TestOddWritersConcernNobodyElse(t *testing.T) {
+	testScenario(t, "odd-writers", 14*time.Second)
+}
+
 func TestFindScenario(t *testing.T) {
 	if got, err := FindScenario(""); got != nil || err != nil {
 		t.Errorf("FindScenario of no name = %v, %v, want nil, nil", got, err)
--- a/soak/series.go
+++ b/soak/series.go
@@ -20,7 +20,7 @@
 	cycleGap = 16 * time.Second
 )
 
-// changes publishes again and again, while announcements come that cannot be read.
+// changes publishes again and again, while odd announcements come, and some that cannot be read.
 func changes(length time.Duration) []Fault {
 	plan := []Fault{{Duration: length, Kind: GarbleAnnouncements}}
 	for at := time.Duration(0); at < length; at += publishGap {
@@ -76,6 +76,19 @@
 	return sorted(plan)
 }
 
+// oddWriters stops each replica in turn as planned and starts it again, while two operators publish at the same moment and
+// odd announcements come.
+func oddWriters(length time.Duration) []Fault {
+	plan := changes(length)
+	for at := publishGap / 2; at < length; at += 3 * publishGap {
+		plan = append(plan, Fault{At: at, Kind: Publish}, Fault{At: at, Kind: Publish})
+	}
+	for k, at := 0, seriesGap/2; at < length; k, at = k+1, at+seriesGap {
+		plan = append(plan, Fault{At: at, Duration: fullTime, Kind: StopProcess, Target: k % scenarioReplicas})
+	}
+	return sorted(plan)
+}
+
 func sorted(plan []Fault) []Fault {
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
