Answers that are decided before the whole body is there are written

Cause: the gateway notices in time and decides on 408, and first removes the read deadline from the connection. net/http reads the rest of a body, up to 256 KiB, before it writes an answer, and waits for it without a bound. The same held for every answer that needs no body: 404, 401, 413 and 503 on the platform, refusals of the own interface, unknown pages of the other servers.

Other answers without the whole body wait for its rest for 250 ms at most (httpserver.LimitUnreadBody); the connection then ends with the answer.

--- a/app/common.go
+++ b/app/common.go
@@ -101,6 +101,6 @@
 
 func newHTTPServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnContext: httpserver.WithConn,
+		Handler: httpserver.LimitUnreadBodies(clock.System{}, handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnContext: httpserver.WithConn,
 	}
 }
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -6,6 +6,7 @@
 
 	"figbank"
 	"figbank/configuration"
+	"figbank/httpserver"
 
 	"github.com/gin-gonic/gin"
 )
@@ -71,23 +72,29 @@
 	})
 }
 
+// refuseUnread refuses a request whose body may not have been read.
+func (g *Gateway) refuseUnread(c *gin.Context, err error) {
+	httpserver.LimitUnreadBody(g.common.Clock, c.Writer, c.Request)
+	writeProblem(c.Writer, newRequestID(), err)
+}
+
 // serve handles one request from authentication to response. The function
 // setTarget fills in the service, path, cost and affinity of the request.
 func (g *Gateway) serve(c *gin.Context, kind string, setTarget func(*request) error) {
 	g.running.Add(1)
 	defer g.running.Done()
 	if g.stage.Load() == refusing {
-		writeProblem(c.Writer, newRequestID(), figbank.NotRunError{Reason: figbank.ReasonShuttingDown})
+		g.refuseUnread(c, figbank.NotRunError{Reason: figbank.ReasonShuttingDown})
 		return
 	}
 	workspace, err := g.authenticate(c.Request)
 	if err != nil {
-		writeProblem(c.Writer, newRequestID(), err)
+		g.refuseUnread(c, err)
 		return
 	}
 	req, err := g.readRequest(c.Writer, c.Request, workspace)
 	if err != nil {
-		writeProblem(c.Writer, newRequestID(), err)
+		g.refuseUnread(c, err)
 		return
 	}
 	defer req.reservation.Release()
--- a/gateway/slowbody_test.go
+++ b/gateway/slowbody_test.go
@@ -90,3 +90,40 @@
 		t.Errorf("answer to a slow body = %d %s, want 408 %s", response.StatusCode, outcome, outcomeNotRun)
 	}
 }
+
+// A request is refused for another reason than its body, of which a part never comes. The refusal waited for it for ever.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	h := newHarness(t, nil)
+	h.declare(plain(true))
+	scenarios := []struct {
+		name, header string
+		want         int
+	}{
+		{name: "unknown key", header: "Authorization: Bearer other", want: http.StatusUnauthorized},
+		{name: "idempotency key too long", header: "Authorization: Bearer " + callerKey + "\r\nIdempotency-Key: " + strings.Repeat("k", maxKeyLength+1), want: http.StatusBadRequest},
+		{name: "body too long", header: "Authorization: Bearer " + callerKey + "\r\nX-Long: yes", want: http.StatusRequestEntityTooLarge},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			length := 100
+			if s.want == http.StatusRequestEntityTooLarge {
+				length = 2 << 20
+			}
+			conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			_, _ = fmt.Fprintf(conn, "POST /services/s/x HTTP/1.1\r\nHost: h\r\n%s\r\nContent-Length: %d\r\n\r\nx", s.header, length)
+			_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("no answer within 2 s: %v", err)
+			}
+			defer response.Body.Close()
+			if response.StatusCode != s.want {
+				t.Errorf("status = %d, want %d", response.StatusCode, s.want)
+			}
+		})
+	}
+}
