A clock that went back between two starts hides no incarnation

Cause: incarnations of an id were ordered by their births, which are times by the clock of their host. It was 2.4 s ahead at the first start and right at the second: all reports of the second incarnation were acknowledged and ignored, its leave too.

Change: a birth at or below the known one's is decided by evidence. Its record gets a BirthOrder, a logical clock that all processes compare in place of the birth. Until then a report that it leaves is answered 503: nothing would come of it.

--- a/control/control.go
+++ b/control/control.go
@@ -61,20 +61,24 @@
 
 // Announce merges an upstream's announcement into the view. If the upstream says that it leaves, Announce
 // returns only once that is in the log. It returns an InvalidError if the announcement can't describe an
-// upstream.
+// upstream, and a NotAcceptedError if it says that an incarnation leaves that is not the known one.
 func (c *Control) Announce(ctx context.Context, instance *schema.Instance) error {
 	if err := registry.CheckInstance(c.common.Clock.Now(), instance); err != nil {
 		return err
 	}
-	if c.view.Report(instance) {
-		known := c.view.Instance(figbank.UpstreamID(instance.GetId()))
+	changed := c.view.Report(instance)
+	known := c.view.Instance(figbank.UpstreamID(instance.GetId()))
+	if changed {
 		c.common.Log.Info("upstream changed", zap.Uint64("renewals", known.GetRenewals()), zap.String("upstream", instance.GetId()), zap.String("service", instance.GetService()),
 			zap.String("address", instance.GetAddress()), zap.Stringer("state", instance.GetState()),
 			zap.Int64("born", instance.GetBornUnixMilli()), zap.Uint64("sequence", instance.GetSequence()),
 			zap.Int64("version", instance.GetLoaded().GetVersion()), zap.Int64("layers", instance.GetLoaded().GetLayers()),
 			zap.Int64("coldMilliseconds", instance.GetColdMilliseconds()))
 	}
-	return c.recordLeave(ctx, c.view.Instance(figbank.UpstreamID(instance.GetId())))
+	if registry.IsLeave(instance.GetState()) && known.GetBornUnixMilli() != instance.GetBornUnixMilli() {
+		return figbank.NotAcceptedError{Detail: "another incarnation of the upstream is known, which may be a later one"}
+	}
+	return c.recordLeave(ctx, known)
 }
 
 // Leave records in the view that the current incarnation of an upstream leaves for good, and returns once
--- a/control/leaves_test.go
+++ b/control/leaves_test.go
@@ -113,3 +113,18 @@
 		t.Errorf("Leave() = %v, want NotAcceptedError", err)
 	}
 }
+
+// The clock of an upstream's host went back between two starts. Until its reports have shown that the second incarnation
+// runs, that one's leave has no effect, and must not be acknowledged.
+func TestLeaveOfAnUnknownIncarnationIsNotAcknowledged(t *testing.T) {
+	c := New(testCommon(), fake.NewProposer(clock.System{}), newView())
+	if err := c.Announce(context.Background(), upstream(5000, 1, ready)); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Announce(context.Background(), upstream(2600, 1, leaving)); !errors.As(err, new(figbank.NotAcceptedError)) {
+		t.Errorf("Announce() = %v, want a NotAcceptedError", err)
+	}
+	if got := c.view.Instance("i"); got.GetBornUnixMilli() != 5000 || got.GetState() != ready {
+		t.Errorf("known afterwards = %v, want the first incarnation, ready", got)
+	}
+}
--- a/registry/check.go
+++ b/registry/check.go
@@ -35,7 +35,7 @@
 		return invalidInstance("a name is missing, too long or no text")
 	case !validAddress(record.GetAddress()):
 		return invalidInstance("the address has no host or no valid port")
-	case !validBirth(now, record.GetBornUnixMilli()):
+	case !validBirth(now, record.GetBornUnixMilli()), !validBirth(now, record.GetBirthOrder()):
 		return invalidInstance("the birth is out of range")
 	case record.GetSequence() > maxSequence:
 		return invalidInstance("the sequence is out of range")
--- a/registry/order.go
+++ b/registry/order.go
@@ -29,13 +29,18 @@
 		!sameWeights(a.GetLoaded(), b.GetLoaded())
 }
 
+// birthOrder returns the place of a record's incarnation among those of its id.
+func birthOrder(record *schema.Instance) int64 {
+	return max(record.GetBornUnixMilli(), record.GetBirthOrder())
+}
+
 // Supersedes reports whether a replaces b, a record of the same id. Records are ordered by
 // incarnation, then by renewals, then by the rank of their state (gone over leaving over the others), then by
 // sequence. At equal sequence, a silent record replaces a ready one. The next announcement, with
 // a higher sequence, replaces the silent record.
 func Supersedes(a, b *schema.Instance) bool {
-	if a.GetBornUnixMilli() != b.GetBornUnixMilli() {
-		return a.GetBornUnixMilli() > b.GetBornUnixMilli()
+	if birthOrder(a) != birthOrder(b) {
+		return birthOrder(a) > birthOrder(b)
 	}
 	if a.GetRenewals() != b.GetRenewals() {
 		return a.GetRenewals() > b.GetRenewals()
@@ -63,13 +68,15 @@
 }
 
 // engineSupersedes reports whether a replaces b, a report on the engine at the same
-// address. Reports are ordered by the engine's incarnation, then by the start of the
-// agent, then by sequence.
+// address. Those of one agent are ordered by their sequence: the clock may go back between two
+// starts of the engine. Others are ordered by the engine's incarnation, then by the start of the agent.
 func engineSupersedes(a, b *schema.EngineState) bool {
+	if a.GetAgentStartUnixNano() == b.GetAgentStartUnixNano() {
+		return a.GetSequence() > b.GetSequence()
+	}
 	return cmp.Or(
 		cmp.Compare(a.GetBornUnixMilli(), b.GetBornUnixMilli()),
 		cmp.Compare(a.GetAgentStartUnixNano(), b.GetAgentStartUnixNano()),
-		cmp.Compare(a.GetSequence(), b.GetSequence()),
 	) > 0
 }
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -38,6 +38,8 @@
 		announcedAt time.Time
 		// later are the reports that came after the incarnation was recorded as gone.
 		later laterReports
+		// other are reports of an incarnation that was born before this one by the clock.
+		other otherReports
 	}
 
 	// recordKey names a record: an instance or an engine. The other field is empty.
@@ -91,15 +93,19 @@
 	return affectsRouting
 }
 
-// Report merges an upstream's own announcement. Announcements of an incarnation that is recorded as gone are
-// ignored, until there are so many that it must serve on.
+// Report merges an upstream's own announcement. Announcements of an incarnation that is recorded as gone, or was born before
+// the known one by the clock, are ignored, until there are so many that it must serve.
 func (r *Registry) Report(now time.Time, report *schema.Instance) bool {
 	known, found := r.instances[figbank.UpstreamID(report.GetId())]
-	if !found || known.record.GetBornUnixMilli() != report.GetBornUnixMilli() || CheckInstance(now, report) != nil {
+	if !found || CheckInstance(now, report) != nil {
 		return r.Announce(now, report)
 	}
+	if known.record.GetBornUnixMilli() != report.GetBornUnixMilli() {
+		return r.reportOther(now, known, report)
+	}
+	known.other = otherReports{}
 	report = proto.CloneOf(report)
-	report.Renewals = known.record.GetRenewals()
+	report.Renewals, report.BirthOrder = known.record.GetRenewals(), known.record.GetBirthOrder()
 	if known.record.GetState() == schema.InstanceState_INSTANCE_STATE_GONE && Serving(report.GetState()) &&
 		known.later.disprove(now, known.announcedAt, known.record, report) {
 		report.Renewals++
@@ -108,6 +114,19 @@
 	return r.Announce(now, report)
 }
 
+// reportOther merges a report of another incarnation than the known one of the upstream.
+func (r *Registry) reportOther(now time.Time, known *instanceEntry, report *schema.Instance) bool {
+	if report.GetBornUnixMilli() <= birthOrder(known.record) {
+		if !known.other.prove(now, known.announcedAt, report) {
+			return false
+		}
+		report = proto.CloneOf(report)
+		report.BirthOrder = birthOrder(known.record) + 1
+	}
+	known.other, known.later = otherReports{}, laterReports{}
+	return r.Announce(now, report)
+}
+
 // Leave records that an incarnation of an upstream leaves for good. It returns false if that is not the
 // newest incarnation or has already left.
 func (r *Registry) Leave(now time.Time, id figbank.UpstreamID, bornUnixMilli int64) bool {
@@ -197,13 +216,13 @@
 	return all
 }
 
-// Upstreams returns the newest incarnation at each address, sorted by id. Each includes its agent's
-// latest report on the engine.
+// Upstreams returns the newest incarnation at each address, sorted by id: the one that serves if only one does, since the
+// clock may have gone back between two. Each includes its agent's latest report on the engine.
 func (r *Registry) Upstreams() []Upstream {
 	owners := map[string]*schema.Instance{}
 	for _, known := range r.instances {
 		owner, found := owners[known.record.GetAddress()]
-		if !found || known.record.GetBornUnixMilli() > owner.GetBornUnixMilli() {
+		if !found || ownsAddress(known.record, owner) {
 			owners[known.record.GetAddress()] = known.record
 		}
 	}
@@ -215,6 +234,14 @@
 	return upstreams
 }
 
+// ownsAddress reports whether a, rather than b, is the incarnation at the address of both.
+func ownsAddress(a, b *schema.Instance) bool {
+	if Serving(a.GetState()) != Serving(b.GetState()) {
+		return Serving(a.GetState())
+	}
+	return birthOrder(a) > birthOrder(b)
+}
+
 // Upstream is an instance with the newest known state of its engine.
 type Upstream struct {
 	Record    *schema.Instance
@@ -249,5 +276,6 @@
 		FailureDomain: record.GetFailureDomain(), BornUnixMilli: record.GetBornUnixMilli(),
 		Sequence: record.GetSequence(), State: state, Slots: record.GetSlots(),
 		ColdMilliseconds: record.GetColdMilliseconds(), Loaded: record.GetLoaded(), Renewals: record.GetRenewals(),
+		BirthOrder: record.GetBirthOrder(),
 	}
 }
