Kept connections do not stay under limits that were replaced

Cause: a connection that was accepted under other limits is to be closed with notice, in the head of its next answer. A connection that is idle got none at all.

When limits are replaced, idle connections end; a look every 500 ms notices it while nobody connects.

TestChangedLimitsApplyWithoutRestart asks that a server of older limits stays while it has connections. Its only one was idle, which ends now; the test keeps it busy instead and asks the same.

--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -1,7 +1,7 @@
 // Package httpserver serves HTTP/1.1 to callers under limits that may change while it runs.
 // net/http fixes its limits when a server starts. Therefore each set of limits gets a server
 // of its own, and connections that were accepted under other limits are closed after their
-// next answer.
+// next answer, or at once if they are idle.
 package httpserver
 
 import (
@@ -17,6 +17,9 @@
 	"figbank/listener"
 )
 
+// limitsInterval is the time between two looks at the limits in force.
+const limitsInterval = 500 * time.Millisecond
+
 type (
 	// Limits bound what a caller may send and how long it may take. 0 means no limit.
 	Limits struct {
@@ -63,6 +66,9 @@
 // Serve accepts connections until Shutdown closes the listener. It goes on after other failures,
 // such as having no descriptor left.
 func (s *Server) Serve(accepting net.Listener) {
+	served := make(chan struct{})
+	defer close(served)
+	go s.watchLimits(served)
 	lasting := listener.NewLasting(s.common, accepting)
 	s.mu.Lock()
 	s.listener = lasting
@@ -76,6 +82,20 @@
 	}
 }
 
+// watchLimits notices other limits, also while nobody connects, until done is closed.
+func (s *Server) watchLimits(done <-chan struct{}) {
+	ticks, stop := s.common.Clock.Tick(limitsInterval)
+	defer stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticks:
+			s.currentServer()
+		}
+	}
+}
+
 // hand passes a connection to the server for the limits in force.
 func (s *Server) hand(accepted net.Conn) {
 	server := s.currentServer()
@@ -124,6 +144,9 @@
 	case s.newest != nil && s.newest.limits == limits:
 		return s.newest
 	case s.newest != nil:
+		// Connections that are idle end, as their next request might be one that only the new limits allow. The
+		// others end with their next answer.
+		s.newest.server.SetKeepAlivesEnabled(false)
 		s.older = append(s.older, s.newest)
 	}
 	s.closeUnused()
--- a/httpserver/server_test.go
+++ b/httpserver/server_test.go
@@ -132,6 +132,9 @@
 	if got := status(reader); got != http.StatusOK {
 		t.Errorf("status of a head within the new limit = %d, want 200", got)
 	}
+	// A connection that is not idle goes on.
+	_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na")
+	time.Sleep(50 * time.Millisecond)
 	inForce.Store(&Limits{HeadBytes: figbank.Bytes(16 << 10)})
 	_, _ = dial(t, address)
 	time.Sleep(50 * time.Millisecond)
@@ -142,6 +145,29 @@
 	}
 }
 
+// A caller keeps a connection from before the limits grew, idle or not. Its first head that only the new limits allow was refused.
+func TestKeptConnectionsDoNotStayUnderOldLimits(t *testing.T) {
+	for _, busy := range []bool{false, true} {
+		address, inForce, _ := startServer(t, Limits{HeadBytes: 8 << 10, IdleTime: time.Minute})
+		kept, reader := dial(t, address)
+		_, _ = io.WriteString(kept, request)
+		if got := status(reader); got != http.StatusOK {
+			t.Fatalf("status = %d, want 200", got)
+		}
+		inForce.Store(&Limits{HeadBytes: 32 << 10, IdleTime: time.Minute})
+		if busy {
+			_, _ = io.WriteString(kept, request)
+			if got := status(reader); got != http.StatusOK {
+				t.Errorf("status of the first answer after the change = %d, want 200", got)
+			}
+		}
+		_ = kept.SetReadDeadline(time.Now().Add(2 * limitsInterval))
+		if _, err := reader.ReadByte(); err != io.EOF {
+			t.Errorf("busy %t: the connection goes on (%v), want it to end within %v", busy, err, 2*limitsInterval)
+		}
+	}
+}
+
 // failingListener fails to accept for the first few times, as it does while the process has no
 // descriptors left.
 type failingListener struct {
