review: case 13, another writer's entries that hide workers

Cause: the registry keeps one record for each address, the one born last, before it is known whether its service is named; the worker at that address is left out. Change: a script with entries for the workers' addresses, of a service that no manifest names. The stand-ins of case 14 come with it.

--- a/review/_cases3/main.go
+++ b/review/_cases3/main.go
@@ -10,6 +10,8 @@
 var cases = map[string]func(*cluster, bool) (bool, error){
 	"11": runReleases,
 	"12": runSlowReaders,
+	"13": runOddWriter,
+	"14": runBirthless,
 }
 
 // main runs a case: figbank-case-3 NUMBER RECORD. It exits with 1 if the rule was broken, 0 if it held, 2 if the
