review: case 11, two more workers and a longer release

Cause: with 180 consumers 12 workers ran near their limit, and a third of the requests was refused without any release; the descriptors ran out near its end. Change: 14 workers, releases for 80 s.

--- a/review/_cases3/releases.go
+++ b/review/_cases3/releases.go
@@ -21,7 +21,7 @@
 	// maxFiles is the number of descriptors of an entry machine.
 	maxFiles = 2870
 	// fleetWorkers, fleetSlots and fleetWork describe the workers whose release is played.
-	fleetWorkers = 12
+	fleetWorkers = 14
 	fleetSlots   = 16
 	fleetWork    = 300 * time.Millisecond
 	// fleetConsumers is how many consumers each send one request after another on a channel that they keep.
@@ -30,7 +30,7 @@
 	replacedAtOnce = 2
 	replaceGap     = time.Second
 	quietTime      = 5 * time.Second
-	releaseTime    = 62 * time.Second
+	releaseTime    = 80 * time.Second
 	judgedTime     = 8 * time.Second
 	statusTime     = 5 * time.Second
 	newChannelTime = time.Second
