answers: a reset that a write learns of is no end of an answer

What callers saw: an upstream answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The part came as a complete answer, event streams too. Cause: the kernel reports the failure of a connection once, to the first read or write after it. If the write of the upload learned of it, the read found an ordinary end, which completes an answer without a length. net/http has the same fault. Change: answers.Conn keeps the failure that a read or a write has learned of. A read that finds the end ends the write in progress, waits for its result, and returns the failure if there is one. EPIPE is none: the other side had closed before, so that an answer without a length that ends with a plain close stays whole.

--- a/engine/client.go
+++ b/engine/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"figbank"
+	"figbank/answers"
 	"figbank/schema"
 
 	"google.golang.org/protobuf/encoding/protojson"
@@ -90,18 +91,20 @@
 
 // newClient returns a client of the back end at the URL base.
 func newClient(base string) *client {
-	keepAlive := &http.Transport{
-		DialContext: dial, MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
-	}
-	noKeepAlive := keepAlive.Clone()
-	noKeepAlive.DisableKeepAlives = true
 	return &client{
 		base:        strings.TrimSuffix(base, "/"),
-		keepAlive:   &http.Client{Transport: keepAlive, CheckRedirect: returnRedirect},
-		noKeepAlive: &http.Client{Transport: noKeepAlive, CheckRedirect: returnRedirect},
+		keepAlive:   &http.Client{Transport: newTransport(true), CheckRedirect: returnRedirect},
+		noKeepAlive: &http.Client{Transport: newTransport(false), CheckRedirect: returnRedirect},
 	}
 }
 
+func newTransport(keepAlive bool) http.RoundTripper {
+	return answers.NewTransport(&http.Transport{
+		DialContext: dial, MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
+		DisableKeepAlives: !keepAlive,
+	})
+}
+
 // Call sends one request and returns when the head of the answer has arrived. A NotRunError proves
 // that the request was not run. Call returns a ProtocolError if the answer belongs to another
 // request.
--- a/operators/client.go
+++ b/operators/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"figbank"
+	"figbank/answers"
 	"figbank/schema"
 
 	"google.golang.org/protobuf/encoding/protojson"
@@ -47,7 +48,7 @@
 
 // NewClient returns a client of the API at address that authenticates with key.
 func NewClient(address, key string) *Client {
-	transport := &http.Transport{Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: maxHeadSize, DisableCompression: true}
+	transport := answers.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: maxHeadSize, DisableCompression: true})
 	return &Client{address: address, key: key, http: &http.Client{Transport: transport, Timeout: requestTimeout}}
 }
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"figbank"
+	"figbank/answers"
 	"figbank/memory"
 
 	"golang.org/x/sys/unix"
@@ -23,6 +24,8 @@
 	pool    *Pool
 	address figbank.Address
 	netConn net.Conn
+	// watched reads from and writes to netConn.
+	watched *answers.Conn
 	heads   *headLimiter
 	reader  *bufio.Reader
 	// keepAlive is how long the upstream keeps an idle connection open.
@@ -34,9 +37,10 @@
 }
 
 func newConn(pool *Pool, address figbank.Address, netConn net.Conn) *conn {
-	heads := &headLimiter{source: netConn}
+	watched := answers.WatchFailures(netConn)
+	heads := &headLimiter{source: watched}
 	return &conn{
-		pool: pool, address: address, netConn: netConn, heads: heads, reader: bufio.NewReaderSize(heads, readBufferBytes),
+		pool: pool, address: address, netConn: netConn, watched: watched, heads: heads, reader: bufio.NewReaderSize(heads, readBufferBytes),
 		keepAlive: defaultIdle,
 	}
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -111,15 +111,15 @@
 func (c *conn) send(call *Call, written chan<- error) error {
 	head := call.head()
 	if len(call.Body) <= maxInlineBody {
-		_, err := c.netConn.Write(append(head, call.Body...))
+		_, err := c.watched.Write(append(head, call.Body...))
 		written <- err
 		return err
 	}
-	if _, err := c.netConn.Write(head); err != nil {
+	if _, err := c.watched.Write(head); err != nil {
 		return err
 	}
 	go func() {
-		_, err := c.netConn.Write(call.Body)
+		_, err := c.watched.Write(call.Body)
 		written <- err
 	}()
 	return nil
