answers: lines of heads without a name make no answer

What callers saw (on other systems of this kind): an answer in whose head the name of a field held a blank came as an answer. Where the name was nearly that of a framing field, the bytes of the framing came as the body. Cause: net/http reads such a name as it is, drops the field when it writes the answer, and does not frame the body by it. A line that begins with a blank it joins to the value before. Change: answers.Head checks the lines of heads as they arrive, answers.Conn applies it to all that is read after a request: upstream/, and the clients over net/http. The outcome is unknown, the connection is not used again, the log quotes the line. The upstream has not crashed: the attempt counts as garbage, since the request would be refused for crashing upstreams after three of them. A value that goes on in the next line is refused with it (RFC 9112, section 5.2 allows that).

--- a/answers/conn.go
+++ b/answers/conn.go
@@ -1,5 +1,5 @@
 // Package answers holds what clients of HTTP check of an answer in addition to net/http: that it has not ended with a
-// failed connection.
+// failed connection, and that the lines of its head have names.
 package answers
 
 import (
@@ -16,8 +16,9 @@
 var past = time.Unix(1, 0)
 
 type (
-	// Conn is a connection on which a failure is never taken for the end of an answer. The kernel reports a failure once, to a
-	// read or to a write, and io.EOF to the reads that follow. An answer without a length ends with io.EOF.
+	// Conn is a connection from which a client reads answers. A failure of the connection is never taken for the end of an
+	// answer: the kernel reports it once, to a read or to a write, and io.EOF to the reads that follow. An answer without a
+	// length ends with io.EOF. The head of an answer is read only as long as its lines have names.
 	Conn struct {
 		net.Conn
 
@@ -25,6 +26,11 @@
 		writing sync.Mutex
 		// failure is the first failure of the connection that a read or a write has learned of.
 		failure atomic.Pointer[FailedError]
+		// expected is set while a request waits for its answer. head checks the head that arrives then.
+		expected atomic.Bool
+		head     Head
+		// badLine is the line because of which no further bytes are read.
+		badLine atomic.Pointer[FieldNameError]
 	}
 
 	// FailedError reports that a connection failed, for example by a reset, before the answer on it was complete.
@@ -41,9 +47,21 @@
 // Unwrap returns the error of the read or write that has learned of the failure.
 func (e FailedError) Unwrap() error { return e.Cause }
 
-// WatchFailures returns a Conn that reads from and writes to conn.
-func WatchFailures(conn net.Conn) *Conn {
-	return &Conn{Conn: conn}
+// NewConn returns a Conn that reads from and writes to conn.
+func NewConn(conn net.Conn) *Conn {
+	return &Conn{Conn: conn, head: Head{position: afterHead}}
+}
+
+// ExpectHead makes the bytes that are read next the head of an answer.
+func (c *Conn) ExpectHead() { c.expected.Store(true) }
+
+// CheckHead returns a FieldNameError if the head that was expected last has a line without a name. Parsers of heads may have
+// replaced the error that Read has returned.
+func (c *Conn) CheckHead() error {
+	if bad := c.badLine.Load(); bad != nil {
+		return *bad
+	}
+	return nil
 }
 
 // Write writes to the connection and keeps the failure that it learns of.
@@ -55,10 +73,14 @@
 	return n, err
 }
 
-// Read reads from the connection. It returns io.EOF only if the other side has closed the connection, and a FailedError if a
-// read or a write has learned of a failure. After io.EOF nothing can be written: no answer to it could come.
+// Read reads from the connection. It returns io.EOF only if the other side has closed the connection, a FailedError if a
+// read or a write has learned of a failure, and a FieldNameError for a line of a head that has no name. After io.EOF nothing can
+// be written: no answer to it could come.
 func (c *Conn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
+	if bad := c.check(buffer[:n]); bad != nil {
+		return 0, bad
+	}
 	if err == nil {
 		return n, nil
 	}
@@ -73,6 +95,18 @@
 	return n, err
 }
 
+// check checks the bytes of a head.
+func (c *Conn) check(content []byte) error {
+	if len(content) > 0 && c.expected.Swap(false) {
+		c.head = Head{}
+	}
+	var bad FieldNameError
+	if errors.As(c.head.Add(content), &bad) {
+		c.badLine.CompareAndSwap(nil, &bad)
+	}
+	return c.CheckHead()
+}
+
 // endWrite ends the write in progress, if there is one, and waits until it has recorded the failure that it has learned of.
 func (c *Conn) endWrite() {
 	_ = c.SetWriteDeadline(past)
--- a/answers/conn_test.go
+++ b/answers/conn_test.go
@@ -72,7 +72,7 @@
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			for range plays {
-				conn := WatchFailures(endEarly(t, s.end))
+				conn := NewConn(endEarly(t, s.end))
 				written := make(chan error, 1)
 				go func() {
 					_, err := conn.Write(make([]byte, upload))
@@ -123,7 +123,7 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
-			conn := WatchFailures(scriptedConn{readErr: s.readEr, writeErr: s.writeErr})
+			conn := NewConn(scriptedConn{readErr: s.readEr, writeErr: s.writeErr})
 			_, _ = conn.Write([]byte("x"))
 			if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, s.want) {
 				t.Errorf("Read() = %v, want %v", err, s.want)
@@ -135,7 +135,7 @@
 // A read that ends at a deadline must not wait for a write that is blocked.
 func TestReadDeadlineDoesNotWaitForAWrite(t *testing.T) {
 	done := make(chan struct{})
-	conn := WatchFailures(endEarly(t, func(*net.TCPConn) { <-done }))
+	conn := NewConn(endEarly(t, func(*net.TCPConn) { <-done }))
 	defer conn.Close()
 	defer close(done)
 	go func() { _, _ = conn.Write(bytes.Repeat([]byte("u"), upload)) }()
--- a/answers/transport.go
+++ b/answers/transport.go
@@ -4,10 +4,17 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
-// NewTransport returns a transport that sends requests by base, and reads their answers from connections of type Conn. base
-// must not have been used, and changes.
+// transport is the RoundTripper that NewTransport returns.
+type transport struct {
+	base *http.Transport
+}
+
+// NewTransport returns a transport that sends requests by base and reads their answers from connections of type Conn. It returns
+// a FieldNameError for an answer whose head has a line without a name, unless the connection is encrypted. base must not have
+// been used, and changes.
 func NewTransport(base *http.Transport) http.RoundTripper {
 	dial := base.DialContext
 	if dial == nil {
@@ -18,7 +25,23 @@
 		if err != nil {
 			return nil, err
 		}
-		return WatchFailures(conn), nil
+		return NewConn(conn), nil
+	}
+	return &transport{base: base}
+}
+
+// RoundTrip sends a request and returns when the head of the answer has arrived.
+func (t *transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var conn *Conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		var plain bool
+		if conn, plain = info.Conn.(*Conn); plain {
+			conn.ExpectHead()
+		}
+	}}
+	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil && conn != nil && conn.CheckHead() != nil {
+		return nil, conn.CheckHead()
 	}
-	return base
+	return response, err
 }
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"figbank"
+	"figbank/answers"
 	"figbank/crashers"
 	"figbank/eventstream"
 	"figbank/load"
@@ -118,7 +119,7 @@
 		// The upstream was not asked.
 	case provedNotRun && notRun.Reason == figbank.ReasonUpstreamBusy:
 		target.Load.RecordBusy(now)
-	case errors.As(err, new(eventstream.Error)):
+	case errors.As(err, new(eventstream.Error)), errors.As(err, new(answers.FieldNameError)):
 		// Who sends wrong bytes has not crashed.
 		target.Load.RecordGarbage(now)
 	case errors.As(err, new(memory.FullError)):
--- a/origin/client.go
+++ b/origin/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"figbank"
+	"figbank/answers"
 	"figbank/schema"
 	"figbank/weights"
 )
@@ -67,11 +68,11 @@
 
 // NewClient returns a client of the origin at the URL base.
 func NewClient(base string) *Client {
-	transport := &http.Transport{
+	transport := answers.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost:   maxIdlePerHost,
 		ResponseHeaderTimeout: headerTimeout, MaxResponseHeaderBytes: maxHeadBytes,
 		DisableCompression: true,
-	}
+	})
 	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport}}
 }
 
--- a/origin/client_test.go
+++ b/origin/client_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"figbank"
+	"figbank/answers"
 )
 
 // maxHeld is how many bytes one faulty head may make a host allocate.
@@ -114,3 +115,11 @@
 		}
 	}
 }
+
+// An origin's answer has a line whose name holds a blank.
+func TestNamelessFieldIsRefused(t *testing.T) {
+	client := NewClient(serveRaw(t, "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\nabc", " "))
+	if content, err := client.Manifest(context.Background(), "d"); !errors.As(err, new(answers.FieldNameError)) {
+		t.Errorf("Manifest() = %q, %v, want FieldNameError", content, err)
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -37,7 +37,7 @@
 }
 
 func newConn(pool *Pool, address figbank.Address, netConn net.Conn) *conn {
-	watched := answers.WatchFailures(netConn)
+	watched := answers.NewConn(netConn)
 	heads := &headLimiter{source: watched}
 	return &conn{
 		pool: pool, address: address, netConn: netConn, watched: watched, heads: heads, reader: bufio.NewReaderSize(heads, readBufferBytes),
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"figbank"
+	"figbank/answers"
 	"figbank/memory"
 )
 
@@ -126,15 +127,20 @@
 }
 
 // receiveHead reads the head of the final response and skips informational responses. All of
-// them together may have maxHeadBytes, and must fit in held. A status that is none is a ProtocolError.
+// them together may have maxHeadBytes, and must fit in held. A status that is none is a ProtocolError, a line that does not
+// begin with a name an answers.FieldNameError.
 func (c *conn) receiveHead(method string, held *memory.Reservation) (*http.Response, error) {
 	c.heads.begin(maxHeadBytes, held)
 	defer c.heads.end()
+	c.watched.ExpectHead()
 	for range maxHeads {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if c.heads.full {
 			return nil, memory.FullError{}
 		}
+		if bad := c.watched.CheckHead(); bad != nil {
+			return nil, bad
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -163,13 +169,18 @@
 	return head.Bytes()
 }
 
-// connectionLost returns the error for a connection that failed after the request
+// connectionLost returns the error for a connection that failed, or is given up, after the request
 // may have been sent.
 func connectionLost(code string, err error, call *Call) error {
 	var failure error = figbank.UnknownOutcomeError{Detail: "connection to the upstream was lost: " + err.Error()}
-	if errors.As(err, new(memory.FullError)) {
+	var badName answers.FieldNameError
+	switch {
+	case errors.As(err, new(memory.FullError)):
 		// The upstream is not to blame.
 		failure = errors.Join(failure, memory.FullError{})
+	case errors.As(err, &badName):
+		// The connection was not lost, so that nothing is suspected of having crashed the upstream.
+		failure = errors.Join(figbank.UnknownOutcomeError{Detail: "bytes of the upstream are no answer"}, badName)
 	}
 	return figbank.WrapError("upstream", code, failure, "address", call.Address)
 }
--- a/upstream/status_test.go
+++ b/upstream/status_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -122,9 +123,9 @@
 	}
 }
 
-// FuzzReceiveHead checks that whatever an upstream sends, an answer has a status that is one.
+// FuzzReceiveHead checks that whatever an upstream sends, an answer has a status that is one, and fields with names.
 func FuzzReceiveHead(f *testing.F) {
-	for _, seed := range []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 000 \r\n\r\n", "HTTP/1.1 100 C\r\n\r\nHTTP/1.1 204 N\r\nContent-Length: 3\r\n\r\nabc", "HTTP/1.1 999 X\r\n\r\n", "HTTP/1.0 +20\r\n\r\n"} {
+	for _, seed := range []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 000 \r\n\r\n", "HTTP/1.1 100 C\r\n\r\nHTTP/1.1 204 N\r\nContent-Length: 3\r\n\r\nabc", "HTTP/1.1 999 X\r\n\r\n", "HTTP/1.0 +20\r\n\r\n", "HTTP/1.1 200 OK\r\nA : b\r\n\r\n", "HTTP/1.1 103 E\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n"} {
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, content []byte) {
@@ -145,5 +146,10 @@
 		if !figbank.IsFinalStatus(response.StatusCode) {
 			t.Errorf("an answer with status %d is taken for one", response.StatusCode)
 		}
+		for name := range response.Header {
+			if strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r >= 0x7f || r == ':' }) {
+				t.Errorf("an answer with a field %q is taken for one", name)
+			}
+		}
 	})
 }
