--- a/answers/conn.go
+++ b/answers/conn.go
@@ -26,9 +26,9 @@
 		writing sync.Mutex
 		// failure is the first failure of the connection that a read or a write has learned of.
 		failure atomic.Pointer[FailedError]
-		// expected is set while a request waits for its answer. head checks the head that arrives then.
+		// expected is set while a request waits for the first bytes of its answer. lines checks the head that they begin.
 		expected atomic.Bool
-		head     Head
+		lines    headLines
 		// badLine is the line because of which no further bytes are read.
 		badLine atomic.Pointer[FieldNameError]
 	}
@@ -49,7 +49,7 @@
 
 // NewConn returns a Conn that reads from and writes to conn.
 func NewConn(conn net.Conn) *Conn {
-	return &Conn{Conn: conn, head: Head{position: afterHead}}
+	return &Conn{Conn: conn, lines: headLines{position: afterHead}}
 }
 
 // ExpectHead makes the bytes that are read next the head of an answer.
@@ -98,10 +98,10 @@
 // check checks the bytes of a head.
 func (c *Conn) check(content []byte) error {
 	if len(content) > 0 && c.expected.Swap(false) {
-		c.head = Head{}
+		c.lines = headLines{}
 	}
 	var bad FieldNameError
-	if errors.As(c.head.Add(content), &bad) {
+	if errors.As(c.lines.add(content), &bad) {
 		c.badLine.CompareAndSwap(nil, &bad)
 	}
 	return c.CheckHead()
--- a/answers/head.go
+++ b/answers/head.go
@@ -27,11 +27,11 @@
 )
 
 type (
-	// Head checks the names of the fields of a final head, and of informational ones before it, while their bytes arrive.
+	// headLines checks the names of the fields of a final head, and of informational ones before it, while their bytes arrive.
 	// net/http accepts names that hold a blank, so that a field that decides where the body ends is overlooked, and takes a line
 	// that begins with a blank for more of the value before, which RFC 9112, section 5.2 allows to refuse. The zero value
 	// is at the start of a head.
-	Head struct {
+	headLines struct {
 		position position
 		// final is set unless another head follows this one.
 		final bool
@@ -52,8 +52,8 @@
 	return "line of an answer's head has no valid field name: " + strconv.QuoteToASCII(e.Start)
 }
 
-// Add checks the next bytes, and ignores what follows the final head. It returns a FieldNameError for a line without a name.
-func (h *Head) Add(content []byte) error {
+// add checks the next bytes, and ignores what follows the final head. It returns a FieldNameError for a line without a name.
+func (h *headLines) add(content []byte) error {
 	for len(content) > 0 && h.position != afterHead {
 		if h.position == inStatus || h.position == inValue {
 			end := bytes.IndexByte(content, '\n')
@@ -72,7 +72,7 @@
 }
 
 // next takes a byte that belongs neither to the status nor to a value. It returns false if the byte cannot stand there.
-func (h *Head) next(c byte) bool {
+func (h *headLines) next(c byte) bool {
 	switch h.position {
 	case inProtocol, beforeStatus:
 		h.nextOfStatusLine(c)
@@ -99,7 +99,7 @@
 }
 
 // nextOfStatusLine takes a byte before the status, or the first one of it. net/http refuses lines without a status.
-func (h *Head) nextOfStatusLine(c byte) {
+func (h *headLines) nextOfStatusLine(c byte) {
 	switch {
 	case c == '\n':
 		h.position = atLineStart
@@ -111,12 +111,12 @@
 }
 
 // end is the end of a head.
-func (h *Head) end() {
+func (h *headLines) end() {
 	if h.final {
 		h.position = afterHead
 		return
 	}
-	*h = Head{name: h.name}
+	*h = headLines{name: h.name}
 }
 
 // isNameByte reports whether the name of a field may hold c (RFC 9110, section 5.6.2).
--- a/answers/head_test.go
+++ b/answers/head_test.go
@@ -7,7 +7,7 @@
 )
 
 // A line of a head whose name is none must be found wherever its bytes are split, and only in the head.
-func TestHead(t *testing.T) {
+func TestHeadLines(t *testing.T) {
 	const start = "HTTP/1.1 200 OK\r\n"
 	scenarios := []struct {
 		name, content string
@@ -44,14 +44,14 @@
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			for split := range len(s.content) {
-				head := &Head{}
-				err := head.Add([]byte(s.content[:split]))
+				head := &headLines{}
+				err := head.add([]byte(s.content[:split]))
 				if err == nil {
-					err = head.Add([]byte(s.content[split:]))
+					err = head.add([]byte(s.content[split:]))
 				}
 				var got FieldNameError
 				if errors.As(err, &got) != (s.want != "") || got.Start != s.want {
-					t.Errorf("split at %d: Add() = %v, want a line that begins with %q", split, err, s.want)
+					t.Errorf("split at %d: add() = %v, want a line that begins with %q", split, err, s.want)
 				}
 			}
 		})
