--- a/upstream/earlyanswer_test.go
+++ b/upstream/earlyanswer_test.go
@@ -17,26 +17,13 @@
 // startEarlyUpstream answers the first bytes of each upload, and ends the connection as end does.
 func startEarlyUpstream(t *testing.T, answer string, end func(*net.TCPConn)) figbank.Address {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				_, _ = conn.Read(make([]byte, 4<<10))
-				_, _ = io.WriteString(conn, answer)
-				time.Sleep(2 * time.Millisecond)
-				end(conn.(*net.TCPConn))
-			}()
-		}
-	}()
+	listener := serveConnections(t, func(conn *net.TCPConn) {
+		defer func() { _ = conn.Close() }()
+		_, _ = conn.Read(make([]byte, 4<<10))
+		_, _ = io.WriteString(conn, answer)
+		time.Sleep(2 * time.Millisecond)
+		end(conn)
+	})
 	return figbank.Address(listener.Addr().String())
 }
 
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -21,21 +21,8 @@
 // client closes. ended receives the number of bytes that were written.
 func endlessServer(t *testing.T, start, repeated string) (figbank.Address, <-chan int) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
 	ended := make(chan int, 8)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go writeWithoutEnd(conn, start, repeated, ended)
-		}
-	}()
+	listener := serveConnections(t, func(conn *net.TCPConn) { writeWithoutEnd(conn, start, repeated, ended) })
 	return figbank.Address(listener.Addr().String()), ended
 }
 
--- a/upstream/status_test.go
+++ b/upstream/status_test.go
@@ -25,35 +25,23 @@
 
 func startRawUpstream(t *testing.T, answer string) *rawUpstream {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	u := &rawUpstream{address: figbank.Address(listener.Addr().String())}
-	go func() {
+	u := &rawUpstream{}
+	listener := serveConnections(t, func(conn *net.TCPConn) {
+		u.connections.Add(1)
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
 		for {
-			conn, err := listener.Accept()
+			request, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			u.connections.Add(1)
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				for {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					if _, err := io.WriteString(conn, answer); err != nil {
-						return
-					}
-				}
-			}()
+			_, _ = io.Copy(io.Discard, request.Body)
+			if _, err := io.WriteString(conn, answer); err != nil {
+				return
+			}
 		}
-	}()
+	})
+	u.address = figbank.Address(listener.Addr().String())
 	return u
 }
 
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -17,22 +17,13 @@
 	"figbank/clock"
 )
 
-// server responds to each request on a connection with the next of the given texts. If the
-// text is empty, it closes the connection instead. It also closes the connection after
-// unframedResponse.
-type server struct {
-	listener net.Listener
-	conns    atomic.Int64
-	requests atomic.Int64
-}
-
-func newServer(t *testing.T, answers ...string) *server {
+// serveConnections serves each connection to the returned listener until the test ends.
+func serveConnections(t *testing.T, serve func(*net.TCPConn)) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &server{listener: listener}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -40,10 +31,28 @@
 			if err != nil {
 				return
 			}
-			s.conns.Add(1)
-			go s.serve(conn, answers)
+			go serve(conn.(*net.TCPConn))
 		}
 	}()
+	return listener
+}
+
+// server responds to each request on a connection with the next of the given texts. If the
+// text is empty, it closes the connection instead. It also closes the connection after
+// unframedResponse.
+type server struct {
+	listener net.Listener
+	conns    atomic.Int64
+	requests atomic.Int64
+}
+
+func newServer(t *testing.T, answers ...string) *server {
+	t.Helper()
+	s := &server{}
+	s.listener = serveConnections(t, func(conn *net.TCPConn) {
+		s.conns.Add(1)
+		s.serve(conn, answers)
+	})
 	return s
 }
 
