answers tests: the listener stays until it has accepted

TestReadTellsEndsFromFailures failed in 3 of 20 runs beside load 16: the test closed its listener while the connection was not yet accepted, and the kernel resets such a connection (read "" and a reset, where "part" had not been sent). It now closes after the accept.

--- a/answers/conn_test.go
+++ b/answers/conn_test.go
@@ -26,9 +26,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
 	go func() {
 		conn, err := listener.Accept()
+		// The listener stays until then: a connection that it has not accepted is reset when it closes.
+		_ = listener.Close()
 		if err != nil {
 			return
 		}
