registry: records of services that no rules name hide no upstream

Cause: which record stands for an address and for an id was decided when records were merged and listed, before anyone asked whether their service is named.

Change: records are kept by id and service, and the reader says which services are named each time it reads, since rules change. An announcement of such a service is still acknowledged: its service may be named a moment later. A DELETE ends all records of its id. An agent asks for its engine's state itself, whoever owns the address. Gateways log when a service loses its last target.

Tests of the registry, feed, control and platform take the services or the service of a record as a further argument; nothing that they check has changed.

--- a/control/control.go
+++ b/control/control.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"figbank"
@@ -31,7 +32,8 @@
 		view     *feed.View
 		leaves   *Leaves
 		// held returns the number and the compressed text of the newest traffic rules that this process has.
-		held func() (number int64, packed []byte)
+		held    func() (number int64, packed []byte)
+		unnamed unnamedLog
 	}
 
 	// Option changes a Control under construction.
@@ -51,7 +53,8 @@
 
 // New returns a Control that proposes its commands through proposer.
 func New(common figbank.Common, proposer figbank.Proposer, view *feed.View, options ...Option) *Control {
-	c := &Control{common: common.Named("control"), proposer: proposer, view: view, leaves: NewLeaves(view)}
+	common = common.Named("control")
+	c := &Control{common: common, proposer: proposer, view: view, leaves: NewLeaves(view), unnamed: unnamedLog{common: common}}
 	c.held = func() (int64, []byte) { return 0, nil }
 	for _, option := range options {
 		option(c)
@@ -67,13 +70,12 @@
 		return err
 	}
 	changed := c.view.Report(instance)
-	known := c.view.Instance(figbank.UpstreamID(instance.GetId()))
+	known := c.view.Instance(figbank.UpstreamID(instance.GetId()), figbank.ServiceName(instance.GetService()))
 	if changed {
-		c.common.Log.Info("upstream changed", zap.Uint64("renewals", known.GetRenewals()), zap.String("upstream", instance.GetId()), zap.String("service", instance.GetService()),
-			zap.String("address", instance.GetAddress()), zap.Stringer("state", instance.GetState()),
-			zap.Int64("born", instance.GetBornUnixMilli()), zap.Uint64("sequence", instance.GetSequence()),
-			zap.Int64("version", instance.GetLoaded().GetVersion()), zap.Int64("layers", instance.GetLoaded().GetLayers()),
-			zap.Int64("coldMilliseconds", instance.GetColdMilliseconds()))
+		c.common.Log.Info("upstream changed", append(instanceFields(instance), zap.Uint64("renewals", known.GetRenewals()))...)
+	}
+	if !c.view.Names(figbank.ServiceName(instance.GetService())) {
+		c.unnamed.note(instance)
 	}
 	if registry.IsLeave(instance.GetState()) && known.GetBornUnixMilli() != instance.GetBornUnixMilli() {
 		return figbank.NotAcceptedError{Detail: "another incarnation of the upstream is known, which may be a later one"}
@@ -90,14 +92,34 @@
 	if !figbank.IsName(string(id)) {
 		return invalidName("upstream")
 	}
-	record := c.view.Instance(id)
+	records := c.view.Instances(id)
 	if !caller.Waits() {
 		return figbank.CallerGoneError{}
 	}
-	if record == nil {
+	if len(records) == 0 {
 		return figbank.NotAcceptedError{Detail: "this replica does not know upstream " + string(id)}
 	}
-	return c.recordLeave(ctx, c.view.Leave(id, record.GetBornUnixMilli()))
+	for i, record := range records {
+		records[i] = c.view.Leave(record)
+	}
+	for _, record := range c.mustRecord(records) {
+		if err := c.recordLeave(ctx, record); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// mustRecord returns those records of one id whose leave the log has to hold: those of services that the rules name, and all if
+// there are none, since their service may be named later.
+func (c *Control) mustRecord(records []*schema.Instance) []*schema.Instance {
+	named := slices.DeleteFunc(slices.Clone(records), func(record *schema.Instance) bool {
+		return !c.view.Names(figbank.ServiceName(record.GetService()))
+	})
+	if len(named) == 0 {
+		return records
+	}
+	return named
 }
 
 // recordLeave puts the leave of an upstream into the log, unless it is there or the upstream does not
--- a/control/late_test.go
+++ b/control/late_test.go
@@ -105,7 +105,7 @@
 	if err := c.Leave(context.Background(), "i", waiting(false)); !errors.As(err, new(figbank.CallerGoneError)) {
 		t.Errorf("Leave() = %v, want CallerGoneError", err)
 	}
-	if got := view.Instance("i").GetState(); got != ready {
+	if got := view.Instance("i", "s").GetState(); got != ready {
 		t.Errorf("the next incarnation is %v, want it ready", got)
 	}
 }
--- a/control/leaves_test.go
+++ b/control/leaves_test.go
@@ -14,6 +14,7 @@
 	"figbank/registry"
 	"figbank/schema"
 	"figbank/timeline"
+	"figbank/traffic"
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
@@ -31,8 +32,15 @@
 func (w waiting) Waits() bool { return bool(w) }
 
 func newView() *feed.View {
+	view, _ := newViewOf()
+	return view
+}
+
+// newViewOf returns a view and the holder of its fleet state.
+func newViewOf() (*feed.View, *configuration.FleetHolder) {
 	common := testCommon()
-	return feed.NewView(common, time.Minute, configuration.NewFleetHolder(common.Recorder))
+	fleet := configuration.NewFleetHolder(common.Recorder)
+	return feed.NewView(common, time.Minute, fleet), fleet
 }
 
 func testCommon() figbank.Common {
@@ -67,7 +75,7 @@
 			if err := s.leave(c); !errors.As(err, new(figbank.NotAcceptedError)) {
 				t.Errorf("without a majority the leave is answered with %v, want NotAcceptedError", err)
 			}
-			if got := view.Instance("i").GetState(); got != s.want {
+			if got := view.Instance("i", "s").GetState(); got != s.want {
 				t.Errorf("without a majority the replica's own view has %v, want %v", got, s.want)
 			}
 			log.SetDown(false)
@@ -77,7 +85,7 @@
 			other := newView()
 			other.Announce(upstream(1, 1, ready))
 			NewLeaves(other).Add(log.TakeLeaves())
-			if got := other.Instance("i").GetState(); got != s.want {
+			if got := other.Instance("i", "s").GetState(); got != s.want {
 				t.Errorf("another replica reports %v, want %v", got, s.want)
 			}
 		})
@@ -101,8 +109,8 @@
 	if err := c.Leave(context.Background(), "i", waiting(true)); err == nil {
 		t.Error("the upstream is gone now, which is new, and was acknowledged without the log")
 	}
-	if err := c.Announce(context.Background(), upstream(2, 1, ready)); err != nil || !registry.Serving(view.Instance("i").GetState()) {
-		t.Errorf("the next incarnation is %v (%v), want it ready", view.Instance("i"), err)
+	if err := c.Announce(context.Background(), upstream(2, 1, ready)); err != nil || !registry.Serving(view.Instance("i", "s").GetState()) {
+		t.Errorf("the next incarnation is %v (%v), want it ready", view.Instance("i", "s"), err)
 	}
 }
 
@@ -124,7 +132,36 @@
 	if err := c.Announce(context.Background(), upstream(2600, 1, leaving)); !errors.As(err, new(figbank.NotAcceptedError)) {
 		t.Errorf("Announce() = %v, want a NotAcceptedError", err)
 	}
-	if got := c.view.Instance("i"); got.GetBornUnixMilli() != 5000 || got.GetState() != ready {
+	if got := c.view.Instance("i", "s"); got.GetBornUnixMilli() != 5000 || got.GetState() != ready {
 		t.Errorf("known afterwards = %v, want the first incarnation, ready", got)
 	}
 }
+
+// Another writer has announced the id of an upstream for a service that no rules name, born later. The upstream's own leave ended that
+// entry in its place and was acknowledged.
+func TestLeaveIsThatOfTheNamedService(t *testing.T) {
+	log := fake.NewProposer(clock.System{})
+	view, fleet := newViewOf()
+	packed, err := traffic.PackRules(&schema.Traffic{Number: 1, Services: []*schema.RoutedService{{Name: "s"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	fleet.Offer(&schema.Fleet{CommitIndex: 1, TrafficNumber: 1, PackedTraffic: packed})
+	c := New(testCommon(), log, view)
+	other := upstream(9, 1, ready)
+	other.Service = "other"
+	for _, record := range []*schema.Instance{upstream(1, 1, ready), other} {
+		if err := c.Announce(context.Background(), record); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := c.Leave(context.Background(), "i", waiting(true)); err != nil {
+		t.Fatalf("Leave() = %v, want an acknowledgement", err)
+	}
+	if got := view.Instance("i", "s").GetState(); got != gone {
+		t.Errorf("state = %v, want %v", got, gone)
+	}
+	if got := log.TakeLeaves(); len(got) != 1 || got[0].GetService() != "s" {
+		t.Errorf("leaves in the log = %v, want that of the upstream", got)
+	}
+}
--- a/dispatch/build.go
+++ b/dispatch/build.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"figbank"
+	"figbank/registry"
 	"figbank/schema"
 	"figbank/traffic"
 
@@ -51,10 +52,13 @@
 			zap.Int64("recorded", fleet.GetGateways()))
 	}
 	d.budgets.SetGateways(now, gateways, d.gatewayCount.SettledAt())
-	d.table.Store(NewTable(previous, d.settings.Location, Sources{
-		Fleet: fleet, Traffic: rules, Upstreams: d.view.Upstreams(), Named: d.named, Gateways: gateways,
+	upstreams := d.view.Upstreams(func(name figbank.ServiceName) bool { return rules.Service(name) != nil })
+	next := NewTable(previous, d.settings.Location, Sources{
+		Fleet: fleet, Traffic: rules, Upstreams: upstreams, Named: d.named, Gateways: gateways,
 		SettledAt: d.gatewayCount.SettledAt(), Now: now,
-	}))
+	})
+	d.table.Store(next)
+	d.logServed(previous, next, upstreams)
 	if previous == nil || previous.Traffic != rules {
 		d.common.Log.Info("rules changed", zap.Int64("rules", rules.Number()), zap.Uint64("commit", fleet.GetCommitIndex()),
 			zap.Strings("ranked", rules.RankedServices()))
@@ -65,6 +69,24 @@
 	}
 }
 
+// logServed logs the services that have lost their last target or have one again, with how many of their upstreams are known.
+func (d *Dispatcher) logServed(previous, next *Table, upstreams []registry.Upstream) {
+	for _, service := range next.Traffic.Services() {
+		name := figbank.ServiceName(service.GetName())
+		served, servedBefore := len(next.Targets(name)) > 0, previous != nil && len(previous.Targets(name)) > 0
+		if served == servedBefore {
+			continue
+		}
+		known := 0
+		for _, upstream := range upstreams {
+			if upstream.Record.GetService() == service.GetName() {
+				known++
+			}
+		}
+		d.common.Log.Info("service has targets", zap.String("service", service.GetName()), zap.Int("targets", len(next.Targets(name))), zap.Int("known", known))
+	}
+}
+
 // rules returns the compiled traffic rules. It reuses the previous ones while their
 // number stays the same.
 func (d *Dispatcher) rules(previous *Table, fleet *schema.Fleet) (*traffic.Table, error) {
--- a/feed/choose_test.go
+++ b/feed/choose_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"figbank"
+	"figbank/registry"
 	"figbank/schema"
 )
 
@@ -143,7 +144,7 @@
 	}
 	replicas[5].view.Announce(announce(1))
 	await(t, "updates arrive through the remaining replicas", func() bool {
-		return len(first.view.Upstreams()) == 1 && len(second.view.Upstreams()) == 1
+		return len(first.view.Upstreams(registry.AnyService)) == 1 && len(second.view.Upstreams(registry.AnyService)) == 1
 	})
 	await(t, "the gateways still know each other", func() bool { return knows(first, "g2") && knows(second, "g1") })
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+
+	"figbank/registry"
 )
 
 const testTimeout = 10 * time.Second
@@ -77,7 +79,7 @@
 	second := newNode(t, "r2", replica, first.address)
 	g := newNode(t, "g1", gateway, second.address)
 	first.view.Announce(announce(1))
-	await(t, "the upstream is known to the gateway", func() bool { return len(g.view.Upstreams()) == 1 })
+	await(t, "the upstream is known to the gateway", func() bool { return len(g.view.Upstreams(registry.AnyService)) == 1 })
 	first.fleet.Offer(&schema.Fleet{CommitIndex: 5})
 	await(t, "the fleet is known to the gateway", func() bool { return g.view.Fleet().GetCommitIndex() == 5 })
 }
@@ -89,7 +91,7 @@
 	r.view.Announce(announce(1))
 	a.subscriber.SetEngine(&schema.EngineState{Address: "u:1", BornUnixMilli: 1, Sequence: 1, Switching: true})
 	await(t, "the gateway knows that the engine is switching", func() bool {
-		upstreams := g.view.Upstreams()
+		upstreams := g.view.Upstreams(registry.AnyService)
 		return len(upstreams) == 1 && upstreams[0].Switching
 	})
 }
@@ -103,7 +105,7 @@
 	g := newNode(t, "g1", gateway, first.address, second.address)
 	await(t, "all members are known", func() bool { return len(g.view.Members()) == 3 })
 	first.view.Announce(announce(1))
-	await(t, "the upstream is known", func() bool { return len(g.view.Upstreams()) == 1 })
+	await(t, "the upstream is known", func() bool { return len(g.view.Upstreams(registry.AnyService)) == 1 })
 	time.Sleep(300 * time.Millisecond)
 	notified := make(chan struct{}, 10_000)
 	g.view.Watch(func() { notified <- struct{}{} })
@@ -132,7 +134,7 @@
 	n := newNode(t, "g1", gateway)
 	var seen [][2]int64
 	n.view.Watch(func() {
-		seen = append(seen, [2]int64{n.view.Fleet().GetTrafficNumber(), int64(len(n.view.Upstreams()))})
+		seen = append(seen, [2]int64{n.view.Fleet().GetTrafficNumber(), int64(len(n.view.Upstreams(registry.AnyService)))})
 	})
 	n.view.apply("r1:1", &schema.FeedUpdate{
 		Fleet: &schema.Fleet{CommitIndex: 1, TrafficNumber: 7}, Instances: []*schema.Instance{announce(1)},
--- a/feed/server.go
+++ b/feed/server.go
@@ -204,6 +204,8 @@
 	}
 	role := s.member.GetRole()
 	v := s.view
+	// A subscriber that is told of rules has to know the upstreams of the services that they name.
+	v.followServices()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	changes := v.registry.Since(s.cursor, role == schema.MemberRole_MEMBER_ROLE_REPLICA)
--- a/feed/unencodable_test.go
+++ b/feed/unencodable_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"figbank/registry"
 	"figbank/schema"
 )
 
@@ -22,11 +23,11 @@
 			r.view.addSubscriber(s.odd, nil)
 			r.view.Announce(announce(1))
 			g := newNode(t, "g1", gateway, r.address)
-			await(t, "a process that subscribes later is fed", func() bool { return len(g.view.Upstreams()) == 1 })
+			await(t, "a process that subscribes later is fed", func() bool { return len(g.view.Upstreams(registry.AnyService)) == 1 })
 			later := announce(2)
 			later.State = schema.InstanceState_INSTANCE_STATE_LEAVING
 			r.view.Announce(later)
-			await(t, "the leave arrives", func() bool { return g.view.Upstreams()[0].Record.GetState() == later.GetState() })
+			await(t, "the leave arrives", func() bool { return g.view.Upstreams(registry.AnyService)[0].Record.GetState() == later.GetState() })
 		})
 	}
 }
--- a/feed/view.go
+++ b/feed/view.go
@@ -44,6 +44,10 @@
 		position func() *schema.LogPosition
 
 		work workMeter
+
+		// naming guards rules, the number of the rules whose services the registry has been told.
+		naming sync.Mutex
+		rules  int64
 	}
 )
 
@@ -114,11 +118,18 @@
 	return v.fleet.Current()
 }
 
-// Upstreams lists the newest incarnation at each address, in any state, sorted by id.
-func (v *View) Upstreams() []registry.Upstream {
+// Upstreams lists the newest incarnation at each address among those of named services, in any state, sorted by id.
+func (v *View) Upstreams(named registry.Services) []registry.Upstream {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.registry.Upstreams(named)
+}
+
+// Engine returns the newest report on the engine at an address, or nil.
+func (v *View) Engine(address figbank.Address) *schema.EngineState {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.registry.Upstreams()
+	return v.registry.Engine(address)
 }
 
 // Members lists the known processes that subscribe to replicas, sorted by id. A replica knows all
@@ -177,22 +188,25 @@
 	return changed
 }
 
-// Leave records that an incarnation of an upstream leaves for good. It returns the newest record of the
+// Leave records that the incarnation of a record leaves for good. It returns the newest record of the
 // upstream, which may be that of a later incarnation, or nil if the upstream is unknown.
-func (v *View) Leave(id figbank.UpstreamID, bornUnixMilli int64) *schema.Instance {
+func (v *View) Leave(record *schema.Instance) *schema.Instance {
+	v.merge(func(r *registry.Registry, now time.Time, record *schema.Instance) bool { return r.Leave(now, record) }, record)
+	return v.Instance(figbank.UpstreamID(record.GetId()), figbank.ServiceName(record.GetService()))
+}
+
+// Instance returns the newest record of an upstream of a service, or nil.
+func (v *View) Instance(id figbank.UpstreamID, service figbank.ServiceName) *schema.Instance {
 	v.mu.Lock()
-	left := v.registry.Leave(v.common.Clock.Now(), id, bornUnixMilli)
-	record := v.registry.Instance(id)
-	v.mu.Unlock()
-	v.notifyOf(left, false, memberChange{})
-	return record
+	defer v.mu.Unlock()
+	return v.registry.Instance(id, service)
 }
 
-// Instance returns the newest record of an upstream, or nil.
-func (v *View) Instance(id figbank.UpstreamID) *schema.Instance {
+// Instances returns the newest records of an upstream, one for each service under which its id was announced.
+func (v *View) Instances(id figbank.UpstreamID) []*schema.Instance {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.registry.Instance(id)
+	return v.registry.Instances(id)
 }
 
 // mergeEngine merges an agent's report on its engine. It ignores a report without an address.
@@ -309,8 +323,8 @@
 	return v.changed[schema.MemberRole_MEMBER_ROLE_GATEWAY]
 }
 
-// ExpireLeases marks upstreams whose leases have expired as silent, until ctx ends. Only
-// processes that receive announcements themselves run it. The others learn of
+// ExpireLeases marks upstreams whose leases have expired as silent, and forgets records that name no service, until ctx
+// ends. Only processes that receive announcements themselves run it. The others learn of
 // silent upstreams from feeds.
 func (v *View) ExpireLeases(ctx context.Context) {
 	ticks, stop := v.common.Clock.Tick(expireInterval)
@@ -321,9 +335,15 @@
 			return
 		case <-ticks:
 		}
+		v.followServices()
+		now := v.common.Clock.Now()
 		v.mu.Lock()
-		expired := v.registry.Expire(v.common.Clock.Now())
+		before := v.registry.Revision()
+		expired := v.registry.Expire(now)
+		renewed := v.registry.Revision() != before
+		unnamed := v.registry.ForgetUnnamed(now)
 		v.mu.Unlock()
-		v.notifyOf(expired, false, memberChange{})
+		v.common.Scope.Gauge("unnamed_instances").Update(float64(unnamed))
+		v.notifyOf(expired, renewed, memberChange{})
 	}
 }
--- a/registry/births_test.go
+++ b/registry/births_test.go
@@ -48,13 +48,13 @@
 			for _, step := range s.steps {
 				now = now.Add(step.after)
 				if step.state == gone {
-					r.Leave(now, "i", step.born)
+					r.Leave(now, instance(step.born, 0, ready))
 				} else {
 					r.Report(now, instance(step.born, step.sequence, step.state))
 				}
-				history = append(history, r.Instance("i"))
+				history = append(history, r.Instance("i", "s"))
 			}
-			if got := r.Instance("i"); got.GetBornUnixMilli() != s.born || got.GetState() != s.state {
+			if got := r.Instance("i", "s"); got.GetBornUnixMilli() != s.born || got.GetState() != s.state {
 				t.Errorf("incarnation born at %d, %v, want %d, %v", got.GetBornUnixMilli(), got.GetState(), s.born, s.state)
 			}
 			// What other replicas are told comes in any order.
@@ -62,7 +62,7 @@
 			for i := range history {
 				other.Announce(now, history[len(history)-1-i])
 			}
-			if got := other.Instance("i"); got.GetBornUnixMilli() != s.born || got.GetState() != s.state {
+			if got := other.Instance("i", "s"); got.GetBornUnixMilli() != s.born || got.GetState() != s.state {
 				t.Errorf("elsewhere: incarnation born at %d, %v, want %d, %v", got.GetBornUnixMilli(), got.GetState(), s.born, s.state)
 			}
 		})
@@ -77,7 +77,7 @@
 	r.Report(start, dead)
 	r.Report(start.Add(lease), next)
 	r.Expire(start.Add(lease + time.Second))
-	if got := r.Upstreams(); len(got) != 1 || got[0].Record.GetId() != "j" {
+	if got := r.Upstreams(AnyService); len(got) != 1 || got[0].Record.GetId() != "j" {
 		t.Errorf("upstreams = %v, want the one that serves", got)
 	}
 }
@@ -88,7 +88,7 @@
 	r.MergeEngine(start, &schema.EngineState{Address: "10.0.0.1:1", BornUnixMilli: 5000, AgentStartUnixNano: 1, Sequence: 1})
 	r.MergeEngine(start, &schema.EngineState{Address: "10.0.0.1:1", BornUnixMilli: 2600, AgentStartUnixNano: 1, Sequence: 2, Leaving: true})
 	r.Report(start, instance(2600, 1, ready))
-	if got := r.Upstreams(); len(got) != 1 || !got[0].Leaving {
+	if got := r.Upstreams(AnyService); len(got) != 1 || !got[0].Leaving {
 		t.Errorf("upstreams = %v, want one that leaves", got)
 	}
 }
--- a/registry/check_test.go
+++ b/registry/check_test.go
@@ -59,14 +59,14 @@
 			}
 			r := New(lease)
 			r.Announce(start, odd)
-			if got := len(r.Upstreams()) == 1; got != s.valid {
+			if got := len(r.Upstreams(AnyService)) == 1; got != s.valid {
 				t.Errorf("known after the announcement = %t, want %t", got, s.valid)
 			}
 			later := sound()
 			later.Sequence = 2
 			later.Slots = 4
 			r.Announce(start, later)
-			if got := r.Upstreams(); len(got) != 1 && odd.GetId() == later.GetId() || s.valid && got[0].Record.GetSlots() != 4 {
+			if got := r.Upstreams(AnyService); len(got) != 1 && odd.GetId() == later.GetId() || s.valid && got[0].Record.GetSlots() != 4 {
 				t.Errorf("upstreams after a sound announcement = %v, want that one", got)
 			}
 		})
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -28,8 +28,17 @@
 		// changed logs the changes that affect routing: of instances by their id, of engines by
 		// their address. announced logs the other announcements too.
 		changed, announced changelog.Log[recordKey]
-		instances          map[figbank.UpstreamID]*instanceEntry
+		instances          map[instanceKey]*instanceEntry
 		engines            map[figbank.Address]*schema.EngineState
+		// services are those that the rules name, nil while they are not known.
+		services map[figbank.ServiceName]bool
+	}
+
+	// instanceKey names a record of an upstream. The service is part of it: a record of a service that no rules name must not
+	// replace one of a service that they name, and rules change.
+	instanceKey struct {
+		id      figbank.UpstreamID
+		service figbank.ServiceName
 	}
 
 	// instanceEntry is the newest record of an upstream.
@@ -44,7 +53,7 @@
 
 	// recordKey names a record: an instance or an engine. The other field is empty.
 	recordKey struct {
-		instance figbank.UpstreamID
+		instance instanceKey
 		engine   figbank.Address
 	}
 
@@ -61,7 +70,7 @@
 func New(lease time.Duration) *Registry {
 	return &Registry{
 		lease:     lease,
-		instances: map[figbank.UpstreamID]*instanceEntry{},
+		instances: map[instanceKey]*instanceEntry{},
 		engines:   map[figbank.Address]*schema.EngineState{},
 	}
 }
@@ -77,26 +86,26 @@
 	if CheckInstance(now, record) != nil {
 		return false
 	}
-	id := figbank.UpstreamID(record.GetId())
-	known, found := r.instances[id]
+	key := keyOf(record)
+	known, found := r.instances[key]
 	if found && !Supersedes(record, known.record) {
 		return false
 	}
 	if !found {
 		known = &instanceEntry{}
-		r.instances[id] = known
+		r.instances[key] = known
 	}
-	affectsRouting := AffectsRouting(known.record, record)
+	affectsRouting := r.Names(key.service) && AffectsRouting(known.record, record)
 	known.record = record
 	known.announcedAt = now
-	r.record(recordKey{instance: id}, affectsRouting)
+	r.record(recordKey{instance: key}, affectsRouting)
 	return affectsRouting
 }
 
 // Report merges an upstream's own announcement. Announcements of an incarnation that is recorded as gone, or was born before
 // the known one by the clock, are ignored, until there are so many that it must serve.
 func (r *Registry) Report(now time.Time, report *schema.Instance) bool {
-	known, found := r.instances[figbank.UpstreamID(report.GetId())]
+	known, found := r.instances[keyOf(report)]
 	if !found || CheckInstance(now, report) != nil {
 		return r.Announce(now, report)
 	}
@@ -127,11 +136,11 @@
 	return r.Announce(now, report)
 }
 
-// Leave records that an incarnation of an upstream leaves for good. It returns false if that is not the
-// newest incarnation or has already left.
-func (r *Registry) Leave(now time.Time, id figbank.UpstreamID, bornUnixMilli int64) bool {
-	known, found := r.instances[id]
-	if !found || known.record.GetBornUnixMilli() != bornUnixMilli || known.record.GetState() == schema.InstanceState_INSTANCE_STATE_GONE {
+// Leave records that the incarnation of a record leaves for good. It changes nothing if that is not the
+// newest incarnation or has already left. It reports whether anything that affects routing changed.
+func (r *Registry) Leave(now time.Time, record *schema.Instance) bool {
+	known, found := r.instances[keyOf(record)]
+	if !found || known.record.GetBornUnixMilli() != record.GetBornUnixMilli() || known.record.GetState() == schema.InstanceState_INSTANCE_STATE_GONE {
 		return false
 	}
 	return r.Announce(now, withState(known.record, schema.InstanceState_INSTANCE_STATE_GONE))
@@ -141,13 +150,14 @@
 // whether there were any.
 func (r *Registry) Expire(now time.Time) bool {
 	expired := false
-	for id, known := range r.instances {
+	for key, known := range r.instances {
 		if now.Sub(known.announcedAt) <= r.lease || !Serving(known.record.GetState()) {
 			continue
 		}
 		known.record = withState(known.record, schema.InstanceState_INSTANCE_STATE_SILENT)
-		r.record(recordKey{instance: id}, true)
-		expired = true
+		affectsRouting := r.Names(key.service)
+		r.record(recordKey{instance: key}, affectsRouting)
+		expired = expired || affectsRouting
 	}
 	return expired
 }
@@ -180,9 +190,9 @@
 	}
 }
 
-// Since returns the records that changed after the cursor. If announcements is set, it also returns
-// records whose announcement was only repeated. Sending them to other processes renews the leases
-// there.
+// Since returns the records that changed after the cursor, of services that the rules name. If announcements is set, it also
+// returns records whose announcement was only repeated, and those of other services. Sending them to other processes renews the
+// leases there.
 func (r *Registry) Since(cursor Cursor, announcements bool) Changes {
 	log := &r.changed
 	if announcements {
@@ -190,11 +200,11 @@
 	}
 	keys, whole := log.Since(cursor)
 	if !whole || cursor == 0 {
-		return r.all()
+		return r.all(announcements)
 	}
 	var changes Changes
 	for _, key := range keys {
-		if known, found := r.instances[key.instance]; found {
+		if known, found := r.instances[key.instance]; found && (announcements || r.Names(key.instance.service)) {
 			changes.Instances = append(changes.Instances, known.record)
 		}
 		if known, found := r.engines[key.engine]; found {
@@ -204,11 +214,13 @@
 	return changes
 }
 
-// all returns all records.
-func (r *Registry) all() Changes {
+// all returns all records, without unnamed only those of services that the rules name.
+func (r *Registry) all(unnamed bool) Changes {
 	var all Changes
-	for _, known := range r.instances {
-		all.Instances = append(all.Instances, known.record)
+	for key, known := range r.instances {
+		if unnamed || r.Names(key.service) {
+			all.Instances = append(all.Instances, known.record)
+		}
 	}
 	for _, known := range r.engines {
 		all.Engines = append(all.Engines, known)
@@ -216,58 +228,33 @@
 	return all
 }
 
-// Upstreams returns the newest incarnation at each address, sorted by id: the one that serves if only one does, since the
-// clock may have gone back between two. Each includes its agent's latest report on the engine.
-func (r *Registry) Upstreams() []Upstream {
-	owners := map[string]*schema.Instance{}
-	for _, known := range r.instances {
-		owner, found := owners[known.record.GetAddress()]
-		if !found || ownsAddress(known.record, owner) {
-			owners[known.record.GetAddress()] = known.record
-		}
-	}
-	upstreams := make([]Upstream, 0, len(owners))
-	for _, record := range owners {
-		upstreams = append(upstreams, r.upstream(record))
+// Instance returns the newest record of an upstream of a service, or nil.
+func (r *Registry) Instance(id figbank.UpstreamID, service figbank.ServiceName) *schema.Instance {
+	if known, found := r.instances[instanceKey{id: id, service: service}]; found {
+		return known.record
 	}
-	slices.SortFunc(upstreams, func(a, b Upstream) int { return cmp.Compare(a.Record.GetId(), b.Record.GetId()) })
-	return upstreams
+	return nil
 }
 
-// ownsAddress reports whether a, rather than b, is the incarnation at the address of both.
-func ownsAddress(a, b *schema.Instance) bool {
-	if Serving(a.GetState()) != Serving(b.GetState()) {
-		return Serving(a.GetState())
+// Instances returns the newest records of an upstream, one for each service under which its id was announced.
+func (r *Registry) Instances(id figbank.UpstreamID) []*schema.Instance {
+	var records []*schema.Instance
+	for key, known := range r.instances {
+		if key.id == id {
+			records = append(records, known.record)
+		}
 	}
-	return birthOrder(a) > birthOrder(b)
-}
-
-// Upstream is an instance with the newest known state of its engine.
-type Upstream struct {
-	Record    *schema.Instance
-	Loaded    *schema.LoadedWeights
-	Switching bool
-	// Leaving is set if the engine has told its agent that it leaves.
-	Leaving bool
+	slices.SortFunc(records, func(a, b *schema.Instance) int { return cmp.Compare(a.GetService(), b.GetService()) })
+	return records
 }
 
-func (r *Registry) upstream(record *schema.Instance) Upstream {
-	upstream := Upstream{Record: record, Loaded: record.GetLoaded()}
-	known, found := r.engines[figbank.Address(record.GetAddress())]
-	if found && known.GetBornUnixMilli() == record.GetBornUnixMilli() {
-		upstream.Loaded = known.GetLoaded()
-		upstream.Switching = known.GetSwitching()
-		upstream.Leaving = known.GetLeaving()
-	}
-	return upstream
+// Engine returns the newest report on the engine at an address, or nil.
+func (r *Registry) Engine(address figbank.Address) *schema.EngineState {
+	return r.engines[address]
 }
 
-// Instance returns the newest record of an upstream, or nil.
-func (r *Registry) Instance(id figbank.UpstreamID) *schema.Instance {
-	if known, found := r.instances[id]; found {
-		return known.record
-	}
-	return nil
+func keyOf(record *schema.Instance) instanceKey {
+	return instanceKey{id: figbank.UpstreamID(record.GetId()), service: figbank.ServiceName(record.GetService())}
 }
 
 func withState(record *schema.Instance, state schema.InstanceState) *schema.Instance {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -49,7 +49,7 @@
 			name: "an announcement after Leave does not make the incarnation ready again",
 			apply: func(r *Registry) {
 				r.Announce(start, instance(1, 5, ready))
-				r.Leave(start, "i", 1)
+				r.Leave(start, instance(1, 0, ready))
 				r.Announce(start, instance(1, 6, ready))
 			},
 			want: gone, born: 1,
@@ -58,7 +58,7 @@
 			name: "a new incarnation under the same id replaces the one that left",
 			apply: func(r *Registry) {
 				r.Announce(start, instance(1, 5, ready))
-				r.Leave(start, "i", 1)
+				r.Leave(start, instance(1, 0, ready))
 				r.Announce(start, instance(2, 1, ready))
 			},
 			want: ready, born: 2,
@@ -93,7 +93,7 @@
 		t.Run(s.name, func(t *testing.T) {
 			r := New(lease)
 			s.apply(r)
-			got := r.Upstreams()
+			got := r.Upstreams(AnyService)
 			if len(got) != 1 {
 				t.Fatalf("Upstreams() has %d entries, want 1", len(got))
 			}
@@ -109,7 +109,7 @@
 	r := New(lease)
 	r.Announce(start, &schema.Instance{Id: "old", Address: "a:1", Service: "x", BornUnixMilli: 1, State: ready})
 	r.Announce(start, &schema.Instance{Id: "new", Address: "a:1", Service: "y", BornUnixMilli: 2, State: ready})
-	got := r.Upstreams()
+	got := r.Upstreams(AnyService)
 	if len(got) != 1 || got[0].Record.GetId() != "new" {
 		t.Errorf("Upstreams() = %v, want only the newer incarnation", got)
 	}
@@ -119,7 +119,7 @@
 	r := New(lease)
 	r.Announce(start, instance(2, 1, ready))
 	r.MergeEngine(start, &schema.EngineState{Address: "10.0.0.1:1", BornUnixMilli: 1, Loaded: &schema.LoadedWeights{Model: "m", Version: 1}})
-	if got := r.Upstreams()[0].Loaded.GetVersion(); got != 0 {
+	if got := r.Upstreams(AnyService)[0].Loaded.GetVersion(); got != 0 {
 		t.Errorf("version = %d, want 0: the report is about an incarnation that has ended", got)
 	}
 }
@@ -141,9 +141,9 @@
 	r.Announce(start, instance(2, 1, ready))
 	for _, step := range steps {
 		step.state.Address = "10.0.0.1:1"
-		before := r.Upstreams()[0].Leaving
+		before := r.Upstreams(AnyService)[0].Leaving
 		changed := r.MergeEngine(start, step.state)
-		got := r.Upstreams()[0].Leaving
+		got := r.Upstreams(AnyService)[0].Leaving
 		if got != step.want {
 			t.Errorf("%s: leaving = %v, want %v", step.name, got, step.want)
 		}
@@ -191,12 +191,12 @@
 			r := New(lease)
 			r.Report(start, instance(2, 5, ready))
 			left := start.Add(time.Second)
-			r.Leave(left, "i", 2)
-			leave := r.Instance("i")
+			r.Leave(left, instance(2, 0, ready))
+			leave := r.Instance("i", "s")
 			for _, report := range s.reports {
 				r.Report(left.Add(report.after), instance(2, report.sequence, ready))
 			}
-			if got := r.Instance("i").GetState(); got != s.want {
+			if got := r.Instance("i", "s").GetState(); got != s.want {
 				t.Fatalf("state = %v, want %v", got, s.want)
 			}
 			if s.want != ready {
@@ -204,13 +204,13 @@
 			}
 			// Another process learns of both in any order, and a second leave counts again.
 			other := New(lease)
-			other.Announce(left, r.Instance("i"))
+			other.Announce(left, r.Instance("i", "s"))
 			other.Announce(left, leave)
-			if got := other.Instance("i").GetState(); got != ready {
+			if got := other.Instance("i", "s").GetState(); got != ready {
 				t.Errorf("state at another process after the late leave = %v, want it ready", got)
 			}
 			r.Report(left.Add(5*beat), instance(2, 9, leaving))
-			if got := r.Instance("i").GetState(); got != leaving {
+			if got := r.Instance("i", "s").GetState(); got != leaving {
 				t.Errorf("state after it says that it drains = %v, want %v", got, leaving)
 			}
 		})
--- a/staging/load.go
+++ b/staging/load.go
@@ -174,10 +174,8 @@
 		case <-ticks:
 		}
 	}
-	for _, upstream := range s.view.Upstreams() {
-		if upstream.Record.GetAddress() == s.settings.Member.GetUpstream() && upstream.Switching {
-			return upstream.Record.GetBornUnixMilli(), true
-		}
+	if known := s.view.Engine(figbank.Address(s.settings.Member.GetUpstream())); known.GetSwitching() {
+		return known.GetBornUnixMilli(), true
 	}
 	return 0, false
 }
--- a/staging/stager.go
+++ b/staging/stager.go
@@ -213,7 +213,7 @@
 // since 1970 is passed instead, so the engine may switch.
 func (s *Stager) maySwitch(wanted target, loaded int64) bool {
 	var upstreams []rollout.Switching
-	for _, upstream := range s.view.Upstreams() {
+	for _, upstream := range s.view.Upstreams(s.named) {
 		if s.inSwitchGroup(upstream) {
 			upstreams = append(upstreams, rollout.Switching{
 				Old: upstream.Loaded.GetVersion() < wanted.source.Version, OutOfService: upstream.Switching,
--- a/staging/target.go
+++ b/staging/target.go
@@ -91,8 +91,15 @@
 
 // servedElsewhere reports whether another upstream of the service serves a version.
 func (s *Stager) servedElsewhere(version int64) bool {
-	return slices.ContainsFunc(s.view.Upstreams(), func(upstream registry.Upstream) bool {
+	return slices.ContainsFunc(s.view.Upstreams(s.named), func(upstream registry.Upstream) bool {
 		return upstream.Record.GetService() == string(s.settings.Service) && upstream.Loaded.GetVersion() == version &&
 			upstream.Record.GetAddress() != s.settings.Member.GetUpstream()
 	})
 }
+
+// named reports whether a service is the engine's own, or another one that the rules name.
+func (s *Stager) named(service figbank.ServiceName) bool {
+	return service == s.settings.Service || slices.ContainsFunc(s.rules.GetServices(), func(named *schema.RoutedService) bool {
+		return named.GetName() == string(service)
+	})
+}
