ledger: leaves of services that no rules name push out none

The log and what replicas remember beside it had one leave for each id, so that an upstream's leave was acknowledged and not stored if another writer's entry under its id had a later birth. The log holds 1,024 of them: entries that say that they drain, with a new id each time, pushed out those of upstreams. What replicas remember had no bound.

Change: leaves are kept by id and service. A replica remembers as many; one that it has forgotten is put into the log again, where it changes nothing.

Evidence: TestLeavesOfUnnamedServicesPushOutNone fails before (of the two leaves of upstreams none is stored) and passes now.

--- a/ledger/leaves_test.go
+++ b/ledger/leaves_test.go
@@ -2,15 +2,21 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"figbank/schema"
+	"figbank/traffic"
 )
 
 func (m *machine) leave(id string, born int64, state schema.InstanceState) schema.Refusal {
+	return m.leaveService("s", id, born, state)
+}
+
+func (m *machine) leaveService(service, id string, born int64, state schema.InstanceState) schema.Refusal {
 	return m.apply(&schema.Command{Action: &schema.Command_Leave{Leave: &schema.Leave{Upstream: &schema.Instance{
-		Id: id, Service: "s", Address: "10.0.0.1:80", BornUnixMilli: born, Sequence: 1, State: state,
+		Id: id, Service: service, Address: "10.0.0.1:80", BornUnixMilli: born, Sequence: 1, State: state,
 	}}}}).GetRefusal()
 }
 
@@ -74,3 +80,30 @@
 		t.Errorf("%d leaves are stored after %v, want 1", got, leaveRetention)
 	}
 }
+
+// Another writer says, under a new id each time or under that of an upstream, that something of a service leaves that no rules name.
+// The leaves of upstreams were forgotten for it, or not stored at all, though they were acknowledged.
+func TestLeavesOfUnnamedServicesPushOutNone(t *testing.T) {
+	const gone = schema.InstanceState_INSTANCE_STATE_GONE
+	packed, err := traffic.PackRules(&schema.Traffic{Number: 1, Services: []*schema.RoutedService{{Name: "s"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := newMachine(t)
+	m.apply(&schema.Command{Action: &schema.Command_PublishTraffic{PublishTraffic: &schema.PublishTraffic{Number: 1, PackedTraffic: packed}}})
+	m.leaveService("other", "i", 9, gone)
+	m.leave("i", 5, gone)
+	m.leave("j", 5, gone)
+	for k := range maxLeaves + 10 {
+		m.leaveService("other", fmt.Sprint("x", k), 9, gone)
+	}
+	var got []string
+	for _, leave := range m.state.leaves {
+		if leave.GetUpstream().GetService() == "s" {
+			got = append(got, leave.GetUpstream().GetId())
+		}
+	}
+	if want := []string{"i", "j"}; !slices.Equal(got, want) || len(m.state.leaves) != maxLeaves {
+		t.Errorf("leaves stored = %d, of upstreams %v, want %d and %v", len(m.state.leaves), got, maxLeaves, want)
+	}
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -34,6 +34,8 @@
 		// TakeLeaves has not returned.
 		leaves    []*schema.LeaveRecord
 		newLeaves []*schema.Instance
+		// named are the services of the rules in force, read when leaves are forgotten.
+		named namedServices
 		// duties holds who carries out each duty, by subject. dutiesChanged is set if one has changed since
 		// TakeDuties was called.
 		duties        []*schema.DutyRecord
