answers: an end while the request is on its way is none if a reset follows

What callers saw: an upstream answered a long upload at once with a 200 that had no length, sent part of its body and ended the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: at the end of an answer the write was given up, and only failures known until then counted; EPIPE, with which the kernel reports a reset behind a FIN, did not. A request whose body had not begun to be written counted as sent.

Change: the end waits until the request has been written and accepted, the connection has failed, or a second is over; EPIPE is a failure. Requests tell when they begin and end.

The stand-ins take a small receive buffer, and read a part of the upload instead of reading for a moment, in which some read all of it.

--- a/answers/conn_test.go
+++ b/answers/conn_test.go
@@ -34,6 +34,8 @@
 			return
 		}
 		defer func() { _ = conn.Close() }()
+		// The rest of the upload stays with its sender until it is read.
+		_ = conn.(*net.TCPConn).SetReadBuffer(64 << 10)
 		_, _ = conn.Read(make([]byte, 100))
 		_, _ = io.WriteString(conn, part)
 		time.Sleep(2 * time.Millisecond)
@@ -60,15 +62,16 @@
 			_ = c.CloseWrite()
 			_, _ = io.Copy(io.Discard, c)
 		}},
-		{name: "closed, and not read any more", end: func(c *net.TCPConn) {
+		{name: "closed, and not read any more, which resets it later", end: func(c *net.TCPConn) {
 			_ = c.CloseWrite()
 			time.Sleep(100 * time.Millisecond)
-		}},
+		}, failed: true},
 		{name: "closed, then reset", end: func(c *net.TCPConn) {
 			_ = c.CloseWrite()
 			time.Sleep(time.Millisecond)
 			_ = c.SetLinger(0)
-		}},
+		}, failed: true},
+		{name: "read in part, then closed", end: func(c *net.TCPConn) { _, _ = io.CopyN(io.Discard, c, upload/2) }, failed: true},
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
@@ -97,6 +100,25 @@
 	}
 }
 
+// The other side ends its answer and neither reads on nor closes the connection. What has come is all that will come.
+func TestAnswerDoesNotWaitForAnUploadWithoutEnd(t *testing.T) {
+	done := make(chan struct{})
+	conn := NewConn(endEarly(t, func(c *net.TCPConn) {
+		_ = c.CloseWrite()
+		<-done
+	}))
+	defer conn.Close()
+	defer close(done)
+	go func() { _, _ = conn.Write(bytes.Repeat([]byte("u"), upload)) }()
+	began := time.Now()
+	if got, err := io.ReadAll(conn); string(got) != part || err != nil {
+		t.Errorf("ReadAll() = %q, %v, want the part and its end", got, err)
+	}
+	if took := time.Since(began); took < settleTime/2 || took > 2*settleTime {
+		t.Errorf("the end is noticed after %v, want about %v", took, settleTime)
+	}
+}
+
 // scriptedConn returns errors as a kernel would.
 type scriptedConn struct {
 	net.Conn
@@ -117,7 +139,7 @@
 		{name: "reset", writeErr: &net.OpError{Op: "write", Err: os.NewSyscallError("write", syscall.ECONNRESET)}, readEr: io.EOF, want: syscall.ECONNRESET},
 		{name: "no acknowledgement", writeErr: syscall.ETIMEDOUT, readEr: io.EOF, want: syscall.ETIMEDOUT},
 		{name: "no route any more", writeErr: syscall.EHOSTUNREACH, readEr: io.EOF, want: syscall.EHOSTUNREACH},
-		{name: "closed by the other side", writeErr: syscall.EPIPE, readEr: io.EOF, want: io.EOF},
+		{name: "reset after the other side has closed it", writeErr: syscall.EPIPE, readEr: io.EOF, want: syscall.EPIPE},
 		{name: "deadline", writeErr: os.ErrDeadlineExceeded, readEr: io.EOF, want: io.EOF},
 		{name: "closed here", writeErr: net.ErrClosed, readEr: net.ErrClosed, want: net.ErrClosed},
 		{name: "nothing", readEr: io.EOF, want: io.EOF},
--- a/answers/transport.go
+++ b/answers/transport.go
@@ -33,12 +33,20 @@
 // RoundTrip sends a request and returns when the head of the answer has arrived.
 func (t *transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	var conn *Conn
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		var plain bool
-		if conn, plain = info.Conn.(*Conn); plain {
-			conn.ExpectHead()
-		}
-	}}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			var plain bool
+			if conn, plain = info.Conn.(*Conn); plain {
+				conn.ExpectHead()
+				conn.BeginRequest()
+			}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			if conn != nil {
+				conn.EndRequest()
+			}
+		},
+	}
 	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil && conn != nil && conn.CheckHead() != nil {
 		return nil, conn.CheckHead()
--- a/soak/answers.go
+++ b/soak/answers.go
@@ -35,7 +35,7 @@
 		c.record.addViolation("Mixed", "%s got %d without a seal", id, http.StatusOK)
 		return false
 	case got.Body != want:
-		c.record.addViolation("Mixed", "%s got %.60q", id, got.Body)
+		c.record.addViolation("Mixed", "%s got %.60q; garbled: %q", id, got.Body, c.garbled(id))
 		return false
 	}
 	return got.Err == nil
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -99,7 +99,7 @@
 		if c.sized {
 			route = standin.Stream
 		}
-		status := c.call(client, gateway, route)
+		status := c.call(client, gateway, route, 0)
 		if c.sized {
 			pauseAfterRefusal(status)
 		}
@@ -107,8 +107,8 @@
 	}
 }
 
-// call sends one request, checks the answer and returns its status, or 0 if there was none.
-func (c *callers) call(client *http.Client, gateway, route string) int {
+// call sends one request with an upload of a length, checks the answer and returns its status, or 0 if there was none.
+func (c *callers) call(client *http.Client, gateway, route string, upload int) int {
 	id, events := uuid.NewString(), 0
 	if isStream(route) {
 		events = 1 + rand.IntN(maxEvents) //nolint:gosec // spreads load, no secret
@@ -120,7 +120,7 @@
 	c.mu.Lock()
 	c.sent[id] = request
 	c.mu.Unlock()
-	got := standin.Request{Gateway: gateway, Route: route, ID: id, Events: events, Prompt: request.prompt}.Send(context.Background(), client)
+	got := standin.Request{Gateway: gateway, Route: route, ID: id, Events: events, Prompt: request.prompt, Upload: upload}.Send(context.Background(), client)
 	request.took = wall.since(request.at)
 	c.record.count(outcomeOf(route, got))
 	if got.Status == http.StatusOK {
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -62,6 +62,8 @@
 		receiver *standin.UsageReceiver
 		// faultyUpstreams is the number of upstreams of the service that is faulty in a scenario.
 		faultyUpstreams int
+		// uploads is the length of the uploads that callers send to the faulty service, 0 for usual bodies.
+		uploads int
 		// replaced lists the replicas whose place successors take in a scenario.
 		replaced []int
 		// cutsDomains is set if domains are cut from each other, so that proxies must know who dials. To find out
@@ -126,7 +128,7 @@
 		base: firstPort + rand.IntN(portRange), //nolint:gosec // spreads runs, no secret
 	}
 	if options.Scenario != nil {
-		c.faultyUpstreams, c.replaced = options.Scenario.faultyUpstreams, options.Scenario.replaced
+		c.faultyUpstreams, c.uploads, c.replaced = options.Scenario.faultyUpstreams, options.Scenario.uploads, options.Scenario.replaced
 		c.stranger, c.cutsDomains = options.Scenario.stranger, options.Scenario.cutsDomains
 	}
 	if options.sized() {
--- a/soak/endless.go
+++ b/soak/endless.go
@@ -69,20 +69,24 @@
 }
 
 // press sends requests to the faulty service from many callers until ctx ends.
-func (c *callers) press(ctx context.Context, gateway string, count int) {
+func (c *callers) press(ctx context.Context, gateway string, scenario *Scenario) {
 	var group sync.WaitGroup
-	for range count {
-		group.Go(func() { c.pressOnce(ctx, gateway) })
+	for range scenario.pressing {
+		group.Go(func() { c.pressOnce(ctx, gateway, scenario.uploads) })
 	}
 	group.Wait()
 }
 
-func (c *callers) pressOnce(ctx context.Context, gateway string) {
+func (c *callers) pressOnce(ctx context.Context, gateway string, uploads int) {
 	transport := &http.Transport{MaxConnsPerHost: 1, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: callTimeout}
 	for ctx.Err() == nil {
-		pauseAfterRefusal(c.call(client, gateway, faultyRoutes[rand.IntN(len(faultyRoutes))])) //nolint:gosec // spreads load, no secret
+		route := faultyRoutes[rand.IntN(len(faultyRoutes))] //nolint:gosec // spreads load, no secret
+		if uploads > 0 && isStream(route) {
+			continue
+		}
+		pauseAfterRefusal(c.call(client, gateway, route, uploads))
 		wall.sleep(thinkTime)
 	}
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -59,7 +59,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	if r.Scenario != nil {
-		group.Go(func() { r.callers.press(ctx, r.cluster.gateways[0], r.Scenario.pressing) })
+		group.Go(func() { r.callers.press(ctx, r.cluster.gateways[0], r.Scenario) })
 	}
 	group.Go(func() { r.watchUnread(ctx) })
 	group.Go(func() { r.watchRules(ctx) })
@@ -75,7 +75,7 @@
 	switch fault.Kind {
 	case Publish, NameVersion, Evacuate:
 		i.order(ctx, fault)
-	case RefuseService, SlowService, GarbleStreams, AnswerWithoutEnd:
+	case RefuseService, SlowService, GarbleStreams, AnswerWithoutEnd, AnswerEarly:
 		i.disturbServices(fault)
 	case KillGateways:
 		i.killGateways(fault)
@@ -127,6 +127,8 @@
 		i.slow(fault)
 	case GarbleStreams:
 		i.garbleStreams(fault)
+	case AnswerEarly:
+		i.answerEarly(fault)
 	default:
 		i.answerWithoutEnd(fault)
 	}
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -32,6 +32,7 @@
 	// majorityRan reports whether a majority of the replicas ran from one time to another.
 	majorityRan func(from, to time.Time) bool
 	faulty      bool
+	maxBody     int
 	record      *record
 	client      *http.Client
 
@@ -48,7 +49,7 @@
 
 func newOperators(c *cluster) *operators {
 	return &operators{
-		control: c.control, origin: c.origin.Address(), engine: c.engine, faulty: c.faultyUpstreams > 0, record: c.record, client: &http.Client{Timeout: orderTimeout},
+		control: c.control, origin: c.origin.Address(), engine: c.engine, faulty: c.faultyUpstreams > 0, maxBody: 2 * c.uploads, record: c.record, client: &http.Client{Timeout: orderTimeout},
 		majorityRan: c.majorityRan,
 		versionSent: 1, versionAcknowledged: 1,
 	}
@@ -202,6 +203,6 @@
 	return standin.Document{
 		Kept:   kept,
 		Number: number, Origin: o.origin, Pieces: pieces, Layers: layers, Slots: slots, Marker: markerOf(number),
-		Engine: o.engine, Work: sizedWork, Faulty: o.faulty,
+		Engine: o.engine, Work: sizedWork, Faulty: o.faulty, MaxBody: o.maxBody,
 	}
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -58,6 +58,8 @@
 	// AnswerWithoutEnd makes all upstreams of a service give answers without end to a share of the
 	// requests.
 	AnswerWithoutEnd FaultKind = "AnswerWithoutEnd"
+	// AnswerEarly makes the upstreams of the faulty service answer before they have read the request.
+	AnswerEarly FaultKind = "AnswerEarly"
 	// FullDisk makes a replica's disk take no more bytes.
 	FullDisk FaultKind = "FullDisk"
 	// LoseLeader kills the leader of the log right after a change was acknowledged.
--- a/soak/scenario.go
+++ b/soak/scenario.go
@@ -27,6 +27,8 @@
 	// pressing is the number of callers of the faulty service at the first gateway, faultyUpstreams the
 	// number of its upstreams.
 	pressing, faultyUpstreams int
+	// uploads is the length of the bodies that these callers send, 0 for usual ones.
+	uploads int
 	// replaced lists the replicas whose place successors take.
 	replaced []int
 	// cutsDomains is set if failure domains are cut from each other.
@@ -41,6 +43,9 @@
 	"answers-without-end": {
 		faults: answersWithoutEnd, callers: otherCallers, pressing: pressingFaulty, faultyUpstreams: faultyUpstreams, check: (*run).checkOthers,
 	},
+	"answers-to-uploads": {
+		faults: answersToUploads, callers: otherCallers, pressing: uploaders, faultyUpstreams: earlyUpstreams, uploads: uploadBytes, check: (*run).checkUploads,
+	},
 	"domains-cut":            {faults: domainsCut, callers: callersPerGateway, cutsDomains: true},
 	"full-disks":             {faults: fullDisks, callers: callersPerGateway},
 	"garbled-streams":        {faults: garbledStreams, callers: garbledCallers, check: (*run).checkResumed},
--- a/soak/scenario_test.go
+++ b/soak/scenario_test.go
@@ -59,6 +59,12 @@
 	testScenario(t, "answers-without-end", 8*time.Second)
 }
 
+// Upstreams answer long uploads before they have read them, without a length. Parts of answers came as complete ones if the
+// connection was reset after its end.
+func TestEarlyAnswersToUploadsAreWholeOrBroken(t *testing.T) {
+	testScenario(t, "answers-to-uploads", 5*time.Second)
+}
+
 // The next host of the log was lost while leaders changed and the one before it was not replaced yet. No read
 // was answered any more.
 func TestLostHostsLeaveAMajority(t *testing.T) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -214,7 +214,7 @@
 	defer client.CloseIdleConnections()
 	for i, gateway := range r.cluster.gateways {
 		for _, route := range routes {
-			if status := r.callers.call(client, gateway, route); status != http.StatusOK {
+			if status := r.callers.call(client, gateway, route, 0); status != http.StatusOK {
 				return figbank.InvalidError{Subject: fmt.Sprintf("gateway %d", i), Detail: fmt.Sprintf("%s request got status %d", route, status)}
 			}
 		}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -37,7 +37,7 @@
 }
 
 func newConn(pool *Pool, address figbank.Address, netConn net.Conn) *conn {
-	watched := answers.NewConn(netConn)
+	watched := answers.NewConn(netConn, answers.WithClock(pool.clock))
 	heads := &headLimiter{source: watched}
 	return &conn{
 		pool: pool, address: address, netConn: netConn, watched: watched, heads: heads, reader: bufio.NewReaderSize(heads, readBufferBytes),
--- a/upstream/earlyanswer_test.go
+++ b/upstream/earlyanswer_test.go
@@ -19,6 +19,8 @@
 	t.Helper()
 	listener := serveConnections(t, func(conn *net.TCPConn) {
 		defer func() { _ = conn.Close() }()
+		// The rest of the upload stays with its sender until it is read.
+		_ = conn.SetReadBuffer(64 << 10)
 		_, _ = conn.Read(make([]byte, 4<<10))
 		_, _ = io.WriteString(conn, answer)
 		time.Sleep(2 * time.Millisecond)
@@ -28,7 +30,8 @@
 }
 
 // An upstream answers a long upload at once, and its connection ends while the upload is still being written. An answer without
-// a length is complete only if the upstream has closed the connection. One with a length is complete whatever becomes of the upload.
+// a length is complete only if the upstream has closed the connection and takes the upload nevertheless. One with a length is complete
+// whatever becomes of the upload.
 func TestEarlyAnswerToALongUpload(t *testing.T) {
 	const (
 		uploadBytes = 6 << 20
@@ -41,13 +44,20 @@
 		_ = c.CloseWrite()
 		time.Sleep(50 * time.Millisecond)
 	}
+	readOn := func(c *net.TCPConn) {
+		_ = c.CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
+	}
+	inside := func(c *net.TCPConn) { _, _ = io.CopyN(io.Discard, c, uploadBytes/2) }
 	scenarios := []struct {
 		name, answer string
 		end          func(*net.TCPConn)
 		whole        bool
 	}{
 		{name: "no length, reset", answer: unframed, end: reset},
-		{name: "no length, closed", answer: unframed, end: half, whole: true},
+		{name: "no length, closed and read on", answer: unframed, end: readOn, whole: true},
+		{name: "no length, closed and left unread", answer: unframed, end: half},
+		{name: "no length, read in part, then closed", answer: unframed, end: inside},
 		{name: "length, reset", answer: framed, end: reset, whole: true},
 		{name: "length, closed", answer: framed, end: half, whole: true},
 		{name: "length, reset inside", answer: framed[:len(framed)-1], end: reset},
@@ -71,7 +81,7 @@
 					t.Errorf("ReadAll() = %q, %v, want a whole answer", content, err)
 				}
 				var incomplete figbank.IncompleteAnswerError
-				if !s.whole && (!errors.As(err, &incomplete) || !strings.Contains(incomplete.Detail, "reset") && answer.Unframed) {
+				if !s.whole && (!errors.As(err, &incomplete) || !strings.Contains(incomplete.Detail, "connection failed") && !strings.Contains(incomplete.Detail, "reset") && answer.Unframed) {
 					t.Errorf("ReadAll() = %q, %v, want an answer that was reset", content, err)
 				}
 				if kept := pool.takeIdle(address); kept != nil {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -111,8 +111,10 @@
 // the result of writing the request.
 func (c *conn) send(call *Call, written chan<- error) error {
 	head := call.head()
+	c.watched.BeginRequest()
 	if len(call.Body) <= maxInlineBody {
 		_, err := c.watched.Write(append(head, call.Body...))
+		c.watched.EndRequest()
 		written <- err
 		return err
 	}
@@ -121,6 +123,7 @@
 	}
 	go func() {
 		_, err := c.watched.Write(call.Body)
+		c.watched.EndRequest()
 		written <- err
 	}()
 	return nil
