soak: the odd writer announces what upstreams have under another service

Beside all scenarios in which rules change it now sends, for each running upstream, announcements of a service that no rules name, at its address or under its id, born before, with or after it. odd-writers checks that requests are served as often as later.

--- a/soak/logfaults.go
+++ b/soak/logfaults.go
@@ -99,6 +99,9 @@
 			i.record.addViolation("Config", "an announcement that cannot be read was accepted: %v", order.Body)
 		}
 		_, _, _ = writer.next().Send(ctx, client, i.cluster.control[k%len(i.cluster.control)])
+		for _, u := range i.cluster.runningUpstreams() {
+			_, _, _ = writer.borrow(u).Send(ctx, client, i.cluster.control[k%len(i.cluster.control)])
+		}
 		wall.sleep(garbleInterval)
 	}
 }
--- a/soak/oddwriter.go
+++ b/soak/oddwriter.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"slices"
 	"strings"
+	"time"
 
 	"figbank/platform/standin"
 )
@@ -16,6 +17,13 @@
 	// maxOddBytes bounds the length of odd texts. Those of longText bytes are too long for a name.
 	maxOddBytes = 24
 	longText    = 2 << 10
+	// unnamedService is a service that no rules name.
+	unnamedService = "elsewhere"
+	borrowedBody   = `{"service":%q,"address":%q,"zone":"za","version":"v1","slots":1,"state":%q,"cold_left_ms":%d,"models":[],"seq":%d,"born":%d}`
+	// drainingEach is how many borrowed announcements there are for one that says that the upstream leaves, which the log records.
+	drainingEach = 10
+	// clockAhead is how far ahead the clock of another writer may be.
+	clockAhead = time.Hour
 )
 
 type (
@@ -58,6 +66,27 @@
 	return standin.Order{Method: http.MethodPut, Path: path, Body: json.RawMessage(w.body())}
 }
 
+// borrow returns the announcement of a service that no rules name, at the address of an upstream or under its id, born before, with or
+// after it. Some say that it leaves.
+func (w oddWriter) borrow(from *standin.Upstream) standin.Order {
+	id, address := from.ID(), from.Address()
+	switch w.random.IntN(4) {
+	case 0:
+		address = "127.0.0.1:9"
+	case 1:
+		id = fmt.Sprint("odd-", w.random.Uint32())
+	case 2:
+		id = "odd-" + id
+	}
+	state := "ready"
+	if w.random.IntN(drainingEach) == 0 {
+		state = "draining"
+	}
+	births := []int64{from.Born() - 1, from.Born(), from.Born() + 1, wall.Now().UnixMilli(), wall.Now().Add(clockAhead).UnixMilli()}
+	body := fmt.Sprintf(borrowedBody, unnamedService, address, state, w.random.IntN(2)*1000, w.random.IntN(1<<20), births[w.random.IntN(len(births))])
+	return standin.Order{Method: http.MethodPut, Path: "/v1/instances/" + id, Body: json.RawMessage(body)}
+}
+
 // body returns an announcement with up to two fields that are missing, odd, or of another type. Many of them are accepted,
 // and some say that the upstream leaves.
 func (w oddWriter) body() string {
--- a/soak/scenario.go
+++ b/soak/scenario.go
@@ -52,7 +52,7 @@
 	"hosts-lost":             {faults: hostsLost, callers: callersPerGateway, replaced: lostInTurn},
 	"hosts-replaced":         {faults: hostsReplaced, callers: callersPerGateway, replaced: replacedInTurn},
 	"leaders-lost":           {faults: leadersLost, callers: callersPerGateway},
-	"odd-writers":            {faults: oddWriters, callers: callersPerGateway},
+	"odd-writers":            {faults: oddWriters, callers: callersPerGateway, check: (*run).checkServedBeside},
 	"restarts-in-series":     {faults: restartsInSeries, callers: callersPerGateway},
 	"restarts-while-refused": {faults: restartsWhileRefused, callers: callersPerGateway},
 	"strangers":              {faults: strangersMet, callers: callersPerGateway, stranger: true},
--- a/soak/series.go
+++ b/soak/series.go
@@ -18,6 +18,8 @@
 	leaderLoss = applyTime + unstableTime + 1500*time.Millisecond
 	// cycleGap is the time in which leadersLost does the same at each replica.
 	cycleGap = 16 * time.Second
+	// minServedBeside is how often requests must be served beside odd announcements, against how often they are later.
+	minServedBeside = 0.9
 )
 
 // changes publishes again and again, while odd announcements come, and some that cannot be read.
@@ -89,6 +91,11 @@
 	return sorted(plan)
 }
 
+// checkServedBeside records a violation if requests were served much less often beside odd announcements than later.
+func (r *run) checkServedBeside() {
+	r.checkServedShare("requests beside odd announcements", minServedBeside, func(request *sentRequest) bool { return slices.Contains(routes, request.route) })
+}
+
 func sorted(plan []Fault) []Fault {
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
--- a/soak/upstreams.go
+++ b/soak/upstreams.go
@@ -111,6 +111,17 @@
 	return running
 }
 
+// runningUpstreams returns the running incarnations of all upstreams.
+func (c *cluster) runningUpstreams() []*standin.Upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	running := slices.Clone(c.faulty)
+	for _, u := range c.upstreams {
+		running = append(running, u.current)
+	}
+	return running
+}
+
 // runCounts returns how often each request has run, by its id.
 func (c *cluster) runCounts() map[string]int {
 	counts := map[string]int{}
