soak: settings are replaced at once

Cause: the soak wrote a process's settings into the file that the process may be reading at that moment.

Change: the settings are written beside the file and renamed. No check has changed.

--- a/soak/process.go
+++ b/soak/process.go
@@ -119,8 +119,13 @@
 	return p.writeSettings()
 }
 
+// writeSettings replaces the settings file at once: the process may be reading it.
 func (p *process) writeSettings() error {
-	return figbank.WrapError("soak", "Settings", os.WriteFile(p.settingsFile(), []byte(p.settings), 0o600))
+	next := p.settingsFile() + ".next"
+	if err := os.WriteFile(next, []byte(p.settings), 0o600); err != nil {
+		return figbank.WrapError("soak", "Settings", err)
+	}
+	return figbank.WrapError("soak", "Settings", os.Rename(next, p.settingsFile()))
 }
 
 // setFull sets whether the disk of the process takes no more bytes.
