feed: a replica with old rules holds nothing back

A replica that is cut off from the log and still hears upstreams has old rules; a gateway with newer ones would not be told of upstreams whose service these name.

Change: once a subscriber has told for a second of a newer fleet state than the replica has, it is sent all records, and decides by its own rules. A second, since after each change one of two updates is a moment later.

Also: the transport of answers keeps the connection of the last try in an atomic: net/http may repeat a request by itself while the first connection still reports that it has written it.

--- a/answers/transport.go
+++ b/answers/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 )
 
 // transport is the RoundTripper that NewTransport returns.
@@ -32,23 +33,25 @@
 
 // RoundTrip sends a request and returns when the head of the answer has arrived.
 func (t *transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	var conn *Conn
+	// used is the connection of the last try: net/http repeats some requests by itself.
+	var used atomic.Pointer[Conn]
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			var plain bool
-			if conn, plain = info.Conn.(*Conn); plain {
+			conn, plain := info.Conn.(*Conn)
+			if plain {
 				conn.ExpectHead()
 				conn.BeginRequest()
 			}
+			used.Store(conn)
 		},
 		WroteRequest: func(httptrace.WroteRequestInfo) {
-			if conn != nil {
+			if conn := used.Load(); conn != nil {
 				conn.EndRequest()
 			}
 		},
 	}
 	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
-	if err != nil && conn != nil && conn.CheckHead() != nil {
+	if conn := used.Load(); err != nil && conn != nil && conn.CheckHead() != nil {
 		return nil, conn.CheckHead()
 	}
 	return response, err
--- a/feed/server.go
+++ b/feed/server.go
@@ -23,14 +23,21 @@
 	// minUpdateInterval is the shortest time between two updates. Changes that come
 	// close together are sent in one update.
 	minUpdateInterval = 20 * time.Millisecond
+	// aheadTime is how long a subscriber may have a newer fleet state than the process that feeds it before that counts as lost from
+	// the log. Usually it is the time that one of two updates takes longer.
+	aheadTime = time.Second
 )
 
 // subscription tracks what has been sent to one subscriber.
 type subscription struct {
-	view        *View
-	stream      *transport.Stream
-	member      *schema.Member
-	cursor      registry.Cursor
+	view   *View
+	stream *transport.Stream
+	member *schema.Member
+	cursor registry.Cursor
+	// aheadSince is since when the subscriber has had a newer fleet state than this process, zero if it has not.
+	// ahead is set once that has lasted for aheadTime.
+	aheadSince  time.Time
+	ahead       bool
 	commitIndex uint64
 	// told is the index of the fleet state that the subscriber last told to have.
 	told atomic.Uint64
@@ -195,6 +202,21 @@
 	return fleet, s.crossing.wait(now, fleet.GetCommitIndex(), known)
 }
 
+// becameAhead reports whether the subscriber has been ahead of this process for aheadTime, and was not told so before. Its rules may name
+// services that this process holds back, for which it may be the only one that hears the upstreams.
+func (s *subscription) becameAhead() bool {
+	now, before := s.view.common.Clock.Now(), s.ahead
+	switch {
+	case s.told.Load() <= s.view.fleet.Current().GetCommitIndex():
+		s.aheadSince, s.ahead = time.Time{}, false
+	case s.aheadSince.IsZero():
+		s.aheadSince = now
+	default:
+		s.ahead = now.Sub(s.aheadSince) >= aheadTime
+	}
+	return s.ahead && !before
+}
+
 // nextUpdate collects what the subscriber has not been sent yet.
 func (s *subscription) nextUpdate() *schema.FeedUpdate {
 	update := &schema.FeedUpdate{}
@@ -208,7 +230,10 @@
 	v.followServices()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	changes := v.registry.Since(s.cursor, role == schema.MemberRole_MEMBER_ROLE_REPLICA)
+	if s.becameAhead() {
+		s.cursor = 0
+	}
+	changes := v.registry.Since(s.cursor, s.ahead || role == schema.MemberRole_MEMBER_ROLE_REPLICA)
 	s.cursor = v.registry.Revision()
 	update.Instances = changes.Instances
 	update.Engines = changes.Engines
