answers: an end before an answer has begun is a plain one

Found by reading.

Change: before the first byte of an answer nothing waits, and EPIPE is no failure; other failures are, as before.

--- a/answers/conn.go
+++ b/answers/conn.go
@@ -118,11 +118,16 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	c.settle()
-	if failure := c.failure.Load(); failure != nil {
-		return n, *failure
+	unanswered := c.expected.Load()
+	if !unanswered {
+		c.settle()
 	}
-	return n, err
+	failure := c.failure.Load()
+	// An idle connection that is closed just as a request is written to it has ended plainly: net/http sends such a request once more.
+	if failure == nil || unanswered && errors.Is(*failure, syscall.EPIPE) {
+		return n, err
+	}
+	return n, *failure
 }
 
 // check checks the bytes of a head.
--- a/answers/conn_test.go
+++ b/answers/conn_test.go
@@ -134,12 +134,16 @@
 	scenarios := []struct {
 		name             string
 		writeErr, readEr error
-		want             error
+		// unanswered is set if no byte of the answer has come.
+		unanswered bool
+		want       error
 	}{
 		{name: "reset", writeErr: &net.OpError{Op: "write", Err: os.NewSyscallError("write", syscall.ECONNRESET)}, readEr: io.EOF, want: syscall.ECONNRESET},
 		{name: "no acknowledgement", writeErr: syscall.ETIMEDOUT, readEr: io.EOF, want: syscall.ETIMEDOUT},
 		{name: "no route any more", writeErr: syscall.EHOSTUNREACH, readEr: io.EOF, want: syscall.EHOSTUNREACH},
 		{name: "reset after the other side has closed it", writeErr: syscall.EPIPE, readEr: io.EOF, want: syscall.EPIPE},
+		{name: "closed by the other side before an answer", writeErr: syscall.EPIPE, readEr: io.EOF, unanswered: true, want: io.EOF},
+		{name: "reset before an answer", writeErr: syscall.ECONNRESET, readEr: io.EOF, unanswered: true, want: syscall.ECONNRESET},
 		{name: "deadline", writeErr: os.ErrDeadlineExceeded, readEr: io.EOF, want: io.EOF},
 		{name: "closed here", writeErr: net.ErrClosed, readEr: net.ErrClosed, want: net.ErrClosed},
 		{name: "nothing", readEr: io.EOF, want: io.EOF},
@@ -147,6 +151,9 @@
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			conn := NewConn(scriptedConn{readErr: s.readEr, writeErr: s.writeErr})
+			if s.unanswered {
+				conn.ExpectHead()
+			}
 			_, _ = conn.Write([]byte("x"))
 			if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, s.want) {
 				t.Errorf("Read() = %v, want %v", err, s.want)
