--- a/upstream/earlyanswer_test.go
+++ b/upstream/earlyanswer_test.go
@@ -53,11 +53,13 @@
 		name, answer string
 		end          func(*net.TCPConn)
 		whole        bool
+		// closed is set if the connection is closed before it is reset, which the kernel may report as a broken pipe.
+		closed bool
 	}{
 		{name: "no length, reset", answer: unframed, end: reset},
 		{name: "no length, closed and read on", answer: unframed, end: readOn, whole: true},
-		{name: "no length, closed and left unread", answer: unframed, end: half},
-		{name: "no length, read in part, then closed", answer: unframed, end: inside},
+		{name: "no length, closed and left unread", answer: unframed, end: half, closed: true},
+		{name: "no length, read in part, then closed", answer: unframed, end: inside, closed: true},
 		{name: "length, reset", answer: framed, end: reset, whole: true},
 		{name: "length, closed", answer: framed, end: half, whole: true},
 		{name: "length, reset inside", answer: framed[:len(framed)-1], end: reset},
@@ -81,7 +83,9 @@
 					t.Errorf("ReadAll() = %q, %v, want a whole answer", content, err)
 				}
 				var incomplete figbank.IncompleteAnswerError
-				if !s.whole && (!errors.As(err, &incomplete) || !strings.Contains(incomplete.Detail, "connection failed") && !strings.Contains(incomplete.Detail, "reset") && answer.Unframed) {
+				cut := errors.As(err, &incomplete)
+				told := strings.Contains(incomplete.Detail, "reset") || s.closed && strings.Contains(incomplete.Detail, "broken pipe")
+				if !s.whole && (!cut || !told && answer.Unframed) {
 					t.Errorf("ReadAll() = %q, %v, want an answer that was reset", content, err)
 				}
 				if kept := pool.takeIdle(address); kept != nil {
